Set down folders, core types, messages and codecs

Change: plain classes with slots for resources and messages, errors with codes that carry step and peer, numbered events, settings checked by cerberus, codecs for HTTP, the etcd JSON form and protobuf with singledispatch on the message class. Conclusion: the parts that everything else is built on; nothing runs yet.

--- /dev/null
+++ b/yuccahitch/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line: ``python -m yuccahitch``."""
+
+from yuccahitch import cli
+
+if __name__ == "__main__":
+    cli.main()
--- /dev/null
+++ b/yuccahitch/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Translation of messages to and from HTTP, JSON and protobuf."""
--- /dev/null
+++ b/yuccahitch/codecs/_resource_schema.py
@@ -0,0 +1,67 @@
+"""Schemas of the resources."""
+
+from __future__ import annotations
+
+import typing
+
+NAME = {"type": "string", "regex": r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", "required": True}
+LABEL = {"type": "string", "regex": r"([a-z0-9][a-z0-9-]{0,62})?"}
+LABELS = {"type": "list", "maxlength": 64, "schema": LABEL}
+MAX_TOKENS = 10_000_000
+ABILITIES = ["load", "cancel", "resume", "priority", "events", "orders", "fencing", "echo"]
+
+SCHEMA: dict[str, dict[str, typing.Any]] = {
+    "account": {
+        "name": NAME,
+        "residency": LABELS,
+        "weight": {"type": "number", "min": 0.01, "max": 1000},
+        "client": {"type": "string", "maxlength": 63},
+    },
+    "client": {
+        "name": NAME,
+        "closed": {"type": "boolean"},
+        "home": LABEL,
+    },
+    "key": {
+        "name": NAME,
+        "account": NAME,
+        "digest": {"type": "string", "regex": r"[0-9a-f]{64}", "required": True},
+        "withdrawn": {"type": "boolean"},
+    },
+    "rate": {
+        "name": NAME,
+        "tokens_per_s": {"type": "number", "min": 0, "max": 1e9, "required": True},
+        "burst_tokens": {"type": "number", "min": 0, "max": 1e10, "required": True},
+    },
+    "service": {
+        "name": NAME,
+        "kind": {"type": "string", "allowed": ["model", "plain"]},
+        "max_output_tokens": {"type": "integer", "min": 1, "max": MAX_TOKENS},
+        "tokens_per_call": {"type": "integer", "min": 0, "max": MAX_TOKENS},
+    },
+    "route": {
+        "name": NAME,
+        "target": NAME,
+        "service": NAME,
+        "regions": LABELS,
+        "accounts": {"type": "list", "maxlength": 4096, "schema": {"type": "string"}},
+        "open": {"type": "boolean"},
+        "account": {"type": "string", "maxlength": 63},
+        "idempotent": {"type": "boolean"},
+    },
+    "upstream": {
+        "name": NAME,
+        "service": NAME,
+        "region": {**LABEL, "required": True},
+        "zone": {**LABEL, "required": True},
+        "address": {
+            "type": "string",
+            "regex": r"http://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}",
+            "required": True,
+        },
+        "slots": {"type": "integer", "min": 1, "max": 65536},
+        "leaving": {"type": "boolean"},
+        "cost": {"type": "number", "min": 0, "max": 1e6},
+        "abilities": {"type": "list", "allowed": ABILITIES},
+    },
+}
--- /dev/null
+++ b/yuccahitch/codecs/peer.py
@@ -0,0 +1,402 @@
+"""Messages between instances as protobuf."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+from yuccahitch import errors
+from yuccahitch.codecs import resources
+from yuccahitch.codecs.generated import peer_pb2 as pb
+from yuccahitch.messages import actions, answers, peers, requests
+from yuccahitch.resources import entry
+
+STEP = "peer-codec"
+MAX_DETAIL_CHARACTERS = 500
+
+
+def to_envelope(body: peers.Body, *, stamp: int) -> pb.Envelope:
+    """Return a message in its envelope."""
+    envelope = pb.Envelope(stamp=stamp)
+    _fill(body, envelope)
+    return envelope
+
+
+def from_envelope(envelope: pb.Envelope) -> peers.Body:
+    """Read the message in an envelope.
+
+    Raises:
+        errors.GatewayError: ``peer-invalid`` when there is none.
+    """
+    name = envelope.WhichOneof("body")
+    if name is None:
+        raise errors.GatewayError(
+            errors.Code.PEER_INVALID, step=STEP, detail="the envelope holds no known message"
+        )
+    return _read(getattr(envelope, name))
+
+
+@functools.singledispatch
+def _fill(body: peers.Body, envelope: pb.Envelope) -> None:
+    raise TypeError(type(body))
+
+
+@_fill.register
+def _(body: peers.Gossip, envelope: pb.Envelope) -> None:
+    gossip = envelope.gossip
+    gossip.sender.CopyFrom(pb.Row(**body.sender.as_dict()))
+    gossip.rows.extend(pb.Row(**row.as_dict()) for row in body.rows)
+    gossip.beats.extend(pb.Beat(**beat.as_dict()) for beat in body.beats)
+    gossip.unknown.extend(body.unknown)
+    gossip.digest = body.digest
+    gossip.arrivals = body.arrivals
+    gossip.loads.extend(pb.Load(**load.as_dict()) for load in body.loads)
+    gossip.suspects.extend(pb.Suspect(**suspect.as_dict()) for suspect in body.suspects)
+
+
+@_fill.register
+def _(body: peers.Entries, envelope: pb.Envelope) -> None:
+    message = envelope.entries
+    message.arrivals = body.arrivals
+    message.digest = body.digest
+    message.entries.extend(
+        pb.Entry(
+            kind=item.kind,
+            name=item.name,
+            version=item.version,
+            write_id=item.write_id,
+            spec=resources.spec_to_bytes(item.spec),
+        )
+        for item in body.entries
+    )
+
+
+@_fill.register
+def _(body: peers.PullEntries, envelope: pb.Envelope) -> None:
+    envelope.pull_entries.CopyFrom(pb.PullEntries(**body.as_dict()))
+
+
+@_fill.register
+def _(body: peers.Borrow, envelope: pb.Envelope) -> None:
+    envelope.borrow.CopyFrom(pb.Borrow(**body.as_dict()))
+
+
+@_fill.register
+def _(body: peers.Loan, envelope: pb.Envelope) -> None:
+    envelope.loan.CopyFrom(pb.Loan(**body.as_dict()))
+
+
+@_fill.register
+def _(body: peers.ReturnLoan, envelope: pb.Envelope) -> None:
+    envelope.return_loan.CopyFrom(pb.ReturnLoan(**body.as_dict()))
+
+
+@_fill.register
+def _(body: peers.SlicesChanged, envelope: pb.Envelope) -> None:
+    envelope.slices_changed.CopyFrom(pb.SlicesChanged(**body.as_dict()))
+
+
+@_fill.register
+def _(body: peers.AskVouch, envelope: pb.Envelope) -> None:
+    envelope.ask_vouch.CopyFrom(pb.AskVouch(**body.as_dict()))
+
+
+@_fill.register
+def _(body: peers.Vouch, envelope: pb.Envelope) -> None:
+    envelope.vouch.CopyFrom(pb.Vouch(**body.as_dict()))
+
+
+@_fill.register
+def _(body: peers.AskAttest, envelope: pb.Envelope) -> None:
+    envelope.ask_attest.SetInParent()
+
+
+@_fill.register
+def _(body: peers.Attest, envelope: pb.Envelope) -> None:
+    envelope.attest.CopyFrom(pb.Attest(**body.as_dict()))
+
+
+@_fill.register
+def _(body: peers.Ack, envelope: pb.Envelope) -> None:
+    envelope.ack.SetInParent()
+
+
+@functools.singledispatch
+def _read(message: typing.Any) -> peers.Body:
+    raise TypeError(type(message))
+
+
+def _row(row: pb.Row) -> peers.Row:
+    return peers.Row(**{name: getattr(row, name) for name in peers.Row.__slots__})
+
+
+@_read.register
+def _(message: pb.Gossip) -> peers.Body:
+    return peers.Gossip(
+        sender=_row(message.sender),
+        rows=[_row(row) for row in message.rows],
+        beats=[
+            peers.Beat(key=b.key, beat=b.beat, flags=b.flags, config_age=b.config_age)
+            for b in message.beats
+        ],
+        unknown=list(message.unknown),
+        digest=message.digest,
+        arrivals=message.arrivals,
+        loads=[
+            peers.Load(**{name: getattr(load, name) for name in peers.Load.__slots__})
+            for load in message.loads
+        ],
+        suspects=[
+            peers.Suspect(fingerprint=s.fingerprint, upstream=s.upstream, left_ms=s.left_ms)
+            for s in message.suspects
+        ],
+    )
+
+
+@_read.register
+def _(message: pb.Entries) -> peers.Body:
+    return peers.Entries(
+        [
+            entry.Entry(
+                kind=item.kind,
+                name=item.name,
+                version=item.version,
+                write_id=item.write_id,
+                spec=resources.spec_from_bytes(item.kind, item.spec),
+            )
+            for item in message.entries
+        ],
+        arrivals=message.arrivals,
+        digest=message.digest,
+    )
+
+
+@_read.register
+def _(message: pb.PullEntries) -> peers.Body:
+    return peers.PullEntries(message.since)
+
+
+@_read.register
+def _(message: pb.Borrow) -> peers.Body:
+    return peers.Borrow(
+        account=message.account,
+        loan_id=message.loan_id,
+        borrower=message.borrower,
+        tokens=message.tokens,
+        demand=message.demand,
+    )
+
+
+@_read.register
+def _(message: pb.Loan) -> peers.Body:
+    return peers.Loan(
+        loan_id=message.loan_id,
+        parts=message.parts,
+        tokens=message.tokens,
+        holders=tuple(message.holders),
+    )
+
+
+@_read.register
+def _(message: pb.ReturnLoan) -> peers.Body:
+    return peers.ReturnLoan(account=message.account, loan_id=message.loan_id, tokens=message.tokens)
+
+
+@_read.register
+def _(message: pb.SlicesChanged) -> peers.Body:
+    return peers.SlicesChanged(tuple(message.accounts))
+
+
+@_read.register
+def _(message: pb.AskVouch) -> peers.Body:
+    return peers.AskVouch(message.instance)
+
+
+@_read.register
+def _(message: pb.Vouch) -> peers.Body:
+    return peers.Vouch(instance=message.instance, cut_off=message.cut_off)
+
+
+@_read.register
+def _(message: pb.AskAttest) -> peers.Body:
+    return peers.AskAttest()
+
+
+@_read.register
+def _(message: pb.Attest) -> peers.Body:
+    return peers.Attest(instance=message.instance, quiet_s=message.quiet_s)
+
+
+@_read.register
+def _(message: pb.Ack) -> peers.Body:
+    return peers.Ack()
+
+
+def to_forwarded(work: actions.Forward, *, stamp: int) -> pb.Forwarded:
+    """Return a forwarded request; it never holds a caller's key or its digest."""
+    request, hop = work.request, work.hop
+    return pb.Forwarded(
+        stamp=stamp,
+        id=request.id,
+        kind=request.kind,
+        target=request.target,
+        method=request.method,
+        path=request.path,
+        headers=[pb.Header(name=name, value=value) for name, value in request.headers],
+        body=request.body,
+        stream=request.stream,
+        prompt_tokens=request.prompt_tokens,
+        max_tokens=request.max_tokens,
+        prefix=request.prefix,
+        digest=request.digest,
+        operation_key=request.operation_key,
+        deadline_in=work.deadline_in,
+        attempt=work.attempt,
+        **hop.as_dict(),
+    )
+
+
+def from_forwarded(
+    message: pb.Forwarded, *, now: float
+) -> tuple[requests.Request, requests.Hop, int]:
+    """Read a forwarded request, its hop and its attempt."""
+    if not message.id or not message.account or message.kind not in (requests.CHAT, requests.CALL):
+        raise errors.GatewayError(
+            errors.Code.PEER_INVALID, step=STEP, detail="the forwarded request is not complete"
+        )
+    request = requests.Request(
+        id=message.id,
+        kind=message.kind,
+        target=message.target,
+        method=message.method,
+        path=message.path,
+        headers=tuple((header.name, header.value) for header in message.headers),
+        body=message.body,
+        stream=message.stream,
+        prompt_tokens=message.prompt_tokens,
+        max_tokens=message.max_tokens,
+        prefix=message.prefix,
+        digest=message.digest,
+        key_digest="",
+        operation_key=message.operation_key,
+        deadline=now + message.deadline_in,
+    )
+    hop = requests.Hop(
+        sender=message.sender,
+        account=message.account,
+        key_name=message.key_name,
+        regions=tuple(message.regions),
+        hops=message.hops,
+        visited=tuple(message.visited),
+        owned=message.owned,
+        charged=message.charged,
+        granted_tokens=message.granted_tokens,
+    )
+    return request, hop, message.attempt
+
+
+@functools.singledispatch
+def to_part(part: answers.Part, *, stamp: int) -> pb.Part:
+    """Return a part of an answer."""
+    raise TypeError(type(part))
+
+
+@to_part.register
+def _(part: answers.Head, *, stamp: int) -> pb.Part:
+    head = pb.Head(
+        status=part.status,
+        headers=[pb.Header(name=name, value=value) for name, value in part.headers],
+        source=part.source,
+    )
+    return pb.Part(stamp=stamp, request_id=part.request_id, attempt=part.attempt, head=head)
+
+
+@to_part.register
+def _(part: answers.Chunk, *, stamp: int) -> pb.Part:
+    chunk = pb.Chunk(data=part.data)
+    return pb.Part(stamp=stamp, request_id=part.request_id, attempt=part.attempt, chunk=chunk)
+
+
+@to_part.register
+def _(part: answers.End, *, stamp: int) -> pb.Part:
+    end = pb.End(usage=pb.Usage(**part.usage.as_dict()))
+    return pb.Part(stamp=stamp, request_id=part.request_id, attempt=part.attempt, end=end)
+
+
+@to_part.register
+def _(part: answers.Failure, *, stamp: int) -> pb.Part:
+    error = part.error
+    failure = pb.Failure(
+        code=error.code.wire,
+        step=error.step,
+        peer=error.peer,
+        detail=error.detail[:MAX_DETAIL_CHARACTERS],
+        run=error.run.value,
+        retry_after=error.retry_after or 0.0,
+        crashed=part.crashed,
+        usage=pb.Usage(**part.usage.as_dict()),
+    )
+    return pb.Part(stamp=stamp, request_id=part.request_id, attempt=part.attempt, failure=failure)
+
+
+def from_part(part: pb.Part) -> answers.Part:
+    """Read a part of an answer.
+
+    Raises:
+        errors.GatewayError: ``peer-invalid`` when it holds nothing known.
+    """
+    name = part.WhichOneof("part")
+    if name is None:
+        raise errors.GatewayError(
+            errors.Code.PEER_INVALID,
+            step=STEP,
+            detail="the part of an answer is empty",
+            run=errors.Run.MAY_HAVE_RUN,
+        )
+    return _read_part(getattr(part, name), part.request_id, part.attempt)
+
+
+@functools.singledispatch
+def _read_part(message: typing.Any, request_id: str, attempt: int) -> answers.Part:
+    raise TypeError(type(message))
+
+
+@_read_part.register
+def _(message: pb.Head, request_id: str, attempt: int) -> answers.Part:
+    return answers.Head(
+        request_id=request_id,
+        attempt=attempt,
+        status=message.status,
+        headers=tuple((header.name, header.value) for header in message.headers),
+        source=message.source,
+    )
+
+
+@_read_part.register
+def _(message: pb.Chunk, request_id: str, attempt: int) -> answers.Part:
+    return answers.Chunk(request_id=request_id, attempt=attempt, data=message.data)
+
+
+@_read_part.register
+def _(message: pb.End, request_id: str, attempt: int) -> answers.Part:
+    usage = answers.Usage(message.usage.prompt, message.usage.output)
+    return answers.End(request_id=request_id, attempt=attempt, usage=usage)
+
+
+@_read_part.register
+def _(message: pb.Failure, request_id: str, attempt: int) -> answers.Part:
+    error = errors.GatewayError(
+        errors.BY_WIRE.get(message.code, errors.Code.PEER_FAILED),
+        step=message.step,
+        peer=message.peer,
+        detail=message.detail,
+        run=errors.Run(message.run) if message.run else errors.Run.MAY_HAVE_RUN,
+        retry_after=message.retry_after or None,
+    )
+    return answers.Failure(
+        request_id=request_id,
+        attempt=attempt,
+        error=error,
+        crashed=message.crashed,
+        usage=answers.Usage(message.usage.prompt, message.usage.output),
+    )
--- /dev/null
+++ b/yuccahitch/codecs/resources.py
@@ -0,0 +1,97 @@
+"""Resources as JSON, checked against a schema for each kind."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import cerberus
+
+from yuccahitch import errors
+from yuccahitch.codecs import _resource_schema as schema
+from yuccahitch.resources import entry
+
+STEP = "resource-codec"
+
+
+def spec_to_dict(spec: entry.Spec) -> dict[str, typing.Any]:
+    """Return a resource as plain data."""
+    return {
+        name: list(value) if type(value) is tuple else value
+        for name, value in spec.as_dict().items()
+    }
+
+
+def spec_from_dict(kind: str, data: typing.Any) -> entry.Spec:
+    """Check plain data and return the resource.
+
+    Raises:
+        errors.GatewayError: With every mistake in the detail.
+    """
+    if kind not in entry.KINDS:
+        raise _invalid(f"no kind {kind!r}; the kinds are {', '.join(entry.KINDS)}")
+    if not isinstance(data, dict):
+        raise _invalid("the resource is not a JSON object")
+    validator = cerberus.Validator(schema.SCHEMA[kind])
+    if not validator.validate(data):
+        raise _invalid(json.dumps(validator.errors, sort_keys=True))
+    return entry.KINDS[kind](**validator.document)
+
+
+def entry_to_bytes(item: entry.Entry) -> bytes:
+    """Return an entry as it is kept in the store."""
+    return json.dumps(entry_to_dict(item), sort_keys=True).encode()
+
+
+def entry_to_dict(item: entry.Entry) -> dict[str, typing.Any]:
+    """Return an entry as plain data."""
+    return {
+        "kind": item.kind,
+        "name": item.name,
+        "version": item.version,
+        "write_id": item.write_id,
+        "spec": None if item.spec is None else spec_to_dict(item.spec),
+    }
+
+
+def entry_from_bytes(data: bytes) -> entry.Entry:
+    """Read an entry from the store or a peer.
+
+    Raises:
+        errors.GatewayError: When the data is not an entry.
+    """
+    try:
+        return entry_from_dict(json.loads(data))
+    except (KeyError, TypeError, ValueError) as error:
+        raise _invalid(f"not an entry: {type(error).__name__}") from error
+
+
+def entry_from_dict(data: dict[str, typing.Any]) -> entry.Entry:
+    """Read an entry from plain data."""
+    spec = data["spec"]
+    return entry.Entry(
+        kind=data["kind"],
+        name=data["name"],
+        version=int(data["version"]),
+        write_id=data["write_id"],
+        spec=None if spec is None else spec_from_dict(data["kind"], spec),
+    )
+
+
+def spec_to_bytes(spec: entry.Spec | None) -> bytes:
+    """Return a resource as JSON bytes; None becomes no bytes."""
+    return b"" if spec is None else json.dumps(spec_to_dict(spec), sort_keys=True).encode()
+
+
+def spec_from_bytes(kind: str, data: bytes) -> entry.Spec | None:
+    """Read a resource from JSON bytes; no bytes become None."""
+    if not data:
+        return None
+    try:
+        return spec_from_dict(kind, json.loads(data))
+    except ValueError as error:
+        raise _invalid("not JSON") from error
+
+
+def _invalid(detail: str) -> errors.GatewayError:
+    return errors.GatewayError(errors.Code.RESOURCE_INVALID, step=STEP, detail=detail)
--- /dev/null
+++ b/yuccahitch/errors.py
@@ -0,0 +1,117 @@
+"""Errors with codes. Each carries the step and the peer at which it arose."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Run(enum.Enum):
+    """Whether the request can have run on an upstream."""
+
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+class Code(enum.Enum):
+    """Error codes: the wire name, the HTTP status and what the code means."""
+
+    KEY_MISSING = ("key-missing", 401, "The request carries no key and its route is not open.")
+    KEY_UNKNOWN = ("key-unknown", 401, "The key is malformed, unknown or withdrawn.")
+    ACCOUNT_CLOSED = ("account-closed", 403, "The client account is closed in the directory.")
+    OPERATOR_UNKNOWN = ("operator-unknown", 401, "The operator token is missing or wrong.")
+    ROUTE_UNKNOWN = ("route-unknown", 404, "No route serves this model, service or path.")
+    ROUTE_FORBIDDEN = ("route-forbidden", 403, "The route does not serve this client account.")
+    BODY_INVALID = ("body-invalid", 400, "The body is not JSON or has a wrong type.")
+    BODY_TOO_LARGE = ("body-too-large", 413, "The body is larger than the limit.")
+    HEADERS_TOO_LARGE = ("headers-too-large", 431, "There are too many headers, or too large ones.")
+    RESIDENCY = ("residency", 403, "No region where the data may reside can serve the request.")
+    LOOP = ("loop", 508, "A forwarded request would have been forwarded again.")
+    RATE_EXCEEDED = ("rate-exceeded", 429, "The client account's rate and burst are used up.")
+    RATE_UNAVAILABLE = (
+        "rate-unavailable",
+        503,
+        "The instance can't learn whether the client account's rate has room.",
+    )
+    TOO_LARGE_FOR_BURST = ("too-large-for-burst", 413, "The request needs more than the burst.")
+    NO_UPSTREAM = ("no-upstream", 503, "No upstream that may serve the request is available.")
+    OVERLOADED = ("overloaded", 503, "The request can't be served before its deadline.")
+    DEADLINE = ("deadline", 504, "The deadline passed before the answer began.")
+    UPSTREAM_FAILED = ("upstream-failed", 502, "The upstream failed or sent a broken answer.")
+    UPSTREAM_REFUSED = ("upstream-refused", 502, "The upstream can't be connected to.")
+    ANSWER_CUT = ("answer-cut", 502, "The answer ended before it was whole.")
+    PEER_FAILED = ("peer-failed", 502, "The instance in the other region failed.")
+    PEER_UNREACHABLE = ("peer-unreachable", 503, "No instance in an allowed region is reachable.")
+    PEER_INVALID = ("peer-invalid", 400, "A peer sent a message that can't be read.")
+    OPERATION_INVALID = ("operation-invalid", 400, "The operation key is not one that we signed.")
+    OPERATION_EXPIRED = ("operation-expired", 410, "The idempotency key is past its lifetime.")
+    OPERATION_MISMATCH = (
+        "operation-mismatch",
+        422,
+        "The idempotency key was used before with another request.",
+    )
+    OPERATION_RUNNING = ("operation-running", 409, "A request with this key is still running.")
+    OPERATION_UNSETTLED = (
+        "operation-unsettled",
+        409,
+        "A request with this key was started and its outcome is not known.",
+    )
+    CLAIM_UNAVAILABLE = (
+        "claim-unavailable",
+        503,
+        "The store can't record the idempotency key; use a key from /v1/operations.",
+    )
+    POISON = (
+        "poison",
+        422,
+        "The same request crashed several upstreams and is refused for a while.",
+    )
+    DRAINING = ("draining", 503, "The instance is shutting down.")
+    NOT_READY = ("not-ready", 503, "The instance holds no configuration yet.")
+    RESOURCE_INVALID = ("resource-invalid", 400, "The resource is malformed.")
+    RESOURCE_STALE = ("resource-stale", 409, "The resource has a newer version.")
+    RESOURCE_UNKNOWN = ("resource-unknown", 404, "There is no such resource.")
+    RESOURCE_CONFLICT = ("resource-conflict", 409, "The resource refers to one that is missing.")
+    STORE_UNAVAILABLE = ("store-unavailable", 503, "The store does not answer.")
+    STORE_UNSETTLED = ("store-unsettled", 504, "The store's answer to a write was lost.")
+    ORDER_REFUSED = ("order-refused", 409, "The order to the engine can't be given now.")
+    SETTINGS_INVALID = ("settings-invalid", 500, "The settings have mistakes.")
+    INTERNAL = ("internal", 500, "A fault in the gateway.")
+
+    def __init__(self, wire: str, status: int, meaning: str) -> None:
+        self.wire = wire
+        self.status = status
+        self.meaning = meaning
+
+
+BY_WIRE = {code.wire: code for code in Code}
+
+
+class GatewayError(Exception):
+    """A refusal or failure with its code, step and peer.
+
+    Args:
+        code: What went wrong.
+        step: The filter, controller or task where it arose.
+        peer: The instance, upstream or service involved, or this instance.
+        detail: One sentence for the reader; never holds a secret.
+        run: Whether an upstream can have run the request.
+        retry_after: Seconds after which a retry makes sense, or None.
+    """
+
+    def __init__(
+        self,
+        code: Code,
+        *,
+        step: str,
+        peer: str = "",
+        detail: str = "",
+        run: Run = Run.NOT_RUN,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(f"{code.wire} at {step} ({peer}): {detail or code.meaning}")
+        self.code = code
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+        self.run = run
+        self.retry_after = retry_after
--- /dev/null
+++ b/yuccahitch/events.py
@@ -0,0 +1,110 @@
+"""Numbered log events, written by eliot with a hybrid logical clock.
+
+The stamp orders the events of all processes: it follows the wall clock and never runs behind a
+stamp that came with a peer's message.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import eliot
+
+STAMP_STEP_US = 1
+
+
+class Event(enum.Enum):
+    """The catalogue: number, name and meaning."""
+
+    STARTED = (100, "started", "The instance listens.")
+    READY = (101, "ready", "The instance holds a configuration and serves.")
+    DRAIN_BEGAN = (102, "drain-began", "A graceful shutdown began.")
+    STOPPED = (103, "stopped", "The process ends; open requests are finished.")
+    REQUEST_BEGAN = (200, "request-began", "A request arrived from a caller or a peer.")
+    REQUEST_DISPATCHED = (201, "request-dispatched", "A request was sent to an upstream.")
+    REQUEST_FORWARDED = (202, "request-forwarded", "A request was sent to another region.")
+    REQUEST_ENDED = (203, "request-ended", "A request ended; its whole answer was passed on.")
+    REQUEST_REFUSED = (204, "request-refused", "A request was refused.")
+    REQUEST_CUT = (205, "request-cut", "An answer ended before it was whole.")
+    REQUEST_ABANDONED = (206, "request-abandoned", "The caller hung up.")
+    REQUEST_RETRIED = (207, "request-retried", "A request is sent to another upstream.")
+    ANSWER_DROPPED = (208, "answer-dropped", "A late or crossed answer was dropped.")
+    UPSTREAM_EJECTED = (300, "upstream-ejected", "An upstream failed and gets no work for a while.")
+    UPSTREAM_RETURNED = (301, "upstream-returned", "An ejected upstream gets work again.")
+    UPSTREAM_LEAVING = (302, "upstream-leaving", "An upstream gets no new work.")
+    POISON_FOUND = (303, "poison-found", "A request crashed several upstreams.")
+    CONFIG_APPLIED = (400, "config-applied", "Newer resources are in force.")
+    CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
+    CONFIG_REPAIRED = (402, "config-repaired", "The store held an older resource; rewritten.")
+    WATCH_BROKEN = (403, "watch-broken", "The watch on the store broke and is opened again.")
+    STORE_LOST = (404, "store-lost", "The store does not answer.")
+    STORE_FOUND = (405, "store-found", "The store answers again.")
+    MEMBER_JOINED = (500, "member-joined", "An instance was heard of for the first time.")
+    MEMBER_LOST = (501, "member-lost", "An instance has not been heard of for its time-out.")
+    MEMBER_LEFT = (502, "member-left", "An instance left gracefully.")
+    PEER_GARBAGE = (503, "peer-garbage", "A peer sent a message that can't be read.")
+    SLICE_CLAIMED = (600, "slice-claimed", "A part of a client account's rate was taken.")
+    SLICE_MOVED = (601, "slice-moved", "Parts of a client account's rate were moved.")
+    SLICE_RECLAIMED = (602, "slice-reclaimed", "A dead instance's part of a rate was taken over.")
+    LOAN_GRANTED = (603, "loan-granted", "Tokens were lent to a peer.")
+    LOAN_TAKEN = (604, "loan-taken", "Tokens were borrowed from a peer.")
+    OPERATION_CLAIMED = (700, "operation-claimed", "An idempotency key was claimed.")
+    OPERATION_REPLAYED = (701, "operation-replayed", "A repeated key got the first answer.")
+    ORDER_SENT = (800, "order-sent", "An order was sent to an engine.")
+    FAULT = (900, "fault", "An unexpected error was caught.")
+
+    def __init__(self, number: int, label: str, meaning: str) -> None:
+        self.number = number
+        self.label = label
+        self.meaning = meaning
+
+
+class Stamp:
+    """A hybrid logical clock in microseconds.
+
+    Attributes:
+        value: The last stamp given out, in microseconds since the Unix epoch.
+    """
+
+    __slots__ = ("value", "wall")
+
+    def __init__(self, wall: typing.Callable[[], float]) -> None:
+        self.value = 0
+        self.wall = wall
+
+    def tick(self) -> int:
+        """Return the stamp of a new local event."""
+        self.value = max(self.value + STAMP_STEP_US, int(self.wall() * 1e6))
+        return self.value
+
+    def observe(self, other: int) -> None:
+        """Move past a stamp that came with a message."""
+        self.value = max(self.value, other)
+
+
+class Log:
+    """Writes events of one process.
+
+    Args:
+        instance: Name of the instance, in every line.
+        stamp: The process's hybrid logical clock.
+    """
+
+    __slots__ = ("instance", "stamp", "counts")
+
+    def __init__(self, instance: str, stamp: Stamp) -> None:
+        self.instance = instance
+        self.stamp = stamp
+        self.counts: dict[str, int] = {}
+
+    def write(self, event: Event, **fields: typing.Any) -> None:
+        """Write one event with its fields; no field may hold a key."""
+        self.counts[event.label] = self.counts.get(event.label, 0) + 1
+        eliot.log_message(
+            message_type=event.label,
+            number=event.number,
+            instance=self.instance,
+            stamp=self.stamp.tick(),
+            **fields,
+        )
--- /dev/null
+++ b/yuccahitch/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between filters, controllers, tasks and processes."""
--- /dev/null
+++ b/yuccahitch/messages/answers.py
@@ -0,0 +1,129 @@
+"""Parts of an answer, from an upstream or a peer to the caller."""
+
+from __future__ import annotations
+
+from yuccahitch import errors, records
+
+
+class Usage(records.Record):
+    """Tokens that a request used.
+
+    Attributes:
+        prompt: Prompt tokens as the gateway counts them.
+        output: Generated tokens.
+    """
+
+    __slots__ = ("prompt", "output")
+
+    def __init__(self, prompt: int = 0, output: int = 0) -> None:
+        self.prompt = prompt
+        self.output = output
+
+
+class Head(records.Record):
+    """The status and headers of an answer.
+
+    Attributes:
+        request_id: Request that it answers.
+        attempt: Attempt that it answers.
+        status: HTTP status.
+        headers: Headers that are passed on.
+        source: Upstream that answers.
+    """
+
+    __slots__ = ("request_id", "attempt", "status", "headers", "source")
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        attempt: int,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        source: str,
+    ) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
+        self.status = status
+        self.headers = headers
+        self.source = source
+
+
+class Chunk(records.Record):
+    """Bytes of an answer's body."""
+
+    __slots__ = ("request_id", "attempt", "data")
+
+    def __init__(self, *, request_id: str, attempt: int, data: bytes) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
+        self.data = data
+
+
+class End(records.Record):
+    """The answer is whole."""
+
+    __slots__ = ("request_id", "attempt", "usage")
+
+    def __init__(self, *, request_id: str, attempt: int, usage: Usage) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
+        self.usage = usage
+
+
+class Failure(records.Record):
+    """The attempt failed.
+
+    Attributes:
+        request_id: Request that failed.
+        attempt: Attempt that failed.
+        error: Why, and whether an upstream can have run it.
+        crashed: Whether the upstream's connection broke while it worked on the request.
+        usage: Tokens used before the failure.
+    """
+
+    __slots__ = ("request_id", "attempt", "error", "crashed", "usage")
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        attempt: int,
+        error: errors.GatewayError,
+        crashed: bool = False,
+        usage: Usage | None = None,
+    ) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
+        self.error = error
+        self.crashed = crashed
+        self.usage = usage or Usage()
+
+
+Part = Head | Chunk | End | Failure
+
+
+class Recorded(records.Record):
+    """A whole answer kept for repeats of an idempotency key.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers that are passed on.
+        body: Body in bytes.
+        whole: Whether the body was kept; a large one is not.
+    """
+
+    __slots__ = ("status", "headers", "body", "whole")
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+        whole: bool,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
--- /dev/null
+++ b/yuccahitch/messages/exchanges.py
@@ -0,0 +1,90 @@
+"""Messages between the core, which decides, and the tasks that run requests."""
+
+from __future__ import annotations
+
+from yuccahitch import errors, records
+from yuccahitch.messages import actions, answers, requests
+
+
+class Begin(records.Record):
+    """A request arrived; the reply is the action to take."""
+
+    __slots__ = ("request", "hop")
+
+    def __init__(self, request: requests.Request, hop: requests.Hop | None = None) -> None:
+        self.request = request
+        self.hop = hop
+
+
+class Resume(records.Record):
+    """An attempt began to answer or failed; the reply is the action to take."""
+
+    __slots__ = ("request_id", "part")
+
+    def __init__(self, request_id: str, part: answers.Head | answers.Failure) -> None:
+        self.request_id = request_id
+        self.part = part
+
+
+class Finished(records.Record):
+    """A request is over.
+
+    Attributes:
+        request_id: The request.
+        succeeded: Whether the whole answer came.
+        usage: Tokens used.
+        recorded: The answer, if it is kept for repeats.
+        error: Why it did not succeed, if it did not.
+        abandoned: Whether the caller hung up.
+        crashed: Upstream whose connection broke while it answered, or empty.
+        first_byte_s: Seconds until the answer began, or None.
+    """
+
+    __slots__ = (
+        "request_id",
+        "succeeded",
+        "usage",
+        "recorded",
+        "error",
+        "abandoned",
+        "crashed",
+        "first_byte_s",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        *,
+        succeeded: bool,
+        usage: answers.Usage,
+        recorded: answers.Recorded | None = None,
+        error: errors.GatewayError | None = None,
+        abandoned: bool = False,
+        crashed: str = "",
+        first_byte_s: float | None = None,
+    ) -> None:
+        self.request_id = request_id
+        self.succeeded = succeeded
+        self.usage = usage
+        self.recorded = recorded
+        self.error = error
+        self.abandoned = abandoned
+        self.crashed = crashed
+        self.first_byte_s = first_byte_s
+
+
+class Outcome(records.Record):
+    """A request that waited goes on with an action.
+
+    Attributes:
+        request_id: The request.
+        action: The action.
+        operation: State of its idempotency key, for refusals.
+    """
+
+    __slots__ = ("request_id", "action", "operation")
+
+    def __init__(self, request_id: str, action: actions.Action, *, operation: str = "") -> None:
+        self.request_id = request_id
+        self.action = action
+        self.operation = operation
--- /dev/null
+++ b/yuccahitch/messages/store.py
@@ -0,0 +1,194 @@
+"""Calls to the platform's key-value service and its replies."""
+
+from __future__ import annotations
+
+from yuccahitch import records
+
+
+class Item(records.Record):
+    """A key with its value and revisions.
+
+    Attributes:
+        key: The key.
+        value: The value in bytes.
+        revision: Revision of the last change.
+    """
+
+    __slots__ = ("key", "value", "revision")
+
+    def __init__(self, *, key: str, value: bytes, revision: int) -> None:
+        self.key = key
+        self.value = value
+        self.revision = revision
+
+
+class Range(records.Record):
+    """Read one key, or all keys with a prefix."""
+
+    __slots__ = ("key", "prefix")
+
+    def __init__(self, key: str, *, prefix: bool = False) -> None:
+        self.key = key
+        self.prefix = prefix
+
+
+class Expect(records.Record):
+    """A condition: the key's last change has this revision; 0 means that it is absent."""
+
+    __slots__ = ("key", "revision")
+
+    def __init__(self, key: str, revision: int) -> None:
+        self.key = key
+        self.revision = revision
+
+
+class Put(records.Record):
+    """Write a key, bound to a lease unless that is 0."""
+
+    __slots__ = ("key", "value", "lease")
+
+    def __init__(self, key: str, value: bytes, *, lease: int = 0) -> None:
+        self.key = key
+        self.value = value
+        self.lease = lease
+
+
+class Delete(records.Record):
+    """Delete a key."""
+
+    __slots__ = ("key",)
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+
+
+class Commit(records.Record):
+    """Apply all changes if every condition holds; else read the conditions' keys."""
+
+    __slots__ = ("expects", "changes")
+
+    def __init__(self, *, expects: list[Expect], changes: list[Put | Delete]) -> None:
+        self.expects = expects
+        self.changes = changes
+
+
+class CommitMany(records.Record):
+    """Independent commits in one call; each holds or fails for itself."""
+
+    __slots__ = ("commits",)
+
+    def __init__(self, commits: list[Commit]) -> None:
+        self.commits = commits
+
+
+class GrantLease(records.Record):
+    """Ask for a lease of so many seconds."""
+
+    __slots__ = ("ttl_s",)
+
+    def __init__(self, ttl_s: float) -> None:
+        self.ttl_s = ttl_s
+
+
+class KeepAlive(records.Record):
+    """Renew a lease."""
+
+    __slots__ = ("lease",)
+
+    def __init__(self, lease: int) -> None:
+        self.lease = lease
+
+
+class RevokeLease(records.Record):
+    """End a lease and the keys bound to it."""
+
+    __slots__ = ("lease",)
+
+    def __init__(self, lease: int) -> None:
+        self.lease = lease
+
+
+Call = Range | Commit | CommitMany | GrantLease | KeepAlive | RevokeLease
+
+
+class Items(records.Record):
+    """Reply to a Range."""
+
+    __slots__ = ("items", "revision")
+
+    def __init__(self, items: list[Item], *, revision: int) -> None:
+        self.items = items
+        self.revision = revision
+
+
+class Committed(records.Record):
+    """Reply to a Commit.
+
+    Attributes:
+        applied: Whether the conditions held.
+        items: The conditions' keys as they are, when they did not hold.
+        revision: The store's revision.
+    """
+
+    __slots__ = ("applied", "items", "revision")
+
+    def __init__(self, *, applied: bool, items: list[Item], revision: int) -> None:
+        self.applied = applied
+        self.items = items
+        self.revision = revision
+
+
+class CommittedMany(records.Record):
+    """Reply to a CommitMany, in its order."""
+
+    __slots__ = ("replies",)
+
+    def __init__(self, replies: list[Committed]) -> None:
+        self.replies = replies
+
+
+class Leased(records.Record):
+    """Reply to GrantLease and KeepAlive; a time to live of 0 means that the lease is gone."""
+
+    __slots__ = ("lease", "ttl_s")
+
+    def __init__(self, *, lease: int, ttl_s: float) -> None:
+        self.lease = lease
+        self.ttl_s = ttl_s
+
+
+class Failed(records.Record):
+    """The call got no answer.
+
+    Attributes:
+        sent: Whether the call can have taken effect.
+        detail: What went wrong.
+    """
+
+    __slots__ = ("sent", "detail")
+
+    def __init__(self, *, sent: bool, detail: str) -> None:
+        self.sent = sent
+        self.detail = detail
+
+
+Reply = Items | Committed | CommittedMany | Leased | Failed
+
+
+class Changed(records.Record):
+    """Keys that a watch saw change; a deleted key's value is None."""
+
+    __slots__ = ("items", "revision")
+
+    def __init__(self, items: list[tuple[str, Item | None]], *, revision: int) -> None:
+        self.items = items
+        self.revision = revision
+
+
+class WatchLost(records.Record):
+    """The watch broke; what changed since must be read again."""
+
+    __slots__ = ("detail",)
+
+    def __init__(self, detail: str) -> None:
+        self.detail = detail
--- /dev/null
+++ b/yuccahitch/records.py
@@ -0,0 +1,36 @@
+"""Base class of the plain data classes with slots."""
+
+from __future__ import annotations
+
+import itertools
+import typing
+
+
+def slot_names(kind: type) -> tuple[str, ...]:
+    """Return the slots of a class and of its bases, bases first."""
+    return tuple(
+        itertools.chain.from_iterable(
+            vars(base).get("__slots__", ()) for base in kind.__mro__[::-1]
+        )
+    )
+
+
+class Record:
+    """Gives equality, a representation and a dictionary form to a class with slots."""
+
+    __slots__ = ()
+
+    def __eq__(self, other: object) -> bool:
+        if type(other) is not type(self):
+            return NotImplemented
+        return all(getattr(self, n) == getattr(other, n) for n in slot_names(type(self)))
+
+    __hash__ = None  # type: ignore[assignment]
+
+    def __repr__(self) -> str:
+        fields = ", ".join(f"{n}={getattr(self, n)!r}" for n in slot_names(type(self)))
+        return f"{type(self).__name__}({fields})"
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Return the slots and their values."""
+        return {name: getattr(self, name) for name in slot_names(type(self))}
--- /dev/null
+++ b/yuccahitch/resources/entry.py
@@ -0,0 +1,60 @@
+"""A versioned resource as it is stored and passed on."""
+
+from __future__ import annotations
+
+import typing
+
+from yuccahitch import records
+from yuccahitch.resources import account, client, key, rate, route, service, upstream
+
+Spec = typing.Union[
+    account.Account,
+    client.Client,
+    key.Key,
+    rate.Rate,
+    route.Route,
+    service.Service,
+    upstream.Upstream,
+]
+
+KINDS: dict[str, type] = {
+    "account": account.Account,
+    "client": client.Client,
+    "key": key.Key,
+    "rate": rate.Rate,
+    "route": route.Route,
+    "service": service.Service,
+    "upstream": upstream.Upstream,
+}
+OPERATOR_KINDS = tuple(kind for kind in KINDS if kind != "client")
+
+
+class Entry(records.Record):
+    """One version of a resource.
+
+    Entries of the same kind and name are totally ordered by ``(version, write_id)``, so that
+    instances that hear of them in any order end with the same one.
+
+    Attributes:
+        kind: One of ``KINDS``.
+        name: Name of the resource.
+        version: Grows by one with each write.
+        write_id: Unique id of the write, by which a lost answer is settled.
+        spec: The resource, or None once it is deleted.
+    """
+
+    __slots__ = ("kind", "name", "version", "write_id", "spec")
+
+    def __init__(
+        self, *, kind: str, name: str, version: int, write_id: str, spec: Spec | None
+    ) -> None:
+        self.kind = kind
+        self.name = name
+        self.version = version
+        self.write_id = write_id
+        self.spec = spec
+
+    @property
+    def rank(self) -> tuple[int, str]:
+        """Return what orders the entries of one resource."""
+        return (self.version, self.write_id)
--- /dev/null
+++ b/yuccahitch/resources/upstream.py
@@ -0,0 +1,57 @@
+"""Upstreams: replicas of services."""
+
+from __future__ import annotations
+
+from yuccahitch import records
+
+
+class Upstream(records.Record):
+    """One replica of a service.
+
+    Attributes:
+        name: Unique name.
+        service: Service that it offers.
+        region: Its region.
+        zone: Its availability zone.
+        address: Base URL, ``http://IP:PORT``.
+        slots: Requests that it works on at the same time.
+        leaving: Whether it gets no new work.
+        cost: Cost of a thousand tokens, in the operators' unit.
+        abilities: What the engine supports: ``load``, ``cancel``, ``resume``, ``priority``,
+            ``events``, ``orders``, ``fencing``, ``echo``.
+    """
+
+    __slots__ = (
+        "name",
+        "service",
+        "region",
+        "zone",
+        "address",
+        "slots",
+        "leaving",
+        "cost",
+        "abilities",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        region: str,
+        zone: str,
+        address: str,
+        slots: int = 8,
+        leaving: bool = False,
+        cost: float = 1.0,
+        abilities: tuple[str, ...] = (),
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.region = region
+        self.zone = zone
+        self.address = address
+        self.slots = slots
+        self.leaving = leaving
+        self.cost = cost
+        self.abilities = tuple(abilities)
