Add the filter chain and the controllers

Cause: decisions are to stand apart from sockets, clocks and encodings. Conclusion: the core task and tests drive the same object.

--- /dev/null
+++ b/yuccahitch/controllers/_inputs.py
@@ -0,0 +1,162 @@
+"""Brings replies of the store and messages of peers to the controllers they are for."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+from yuccahitch.controllers import (
+    configuration,
+    limits,
+    membership,
+    operations,
+    reclaim,
+    session,
+    slices,
+)
+from yuccahitch.messages import commands, peers
+
+if typing.TYPE_CHECKING:
+    from yuccahitch.controllers import gateway as gateways
+
+
+@functools.singledispatch
+def on_store(
+    purpose: typing.Any, gateway: gateways.Gateway, reply: commands.StoreReply, now: float
+) -> None:
+    owner = _OWNERS[type(purpose)]
+    getattr(gateway, owner).on_store(purpose, reply.reply, reply.sent_at, now)
+
+
+_OWNERS = {
+    **dict.fromkeys(
+        (
+            configuration.ReadAll,
+            configuration.CheckHead,
+            configuration.Repair,
+            configuration.ReadFirst,
+            configuration.Write,
+        ),
+        "config",
+    ),
+    **dict.fromkeys((session.Grant, session.Renew, session.Register, session.Pin), "access"),
+    **dict.fromkeys(
+        (slices.ReadOne, slices.ReadAll, slices.Create, slices.Gift, slices.GiftRead), "slices"
+    ),
+    **dict.fromkeys(
+        (reclaim.Look, reclaim.FindSlices, reclaim.TakeOver, reclaim.Forget, reclaim.Release),
+        "reclaim",
+    ),
+}
+
+
+@on_store.register(operations.ClaimsLease)
+@on_store.register(operations.Claiming)
+@on_store.register(operations.Settling)
+def _(
+    purpose: typing.Any, gateway: gateways.Gateway, reply: commands.StoreReply, now: float
+) -> None:
+    wall = gateway.time.wall()
+    gateway.operations.on_store(purpose, reply.reply, reply.sent_at, now, wall)
+
+
+@functools.singledispatch
+def on_peer(body: peers.Body, gateway: gateways.Gateway, now: float) -> peers.Body:
+    """Answer what needs no answer of its own, such as a reply that came unasked."""
+    return peers.Ack()
+
+
+@on_peer.register(peers.Gossip)
+def _(body: peers.Gossip, gateway: gateways.Gateway, now: float) -> peers.Body:
+    rows = gateway.hear(body, now)
+    reply = gateway.gossip(body.sender.instance, now)
+    reply.rows.extend(rows)
+    return reply
+
+
+@on_peer.register(peers.PullEntries)
+def _(body: peers.PullEntries, gateway: gateways.Gateway, now: float) -> peers.Body:
+    return gateway.config.pull(body)
+
+
+@on_peer.register(peers.Entries)
+def _(body: peers.Entries, gateway: gateways.Gateway, now: float) -> peers.Body:
+    gateway.config.receive(body, sender="", pulled=False, now=now)
+    return peers.Ack()
+
+
+@on_peer.register(peers.Borrow)
+def _(body: peers.Borrow, gateway: gateways.Gateway, now: float) -> peers.Body:
+    return gateway.limits.lend(body, now)
+
+
+@on_peer.register(peers.ReturnLoan)
+def _(body: peers.ReturnLoan, gateway: gateways.Gateway, now: float) -> peers.Body:
+    gateway.limits.take_back(body, now)
+    return peers.Ack()
+
+
+@on_peer.register(peers.SlicesChanged)
+def _(body: peers.SlicesChanged, gateway: gateways.Gateway, now: float) -> peers.Body:
+    gateway.slices.changed(body, now)
+    return peers.Ack()
+
+
+@on_peer.register(peers.AskVouch)
+def _(body: peers.AskVouch, gateway: gateways.Gateway, now: float) -> peers.Body:
+    return gateway.access.vouch(now)
+
+
+@on_peer.register(peers.AskAttest)
+def _(body: peers.AskAttest, gateway: gateways.Gateway, now: float) -> peers.Body:
+    return gateway.access.attest(now)
+
+
+@functools.singledispatch
+def on_peer_reply(
+    purpose: typing.Any, gateway: gateways.Gateway, reply: commands.PeerReply, now: float
+) -> None:
+    """Messages that need no answer end here."""
+
+
+@on_peer_reply.register(membership.HeartbeatSent)
+def _(
+    purpose: membership.HeartbeatSent,
+    gateway: gateways.Gateway,
+    reply: commands.PeerReply,
+    now: float,
+) -> None:
+    if type(reply.body) is peers.Gossip:
+        gateway.hear(reply.body, now)
+
+
+@on_peer_reply.register(configuration.Pulled)
+def _(
+    purpose: configuration.Pulled, gateway: gateways.Gateway, reply: commands.PeerReply, now: float
+) -> None:
+    if type(reply.body) is peers.Entries:
+        gateway.config.receive(reply.body, sender=purpose.instance, pulled=True, now=now)
+
+
+@on_peer_reply.register(limits.LoanAsked)
+def _(
+    purpose: limits.LoanAsked, gateway: gateways.Gateway, reply: commands.PeerReply, now: float
+) -> None:
+    loan = reply.body if type(reply.body) is peers.Loan else None
+    gateway.limits.loan_came(purpose, loan, reply.sent_at, now)
+
+
+@on_peer_reply.register(session.VouchAsked)
+def _(
+    purpose: session.VouchAsked, gateway: gateways.Gateway, reply: commands.PeerReply, now: float
+) -> None:
+    if type(reply.body) is peers.Vouch and reply.body.instance == purpose.instance:
+        gateway.access.vouch_came(reply.body, asked_at=reply.sent_at, now=now)
+
+
+@on_peer_reply.register(reclaim.AttestAsked)
+def _(
+    purpose: reclaim.AttestAsked, gateway: gateways.Gateway, reply: commands.PeerReply, now: float
+) -> None:
+    if type(reply.body) is peers.Attest:
+        gateway.reclaim.attest_came(purpose, reply.body, now)
--- /dev/null
+++ b/yuccahitch/controllers/gateway.py
@@ -0,0 +1,429 @@
+"""All controllers and chains of one instance, put together without I/O.
+
+The core task drives it in real time; tests and benchmarks drive the same object in virtual time.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+import typing
+
+from yuccahitch import clock, errors, events
+from yuccahitch import settings as config_file
+from yuccahitch.controllers import (
+    _inputs,
+    configuration,
+    directions,
+    drain,
+    limits,
+    membership,
+    operations,
+    placement,
+    queue,
+    reclaim,
+    retries,
+    session,
+    slices,
+    suspects,
+    upstreams,
+)
+from yuccahitch.controllers import (
+    rules as policy,
+)
+from yuccahitch.filters import (
+    admit,
+    arrival,
+    authenticate,
+    chain,
+    dispatch,
+    exchange,
+    idempotency,
+    match,
+    place,
+    poison,
+    rate_limit,
+    residency,
+)
+from yuccahitch.messages import actions, commands, exchanges, peers, requests, store
+
+LOADS_PER_MESSAGE = 64
+
+
+class Gateway:
+    """The decisions of one instance.
+
+    Args:
+        settings: Settings of the instance.
+        instance: Its id.
+        time: Source of calendar time; monotonic time is passed to each call.
+        rng: Seeded source of random numbers.
+        new_id: Makes unique ids.
+        rules: Rules of the policy in force.
+    """
+
+    __slots__ = (
+        "settings",
+        "instance",
+        "time",
+        "rng",
+        "members",
+        "config",
+        "access",
+        "limits",
+        "slices",
+        "reclaim",
+        "operations",
+        "states",
+        "queue",
+        "placement",
+        "suspects",
+        "budget",
+        "shutdown",
+        "chains",
+        "exchanges",
+        "wanted_rows",
+        "outbox",
+    )
+
+    def __init__(
+        self,
+        settings: config_file.Settings,
+        *,
+        instance: str,
+        time: clock.Clock,
+        rng: random.Random,
+        new_id: typing.Callable[[], str],
+        rules: policy.Rules | None = None,
+    ) -> None:
+        self.settings = settings
+        self.instance = instance
+        self.time = time
+        self.rng = rng
+        self.exchanges: dict[str, exchange.Exchange] = {}
+        self.wanted_rows: dict[str, list[int]] = {}
+        self.outbox: list[commands.Command | exchanges.Outcome] = []
+        self._make_state(new_id)
+        self._make_policy(rules or policy.Rules())
+        self.chains = self._make_chains()
+
+    def _make_state(self, new_id: typing.Callable[[], str]) -> None:
+        options, limiting = self.settings.instance, self.settings.limits
+        own = peers.Row(
+            instance=self.instance,
+            region=options.region,
+            zone=options.zone,
+            host=options.listen,
+            caller_port=options.caller_port,
+            peer_port=options.peer_port,
+            wan_address=options.wan_address or f"{options.listen}:{options.peer_port}",
+        )
+        self.members = membership.Membership(
+            own,
+            seeds=self.settings.peers.seeds,
+            heartbeat_s=self.settings.peers.heartbeat_s,
+            lost_after_s=self.settings.peers.lost_after_s,
+            rng=self.rng,
+        )
+        self.config = configuration.Configuration(
+            self.instance, region=options.region, resync_s=self.settings.store.resync_s
+        )
+        self.access = session.Session(
+            self.instance,
+            lease_s=self.settings.store.lease_s,
+            term_s=limiting.loan_s,
+            drift_s=limiting.drift_s,
+            horizon_s=limiting.horizon_s,
+        )
+        self.limits = limits.Limits(
+            self.instance,
+            self.members,
+            self.access,
+            term_s=limiting.loan_s,
+            drift_s=limiting.drift_s,
+            gather_s=limiting.gather_s,
+        )
+        self.slices = slices.Slices(
+            self.instance,
+            members=self.members,
+            access=self.access,
+            rates=self.limits,
+            config=self.config,
+            new_id=new_id,
+            rebalance_s=limiting.rebalance_s,
+        )
+        self.reclaim = reclaim.Reclaim(members=self.members, access=self.access, slices=self.slices)
+        self.operations = operations.Operations(
+            self.instance,
+            secret=self.settings.peers.secret,
+            lifetime_s=self.settings.callers.operation_lifetime_s,
+            new_id=new_id,
+        )
+        self.shutdown = drain.Drain(
+            announce_s=self.settings.callers.drain_announce_s,
+            limit_s=self.settings.callers.drain_limit_s,
+        )
+        self.config.listeners.append(self._rate_changed)
+
+    def _make_policy(self, rules: policy.Rules) -> None:
+        options = self.settings.policy
+        self.states = upstreams.Upstreams(self.settings.instance.region, rules=rules)
+        self.queue = queue.Queue(capacity=options.queue_requests, rules=rules)
+        self.placement = placement.Placement(
+            config=self.config,
+            members=self.members,
+            states=self.states,
+            waiting=self.queue,
+            rules=rules,
+            window=options.window,
+            link_bytes_per_s=options.link_bytes_per_s,
+            link_delay_s=options.link_delay_s,
+            spill_gain_s=options.spill_gain_s,
+        )
+        self.suspects = suspects.Suspects(crashes=options.poison_crashes, memory_s=options.poison_s)
+        self.budget = retries.RetryBudget(share=options.retry_share, rules=rules)
+
+    def _make_chains(self) -> dict[str, chain.Chain]:
+        callers = self.settings.callers
+        first = admit.Admit(self.config, self.shutdown, instance=self.instance)
+        key = authenticate.Authenticate(
+            self.config,
+            serve_cut_off=callers.cut_off_keys == "serve",
+            cut_off_after=callers.cut_off_after_s,
+        )
+        arrived = arrival.Arrival(self.config, instance=self.instance)
+        rest = [
+            match.Match(self.config),
+            residency.Residency(self.config, region=self.settings.instance.region),
+            idempotency.Idempotency(self.operations, self.members, self.time),
+            poison.Poison(self.suspects),
+            rate_limit.RateLimit(self.config, self.limits, self.slices),
+            place.Place(self.placement),
+            dispatch.Dispatch(self.config, self.members, self.states, self.budget, self.suspects),
+        ]
+        return {
+            "entry": chain.Chain([first, key, *rest]),
+            "arrival": chain.Chain([first, arrived, *rest]),
+        }
+
+    def begin(
+        self, request: requests.Request, hop: requests.Hop | None, now: float
+    ) -> exchanges.Outcome | None:
+        """Take a new request; None means that it waits and an Outcome follows."""
+        item = exchange.Exchange(request, began=now, hop=hop)
+        if request.id in self.exchanges:
+            error = errors.GatewayError(
+                errors.Code.PEER_INVALID, step="core", detail="the request id is in use"
+            )
+            return exchanges.Outcome(request.id, actions.Refuse(error))
+        self.exchanges[request.id] = item
+        return self._outcome(item, self._chain(item).begin(item, now))
+
+    def resume(self, request_id: str, reply: typing.Any, now: float) -> exchanges.Outcome | None:
+        """Go on with a request that waited for a reply."""
+        item = self.exchanges.get(request_id)
+        if item is None:
+            return None
+        return self._outcome(item, self._chain(item).resume(item, reply, now))
+
+    def finish(self, message: exchanges.Finished, now: float) -> exchange.Exchange | None:
+        """Settle a request that is over; return its state."""
+        item = self.exchanges.pop(message.request_id, None)
+        if item is None:
+            return None
+        item.succeeded = message.succeeded
+        item.usage = message.usage
+        item.recorded = message.recorded
+        if message.crashed:
+            self.suspects.seen(poison.fingerprint(item), message.crashed, now)
+        elif message.error is not None and item.head is not None and item.upstream:
+            self.states.failed(item.upstream, now)
+        self._chain(item).finish(item, now)
+        return item
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        self._beat(now)
+        self.members.own.leaving = self.shutdown.leaving
+        self.members.own.ready = self.config.ready()
+        self.members.own.config_age = int(min(65535, max(0.0, self.config.age(now))))
+        rows = self.members.alive()
+        self.config.assign(zone=self.members.own.zone, rows=rows, own=self.members.own, now=now)
+        self.config.tick(now)
+        for row in self.members.expire(now):
+            self.reclaim.suspect(row.instance, row.region)
+        near = [row for row in rows if row.region == self.members.own.region and row.ready]
+        self.access.want(row.instance for row in near if not row.leaving)
+        self.access.tick(now, {row.instance: self.members.address(row) for row in near})
+        self.slices.tick(now)
+        self.limits.tick(now)
+        self.reclaim.tick(now)
+        self.operations.tick(now, self.time.wall())
+        self.suspects.expire(now)
+        self.placement.tick(now)
+        self._advance_shutdown(now)
+
+    def on_store(self, reply: commands.StoreReply, now: float) -> None:
+        """Take in a reply of the store."""
+        if type(reply.reply) is not store.Failed:
+            self.access.touch(reply.sent_at)
+        _inputs.on_store(reply.purpose, self, reply, now)
+
+    def on_peer(self, body: peers.Body, sender: str, now: float) -> peers.Body:
+        """Take in a message of a peer and return the answer."""
+        return _inputs.on_peer(body, self, now)
+
+    def on_peer_reply(self, reply: commands.PeerReply, now: float) -> None:
+        """Take in a peer's answer to a message, or its failure."""
+        if reply.body is None and reply.call.instance:
+            self.members.call_failed(reply.call.instance)
+        _inputs.on_peer_reply(reply.call.purpose, self, reply, now)
+
+    def drain(self, now: float) -> list[commands.Command | exchanges.Outcome]:
+        """Return what is to be done since the last call."""
+        done: list[commands.Command | exchanges.Outcome] = []
+        while batch := self._collect():
+            for item in batch:
+                if type(item) is commands.Wake and item.request_id in self.exchanges:
+                    outcome = self.resume(item.request_id, item.reply, now)
+                    done.extend([outcome] if outcome is not None else [])
+                else:
+                    done.append(item)
+        return done
+
+    def directions(self, account: str) -> directions.Directions:
+        """Return which instances a client account is to use."""
+        return directions.directions(
+            account,
+            config=self.config,
+            members=self.members,
+            ttl_s=self.settings.callers.list_ttl_s,
+        )
+
+    def account_of(self, key_digest: str) -> str:
+        """Return the client account that a key works for.
+
+        Raises:
+            errors.GatewayError: When the key does not work.
+        """
+        key = self.config.catalog.keys.get(key_digest)
+        if key is None or key.withdrawn:
+            code = errors.Code.KEY_UNKNOWN if key_digest else errors.Code.KEY_MISSING
+            raise errors.GatewayError(code, step=authenticate.Authenticate.step)
+        return key.account
+
+    def gossip(self, receiver: str, now: float) -> peers.Gossip:
+        """Return the heartbeat for a receiver."""
+        rows, beats = self.members.summary(receiver)
+        return peers.Gossip(
+            sender=self.members.own,
+            rows=rows,
+            beats=beats,
+            unknown=self.wanted_rows.pop(receiver, []),
+            digest=self.config.catalog.digest,
+            arrivals=self.config.catalog.arrivals,
+            loads=self._loads(now),
+            suspects=self.suspects.news(now),
+        )
+
+    def _chain(self, item: exchange.Exchange) -> chain.Chain:
+        return self.chains["entry" if item.hop is None else "arrival"]
+
+    def _outcome(self, item: exchange.Exchange, action: actions.Action) -> exchanges.Outcome | None:
+        if type(action) is actions.Perform and type(action.work) not in EXTERNAL:
+            return None
+        return exchanges.Outcome(item.id, action, operation=item.operation)
+
+    def _collect(self) -> list[commands.Command | exchanges.Outcome]:
+        sources = (
+            self,
+            self.members,
+            self.config,
+            self.access,
+            self.limits,
+            self.slices,
+            self.reclaim,
+            self.operations,
+            self.states,
+            self.placement,
+            self.suspects,
+        )
+        batch = list(itertools.chain.from_iterable(source.outbox for source in sources))
+        for source in sources:
+            source.outbox.clear()
+        return batch
+
+    def _beat(self, now: float) -> None:
+        if not self.members.due(now):
+            return
+        for instance, address in self.members.targets(now):
+            call = commands.PeerCall(
+                instance=instance,
+                address=address,
+                body=self.gossip(instance, now),
+                purpose=membership.HeartbeatSent(),
+            )
+            self.outbox.append(call)
+
+    def _loads(self, now: float) -> list[peers.Load]:
+        names = [
+            spec.name
+            for replicas in self.config.catalog.replicas.values()
+            for spec in replicas.values()
+        ]
+        told = names if len(names) <= LOADS_PER_MESSAGE else self._zone_first(names)
+        return self.states.reports(now, told)
+
+    def _zone_first(self, names: list[str]) -> list[str]:
+        zone = self.members.own.zone
+        near = [n for n in names if self.config.catalog.upstream(n).zone == zone]
+        others = [n for n in names if n not in set(near)]
+        room = max(0, LOADS_PER_MESSAGE - len(near))
+        return near[:LOADS_PER_MESSAGE] + self.rng.sample(others, min(room, len(others)))
+
+    def hear(self, body: peers.Gossip, now: float) -> list[peers.Row]:
+        """Take in a heartbeat and return the rows that the sender asked for."""
+        self.wanted_rows[body.sender.instance] = self.members.hear(body, now)
+        self.config.compare(body, now=now)
+        for load in body.loads:
+            self.states.hear(load, now)
+        self.suspects.hear(body.suspects, now)
+        return self.members.rows_for(body.unknown)
+
+    def _rate_changed(self, item: typing.Any) -> None:
+        if item.kind == "rate" and item.spec is not None:
+            self.slices.rate_added(item.name)
+
+    def _advance_shutdown(self, now: float) -> None:
+        if not self.shutdown.leaving:
+            return
+        handing = self.shutdown.phase is drain.Phase.HANDING_OVER
+        if handing and self.limits.lending:
+            self.limits.return_all(now)
+        handed = handing and self.slices.leave(now)
+        self.shutdown.advance(now, open_requests=len(self.exchanges), handed_over=handed)
+        if self.shutdown.phase is drain.Phase.DONE and not self.access.closed:
+            self.access.close()
+
+
+EXTERNAL = frozenset((actions.Dispatch, actions.Forward))
+
+
+def note_of(message: exchanges.Finished, item: exchange.Exchange) -> commands.Note:
+    """Return the event of a request that is over."""
+    fields: dict[str, typing.Any] = {
+        "request": item.id,
+        "account": item.account.name if item.account is not None else "",
+        "upstream": item.upstream,
+        "instance_used": item.instance,
+        "output_tokens": message.usage.output,
+    }
+    if message.error is not None:
+        error = message.error
+        fields.update(code=error.code.wire, step=error.step, run=error.run.value)
+    event = events.Event.REQUEST_ENDED
+    if message.abandoned:
+        event = events.Event.REQUEST_ABANDONED
+    elif not message.succeeded:
+        event = events.Event.REQUEST_REFUSED if item.head is None else events.Event.REQUEST_CUT
+    return commands.Note(event, **fields)
--- /dev/null
+++ b/yuccahitch/controllers/placement.py
@@ -0,0 +1,397 @@
+"""Chooses the upstream or the region for a request, or lets it wait."""
+
+from __future__ import annotations
+
+from yuccahitch import errors, records
+from yuccahitch.controllers import (
+    configuration,
+    membership,
+    queue,
+    rendezvous,
+    upstreams,
+)
+from yuccahitch.controllers import (
+    rules as policy,
+)
+from yuccahitch.messages import commands, peers
+from yuccahitch.resources import upstream
+
+STEP = "place"
+LONG_TOKENS = 600
+SHORT_RESERVE = 0.25
+PROMPT_WEIGHT = 0.1
+CACHED_SHARE = 0.9
+RETRY_AFTER_S = 1.0
+
+
+class Task(records.Record):
+    """What placement must know of a request.
+
+    Attributes:
+        request_id: The request.
+        account: Its client account.
+        weight: Weight of the account.
+        service: Its service.
+        regions: Regions where its data may reside; None means every region.
+        prefix: Hash of the beginning of its prompt, or 0.
+        prompt_tokens: Tokens of its prompt.
+        output_tokens: Limit of its answer in tokens.
+        body_bytes: Size of its body.
+        deadline: When its answer must begin, in monotonic seconds.
+        avoid: Upstreams and instances that failed it.
+        local_only: Whether it may not be forwarded.
+    """
+
+    __slots__ = (
+        "request_id",
+        "account",
+        "weight",
+        "service",
+        "regions",
+        "prefix",
+        "prompt_tokens",
+        "output_tokens",
+        "body_bytes",
+        "deadline",
+        "avoid",
+        "local_only",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        account: str,
+        weight: float,
+        service: str,
+        regions: frozenset[str] | None,
+        prefix: int,
+        prompt_tokens: int,
+        output_tokens: int,
+        body_bytes: int,
+        deadline: float,
+        avoid: tuple[str, ...],
+        local_only: bool,
+    ) -> None:
+        self.request_id = request_id
+        self.account = account
+        self.weight = weight
+        self.service = service
+        self.regions = regions
+        self.prefix = prefix
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.body_bytes = body_bytes
+        self.deadline = deadline
+        self.avoid = avoid
+        self.local_only = local_only
+
+    @property
+    def long(self) -> bool:
+        """Return whether it is a long request."""
+        return self.output_tokens + self.prompt_tokens * PROMPT_WEIGHT > LONG_TOKENS
+
+    @property
+    def cost(self) -> float:
+        """Return its work in output tokens."""
+        return max(1.0, self.output_tokens + self.prompt_tokens * PROMPT_WEIGHT)
+
+
+class ToUpstream(records.Record):
+    """Send the request to an upstream of this region; its place is taken."""
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, item: upstream.Upstream) -> None:
+        self.upstream = item
+
+
+class ToInstance(records.Record):
+    """Forward the request to an instance of another region."""
+
+    __slots__ = ("row",)
+
+    def __init__(self, row: peers.Row) -> None:
+        self.row = row
+
+
+class Wait(records.Record):
+    """The request was put in the queue."""
+
+    __slots__ = ("until",)
+
+    def __init__(self, until: float) -> None:
+        self.until = until
+
+
+class Refused(records.Record):
+    """The request can't be placed."""
+
+    __slots__ = ("error",)
+
+    def __init__(self, error: errors.GatewayError) -> None:
+        self.error = error
+
+
+Choice = ToUpstream | ToInstance | Wait | Refused
+
+
+class Placement:
+    """Places requests and serves the queue.
+
+    Args:
+        config: Holds the catalog.
+        members: The live instances.
+        states: Load and health of the upstreams.
+        waiting: The queue.
+        rules: Rules in force.
+        window: Requests that an upstream gets for each of its slots before others wait.
+        link_bytes_per_s: Bandwidth between regions, in bytes a second.
+        link_delay_s: One-way delay between regions, in seconds.
+        spill_gain_s: Gain in first-token time that justifies another region, in seconds.
+    """
+
+    __slots__ = (
+        "config",
+        "members",
+        "states",
+        "waiting",
+        "rules",
+        "window",
+        "link_bytes_per_s",
+        "link_delay_s",
+        "spill_gain_s",
+        "turns",
+        "places",
+        "tasks",
+        "outbox",
+    )
+
+    def __init__(
+        self,
+        *,
+        config: configuration.Configuration,
+        members: membership.Membership,
+        states: upstreams.Upstreams,
+        waiting: queue.Queue,
+        rules: policy.Rules | None = None,
+        window: float = 1.5,
+        link_bytes_per_s: float = 8_750_000.0,
+        link_delay_s: float = 0.055,
+        spill_gain_s: float = 0.5,
+    ) -> None:
+        self.config = config
+        self.members = members
+        self.states = states
+        self.waiting = waiting
+        self.rules = rules or policy.Rules()
+        self.window = window
+        self.link_bytes_per_s = link_bytes_per_s
+        self.link_delay_s = link_delay_s
+        self.spill_gain_s = spill_gain_s
+        self.turns = 0
+        self.places: dict[str, tuple[str, bool]] = {}
+        self.tasks: dict[str, Task] = {}
+        self.outbox: list[commands.Command] = []
+
+    @property
+    def region(self) -> str:
+        """Return the region of this instance."""
+        return self.members.own.region
+
+    def place(self, task: Task, now: float) -> Choice:
+        """Choose for a request that has just come to this step."""
+        local_allowed = task.regions is None or self.region in task.regions
+        candidates = self._candidates(task, now) if local_allowed else []
+        remote = None if task.local_only else self._best_remote(task, now)
+        if not candidates:
+            return self._without_local(task, remote, local_allowed)
+        free = [item for item in candidates if self._has_room(item, task.long, now)]
+        nobody_waits = self.waiting.waiting_cost(task.service) <= 0
+        best = self._choose(free, task, now) if free and nobody_waits else None
+        here_s = self._local_estimate(best, candidates, task, now)
+        if remote is not None and self._spills(here_s, remote[0], remote[2]):
+            return ToInstance(remote[1])
+        if best is not None:
+            self._take(best.name, task)
+            return ToUpstream(best)
+        return self._enqueue(task, here_s, now)
+
+    def release(self, request_id: str, now: float) -> None:
+        """Free the place of a request that is over, and let the next one in."""
+        name, long = self.places.pop(request_id, ("", False))
+        if name:
+            self.states.returned(name, long=long)
+            self.serve(now)
+        elif request_id in self.tasks:
+            self.waiting.remove(request_id)
+            del self.tasks[request_id]
+
+    def serve(self, now: float) -> None:
+        """Let waiting requests in as far as there is room."""
+        for service in self.waiting.services():
+            while self._serve_one(service, now):
+                pass
+
+    def tick(self, now: float) -> None:
+        """Refuse those who waited too long and serve the rest."""
+        for item in self.waiting.expire(now):
+            del self.tasks[item.request_id]
+            error = _refusal(errors.Code.DEADLINE, "it waited for an upstream until its deadline")
+            self.outbox.append(commands.Wake(item.request_id, commands.Denied(error)))
+        self.serve(now)
+
+    def _serve_one(self, service: str, now: float) -> bool:
+        replicas = [
+            item
+            for item in self.config.catalog.replicas.get(service, {}).values()
+            if item.region == self.region and self.states.usable(item, now)
+        ]
+        room_long = [item for item in replicas if self._has_room(item, True, now)]
+        room = room_long or [item for item in replicas if self._has_room(item, False, now)]
+        if not room:
+            return False
+        item = self.waiting.pop(service, allow_long=bool(room_long))
+        if item is None:
+            return False
+        task = self.tasks.pop(item.request_id)
+        fresh = [r for r in room if r.name not in task.avoid] or room
+        chosen = self._choose(fresh, task, now)
+        self._take(chosen.name, task)
+        self.outbox.append(commands.Wake(item.request_id, ToUpstream(chosen)))
+        return True
+
+    def _candidates(self, task: Task, now: float) -> list[upstream.Upstream]:
+        replicas = [
+            item
+            for item in self.config.catalog.replicas.get(task.service, {}).values()
+            if item.region == self.region and self.states.usable(item, now)
+        ]
+        return [item for item in replicas if item.name not in task.avoid] or (
+            replicas if not task.avoid else []
+        )
+
+    def _has_room(self, item: upstream.Upstream, long: bool, now: float) -> bool:
+        limit = self.states.limit(item, self.window, now)
+        if self.states.occupancy(item, now) >= limit:
+            return False
+        if not long or not self.rules.short_lane:
+            return True
+        long_limit = max(1.0, limit * (1 - SHORT_RESERVE))
+        return self.states.state(item.name).long_outstanding < long_limit
+
+    def _choose(self, items: list[upstream.Upstream], task: Task, now: float) -> upstream.Upstream:
+        if not self.rules.load_aware:
+            self.turns += 1
+            return items[self.turns % len(items)]
+        affine = self._affine(task)
+        return min(items, key=lambda item: (self._estimate(item, affine, task, now), item.name))
+
+    def _affine(self, task: Task) -> str:
+        if not task.prefix or not self.rules.affinity:
+            return ""
+        names = [
+            item.name
+            for item in self.config.catalog.replicas.get(task.service, {}).values()
+            if item.region == self.region and not item.leaving
+        ]
+        return rendezvous.first(str(task.prefix), names)
+
+    def _estimate(self, item: upstream.Upstream, affine: str, task: Task, now: float) -> float:
+        """Return the estimated time to the first token, in seconds."""
+        occupancy = self.states.occupancy(item, now)
+        state = self.states.state(item.name)
+        queued = max(0.0, occupancy + 1 - item.slots)
+        wait = queued * state.service_s / item.slots
+        crowding = occupancy / item.slots * 0.01
+        cached = CACHED_SHARE if item.name == affine else 0.0
+        prefill = task.prompt_tokens * (1 - cached) / upstreams.PREFILL_TOKENS_PER_S
+        return wait + crowding + prefill
+
+    def _local_estimate(
+        self,
+        best: upstream.Upstream | None,
+        candidates: list[upstream.Upstream],
+        task: Task,
+        now: float,
+    ) -> float:
+        affine = self._affine(task)
+        if best is not None:
+            return self._estimate(best, affine, task, now)
+        slots = sum(item.slots for item in candidates)
+        pace = sum(self.states.state(item.name).token_s for item in candidates) / len(candidates)
+        ahead = self.waiting.waiting_cost(task.service)
+        queue_s = ahead * pace / slots
+        return queue_s + min(self._estimate(item, affine, task, now) for item in candidates)
+
+    def _best_remote(self, task: Task, now: float) -> tuple[float, peers.Row, float] | None:
+        """Return estimate, instance and cost of the best other region."""
+        options = []
+        for region, items in self._remote_replicas(task, now).items():
+            rows = [
+                row for row in self.members.serving(region=region) if row.instance not in task.avoid
+            ]
+            if not rows:
+                continue
+            row = rendezvous.ranked(task.request_id, [r.instance for r in rows])[0]
+            estimate = min(self._estimate(item, "", task, now) for item in items)
+            full = all(not self._has_room(item, task.long, now) for item in items)
+            link = 2 * self.link_delay_s + task.body_bytes / self.link_bytes_per_s
+            cost = min(item.cost for item in items)
+            busy = 1.0 if full else 0.0
+            options.append((estimate + link + busy, self.members.find(row), cost))
+        return min(options, key=lambda option: (option[0], option[2]), default=None)
+
+    def _remote_replicas(self, task: Task, now: float) -> dict[str, list[upstream.Upstream]]:
+        found: dict[str, list[upstream.Upstream]] = {}
+        for item in self.config.catalog.replicas.get(task.service, {}).values():
+            allowed = task.regions is None or item.region in task.regions
+            if item.region != self.region and allowed and self.states.usable(item, now):
+                found.setdefault(item.region, []).append(item)
+        return found
+
+    def _spills(self, here_s: float, there_s: float, cost: float) -> bool:
+        return self.rules.spill and here_s > there_s + self.spill_gain_s
+
+    def _without_local(
+        self, task: Task, remote: tuple[float, peers.Row, float] | None, local_allowed: bool
+    ) -> Choice:
+        if remote is not None:
+            return ToInstance(remote[1])
+        if task.regions is not None and not local_allowed and not task.local_only:
+            allowed = ", ".join(sorted(task.regions))
+            detail = f"the data may only reside in {allowed}, where nothing is reachable"
+            return Refused(_refusal(errors.Code.PEER_UNREACHABLE, detail))
+        return Refused(_refusal(errors.Code.NO_UPSTREAM, ""))
+
+    def _enqueue(self, task: Task, here_s: float, now: float) -> Choice:
+        if self.rules.early_refusal and now + here_s > task.deadline:
+            detail = f"the first token would take about {here_s:.1f} s"
+            return Refused(_refusal(errors.Code.OVERLOADED, detail, retry_after=here_s))
+        item = queue.Waiting(
+            request_id=task.request_id,
+            account=task.account,
+            service=task.service,
+            weight=task.weight,
+            cost=task.cost,
+            long=task.long,
+            until=task.deadline,
+        )
+        if not self.waiting.add(item):
+            return Refused(
+                _refusal(errors.Code.OVERLOADED, "the queue is full", retry_after=here_s)
+            )
+        self.tasks[task.request_id] = task
+        return Wait(task.deadline)
+
+    def _take(self, name: str, task: Task) -> None:
+        self.places[task.request_id] = (name, task.long)
+        self.states.sent(name, long=task.long)
+
+
+def _refusal(
+    code: errors.Code, detail: str, *, retry_after: float = RETRY_AFTER_S
+) -> errors.GatewayError:
+    return errors.GatewayError(
+        code, step=STEP, detail=detail, retry_after=max(RETRY_AFTER_S, min(retry_after, 60.0))
+    )
--- /dev/null
+++ b/yuccahitch/controllers/references.py
@@ -0,0 +1,48 @@
+"""Which resources a resource refers to."""
+
+from __future__ import annotations
+
+import functools
+
+from yuccahitch.resources import catalog, entry
+
+
+def conflict(item: entry.Entry, known: catalog.Catalog) -> str:
+    """Return why an entry can't stand beside the others, or no text."""
+    if item.spec is None:
+        users = [
+            f"{kind}/{name}"
+            for (kind, name), other in known.entries.items()
+            if other.spec is not None and (item.kind, item.name) in _references(other.spec)
+        ]
+        return f"it is used by {', '.join(sorted(users)[:5])}" if users else ""
+    missing = [
+        f"{kind}/{name}" for kind, name in _references(item.spec) if known.find(kind, name) is None
+    ]
+    return f"it refers to {', '.join(missing)}, which is missing" if missing else ""
+
+
+@functools.singledispatch
+def _references(spec: entry.Spec) -> list[tuple[str, str]]:
+    return []
+
+
+@_references.register
+def _(spec: entry.key.Key) -> list[tuple[str, str]]:
+    return [("account", spec.account)]
+
+
+@_references.register
+def _(spec: entry.rate.Rate) -> list[tuple[str, str]]:
+    return [("account", spec.name)]
+
+
+@_references.register
+def _(spec: entry.route.Route) -> list[tuple[str, str]]:
+    used = [("account", name) for name in (*spec.accounts, spec.account) if name]
+    return [("service", spec.service), *used]
+
+
+@_references.register
+def _(spec: entry.upstream.Upstream) -> list[tuple[str, str]]:
+    return [("service", spec.service)]
--- /dev/null
+++ b/yuccahitch/controllers/retries.py
@@ -0,0 +1,39 @@
+"""A budget for retries: a share of the traffic, so that failures don't multiply load."""
+
+from __future__ import annotations
+
+from yuccahitch.controllers import rules as policy
+
+MAX_SAVED = 20.0
+FIRST_SAVED = 10.0
+
+
+class RetryBudget:
+    """Saves a share of a retry with each request.
+
+    Args:
+        share: Retries allowed for each request.
+        rules: Rules in force.
+    """
+
+    __slots__ = ("share", "rules", "saved", "spent", "requests")
+
+    def __init__(self, *, share: float = 0.1, rules: policy.Rules | None = None) -> None:
+        self.share = share
+        self.rules = rules or policy.Rules()
+        self.saved = FIRST_SAVED
+        self.spent = 0
+        self.requests = 0
+
+    def request(self) -> None:
+        """Count a request."""
+        self.requests += 1
+        self.saved = min(MAX_SAVED, self.saved + self.share)
+
+    def retry(self) -> bool:
+        """Take one retry from the budget; return whether there was one."""
+        if self.rules.retry_budget and self.saved < 1.0:
+            return False
+        self.saved -= 1.0
+        self.spent += 1
+        return True
--- /dev/null
+++ b/yuccahitch/controllers/slice_record.py
@@ -0,0 +1,57 @@
+"""The record of one client account's slices as the store holds it."""
+
+from __future__ import annotations
+
+import json
+
+from yuccahitch import records
+from yuccahitch.messages import store
+
+PREFIX = "slices/"
+
+
+class Record(records.Record):
+    """The slices of one client account as the store holds them.
+
+    Attributes:
+        account: The client account.
+        holders: Parts by instance id.
+        write_id: Unique id of the write.
+        revision: The store's revision of the record.
+        unused: Whether it is the first record: each holder's bucket then begins full.
+    """
+
+    __slots__ = ("account", "holders", "write_id", "revision", "unused")
+
+    def __init__(
+        self,
+        *,
+        account: str,
+        holders: dict[str, int],
+        write_id: str,
+        revision: int,
+        unused: bool = False,
+    ) -> None:
+        self.account = account
+        self.holders = holders
+        self.write_id = write_id
+        self.revision = revision
+        self.unused = unused
+
+    def to_bytes(self) -> bytes:
+        """Return the record as it is kept in the store."""
+        return json.dumps(
+            {"holders": self.holders, "write_id": self.write_id, "unused": self.unused}
+        ).encode()
+
+
+def from_item(item: store.Item) -> Record:
+    """Read a record from the store."""
+    data = json.loads(item.value)
+    return Record(
+        account=item.key.removeprefix(PREFIX),
+        holders=data["holders"],
+        write_id=data["write_id"],
+        revision=item.revision,
+        unused=data["unused"],
+    )
--- /dev/null
+++ b/yuccahitch/filters/arrival.py
@@ -0,0 +1,46 @@
+"""Checks a request that a peer forwarded, in the place of its key."""
+
+from __future__ import annotations
+
+from yuccahitch import errors
+from yuccahitch.controllers import configuration
+from yuccahitch.filters import chain, exchange
+from yuccahitch.messages import actions
+
+MAX_HOPS = 1
+
+
+class Arrival(chain.Step):
+    """Refuses a forwarded request that has come too far or whose key has been withdrawn.
+
+    Args:
+        config: Holds the catalog.
+        instance: Id of this instance.
+    """
+
+    __slots__ = ("config", "instance")
+    step = "arrival"
+
+    def __init__(self, config: configuration.Configuration, *, instance: str) -> None:
+        self.config = config
+        self.instance = instance
+
+    def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
+        """Set the client account, or refuse."""
+        hop = item.hop
+        if hop.hops > MAX_HOPS or self.instance in hop.visited:
+            return self._refuse(errors.Code.LOOP, f"visited {', '.join(hop.visited)}")
+        catalog = self.config.catalog
+        account = catalog.account(hop.account)
+        if account is None:
+            return self._refuse(errors.Code.KEY_UNKNOWN, "the client account is not known here")
+        key = catalog.find("key", hop.key_name) if hop.key_name else None
+        if hop.key_name and (key is None or key.withdrawn or key.account != hop.account):
+            return self._refuse(errors.Code.KEY_UNKNOWN, "the key does not work any more")
+        item.account = account
+        item.key_name = hop.key_name
+        return actions.Proceed()
+
+    def _refuse(self, code: errors.Code, detail: str) -> actions.Action:
+        error = errors.GatewayError(code, step=self.step, peer=self.instance, detail=detail)
+        return actions.Refuse(error)
--- /dev/null
+++ b/yuccahitch/filters/chain.py
@@ -0,0 +1,106 @@
+"""Runs a request through the filters.
+
+The chain is free of I/O: it is given the time, and returns the action that ends or suspends the
+run. ``leave`` is called on each entered filter, last first, when the request is over.
+"""
+
+from __future__ import annotations
+
+import functools
+import itertools
+import typing
+
+from yuccahitch.filters import exchange
+from yuccahitch.messages import actions
+
+
+class Filter(typing.Protocol):
+    """One step of a request."""
+
+    step: str
+
+    def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
+        """Decide what happens to a request that comes to this step."""
+
+    def resume(self, item: exchange.Exchange, reply: typing.Any, now: float) -> actions.Action:
+        """Go on after the work that the step asked for."""
+
+    def leave(self, item: exchange.Exchange, now: float) -> None:
+        """Undo or settle what the step did, once the request is over."""
+
+
+class Step:
+    """A filter that neither waits nor holds anything; a base for the others."""
+
+    __slots__ = ()
+    step = ""
+
+    def resume(self, item: exchange.Exchange, reply: typing.Any, now: float) -> actions.Action:
+        """Go on: a step that asks for no work has nothing to wait for."""
+        return actions.Proceed()
+
+    def leave(self, item: exchange.Exchange, now: float) -> None:
+        """Nothing to settle."""
+
+
+class Chain:
+    """Filters in their order.
+
+    Args:
+        filters: The filters; the last one must not return Proceed.
+    """
+
+    __slots__ = ("filters", "places")
+
+    def __init__(self, filters: typing.Sequence[Filter]) -> None:
+        self.filters = tuple(filters)
+        self.places = {item.step: place for place, item in enumerate(self.filters)}
+
+    def begin(self, item: exchange.Exchange, now: float) -> actions.Action:
+        """Run a new request until it ends or waits."""
+        return self.run(item, 0, now)
+
+    def resume(self, item: exchange.Exchange, reply: typing.Any, now: float) -> actions.Action:
+        """Go on with a request whose last entered filter waited for the reply."""
+        place = self.places[item.entered[-1]]
+        action = self.filters[place].resume(item, reply, now)
+        return _follow(action, self, item, place, now)
+
+    def finish(self, item: exchange.Exchange, now: float) -> None:
+        """Settle a request that is over; calling it again does nothing."""
+        while item.entered:
+            self.filters[self.places[item.entered.pop()]].leave(item, now)
+
+    def run(self, item: exchange.Exchange, place: int, now: float) -> actions.Action:
+        """Run a request from the filter at a place."""
+        for index in itertools.count(place):
+            current = self.filters[index]
+            item.entered.append(current.step)
+            action = current.enter(item, now)
+            if type(action) is not actions.Proceed:
+                return _follow(action, self, item, index, now)
+        raise AssertionError("unreachable")
+
+
+@functools.singledispatch
+def _follow(
+    action: actions.Action, chain: Chain, item: exchange.Exchange, place: int, now: float
+) -> actions.Action:
+    return action
+
+
+@_follow.register
+def _(
+    action: actions.Proceed, chain: Chain, item: exchange.Exchange, place: int, now: float
+) -> actions.Action:
+    return chain.run(item, place + 1, now)
+
+
+@_follow.register
+def _(
+    action: actions.Rewind, chain: Chain, item: exchange.Exchange, place: int, now: float
+) -> actions.Action:
+    target = chain.places[action.step]
+    while item.entered and chain.places[item.entered[-1]] >= target:
+        chain.filters[chain.places[item.entered.pop()]].leave(item, now)
+    return chain.run(item, target, now)
--- /dev/null
+++ b/yuccahitch/filters/dispatch.py
@@ -0,0 +1,156 @@
+"""Sends a request to its upstream or instance, and decides about another attempt."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+from yuccahitch import errors
+from yuccahitch.controllers import (
+    configuration,
+    membership,
+    placement,
+    retries,
+    suspects,
+    upstreams,
+)
+from yuccahitch.filters import chain, exchange, poison
+from yuccahitch.messages import actions, answers, requests
+
+MAX_ATTEMPTS = 3
+PRIORITY_SHORT = 0
+PRIORITY_LONG = 1
+
+
+class Dispatch(chain.Step):
+    """The last filter.
+
+    Args:
+        config: Holds the catalog.
+        members: The live instances.
+        states: Load and health of the upstreams.
+        budget: Bounds retries.
+        crashes: Requests that crashed upstreams.
+    """
+
+    __slots__ = ("config", "members", "states", "budget", "crashes")
+    step = "dispatch"
+
+    def __init__(
+        self,
+        config: configuration.Configuration,
+        members: membership.Membership,
+        states: upstreams.Upstreams,
+        budget: retries.RetryBudget,
+        crashes: suspects.Suspects,
+    ) -> None:
+        self.config = config
+        self.members = members
+        self.states = states
+        self.budget = budget
+        self.crashes = crashes
+
+    def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
+        """Send the request on."""
+        if item.attempt == 0:
+            self.budget.request()
+        item.attempt += 1
+        if item.upstream:
+            return self._to_upstream(item)
+        return self._to_instance(item, now)
+
+    def resume(self, item: exchange.Exchange, reply: typing.Any, now: float) -> actions.Action:
+        """Deliver the answer that began, try again, or refuse."""
+        return _resume(reply, self, item, now)
+
+    def leave(self, item: exchange.Exchange, now: float) -> None:
+        """Learn from the outcome."""
+        if not item.upstream:
+            return
+        if item.succeeded:
+            seconds = now - item.began
+            self.states.succeeded(item.upstream, seconds=seconds, tokens=item.usage.output)
+
+    def _to_upstream(self, item: exchange.Exchange) -> actions.Action:
+        chosen = self.config.catalog.upstream(item.upstream)
+        if chosen is None:
+            return actions.Rewind(placement.STEP)
+        work = actions.Dispatch(
+            upstream=chosen.name,
+            address=chosen.address,
+            attempt=item.attempt,
+            request=item.request,
+            max_tokens=item.output_limit,
+            priority=PRIORITY_SHORT,
+            echo="echo" in chosen.abilities,
+        )
+        return actions.Perform(work)
+
+    def _to_instance(self, item: exchange.Exchange, now: float) -> actions.Action:
+        row = self.members.find(item.instance)
+        if row is None:
+            return actions.Rewind(placement.STEP)
+        own = self.members.own.instance
+        hop = requests.Hop(
+            sender=own,
+            account=item.account.name,
+            key_name=item.key_name,
+            regions=tuple(sorted(item.regions)) if item.regions is not None else (),
+            hops=1,
+            visited=(own,),
+            owned=False,
+            charged=True,
+            granted_tokens=item.output_limit,
+        )
+        work = actions.Forward(
+            instance=row.instance,
+            address=self.members.address(row),
+            attempt=item.attempt,
+            request=item.request,
+            hop=hop,
+            deadline_in=max(0.0, item.request.deadline - now),
+        )
+        return actions.Perform(work)
+
+
+@functools.singledispatch
+def _resume(
+    reply: typing.Any, step: Dispatch, item: exchange.Exchange, now: float
+) -> actions.Action:
+    raise TypeError(type(reply))
+
+
+@_resume.register
+def _(reply: answers.Head, step: Dispatch, item: exchange.Exchange, now: float) -> actions.Action:
+    item.head = reply
+    item.reached = True
+    return actions.Deliver(reply)
+
+
+@_resume.register
+def _(
+    reply: answers.Failure, step: Dispatch, item: exchange.Exchange, now: float
+) -> actions.Action:
+    reached = reply.error.run is errors.Run.MAY_HAVE_RUN
+    item.reached = item.reached or reached
+    if reply.crashed:
+        step.crashes.seen(poison.fingerprint(item), reply.error.peer, now)
+    elif item.upstream:
+        step.states.failed(item.upstream, now)
+    elif reply.error.code is errors.Code.PEER_UNREACHABLE:
+        step.members.call_failed(item.instance)
+    item.tried.append(item.upstream or item.instance)
+    if step.crashes.guilty(poison.fingerprint(item), now) > 0:
+        return actions.Refuse(poison.refusal(item, step.crashes, now))
+    if _may_retry(reply, step, item, now):
+        return actions.Rewind(placement.STEP)
+    if item.reached:
+        reply.error.run = errors.Run.MAY_HAVE_RUN
+    return actions.Refuse(reply.error)
+
+
+def _may_retry(reply: answers.Failure, step: Dispatch, item: exchange.Exchange, now: float) -> bool:
+    """Return whether another attempt is safe, of use and within the budget."""
+    safe = item.idempotent or not item.reached
+    useful = item.attempt < MAX_ATTEMPTS and now < item.request.deadline
+    return safe and useful and step.budget.retry()
--- /dev/null
+++ b/yuccahitch/filters/place.py
@@ -0,0 +1,88 @@
+"""Finds the upstream or the instance that a request goes to, and waits for a place there."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+from yuccahitch.controllers import placement
+from yuccahitch.filters import chain, exchange
+from yuccahitch.messages import actions, commands
+
+
+class Place(chain.Step):
+    """Takes a place at an upstream and frees it again.
+
+    Args:
+        policy: Chooses and keeps the queue.
+    """
+
+    __slots__ = ("policy",)
+    step = placement.STEP
+
+    def __init__(self, policy: placement.Placement) -> None:
+        self.policy = policy
+
+    def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
+        """Choose an upstream or an instance, wait, or refuse."""
+        item.upstream = ""
+        item.instance = ""
+        return _act(self.policy.place(_task(item), now), item)
+
+    def resume(self, item: exchange.Exchange, reply: typing.Any, now: float) -> actions.Action:
+        """Go on once there is a place."""
+        return _act(reply, item)
+
+    def leave(self, item: exchange.Exchange, now: float) -> None:
+        """Free the place."""
+        self.policy.release(item.id, now)
+
+
+def _task(item: exchange.Exchange) -> placement.Task:
+    request = item.request
+    return placement.Task(
+        request_id=item.id,
+        account=item.account.name,
+        weight=item.account.weight,
+        service=item.service.name,
+        regions=item.regions,
+        prefix=request.prefix,
+        prompt_tokens=request.prompt_tokens,
+        output_tokens=item.output_limit,
+        body_bytes=len(request.body),
+        deadline=request.deadline,
+        avoid=tuple(item.tried),
+        local_only=item.hop is not None,
+    )
+
+
+@functools.singledispatch
+def _act(choice: typing.Any, item: exchange.Exchange) -> actions.Action:
+    raise TypeError(type(choice))
+
+
+@_act.register
+def _(choice: placement.ToUpstream, item: exchange.Exchange) -> actions.Action:
+    item.upstream = choice.upstream.name
+    return actions.Proceed()
+
+
+@_act.register
+def _(choice: placement.ToInstance, item: exchange.Exchange) -> actions.Action:
+    item.instance = choice.row.instance
+    return actions.Proceed()
+
+
+@_act.register
+def _(choice: placement.Wait, item: exchange.Exchange) -> actions.Action:
+    return actions.Perform(actions.AwaitTurn(until=choice.until))
+
+
+@_act.register
+def _(choice: placement.Refused, item: exchange.Exchange) -> actions.Action:
+    return actions.Refuse(choice.error)
+
+
+@_act.register
+def _(choice: commands.Denied, item: exchange.Exchange) -> actions.Action:
+    return actions.Refuse(choice.error)
--- /dev/null
+++ b/yuccahitch/filters/residency.py
@@ -0,0 +1,54 @@
+"""Finds the regions where a request's data may reside."""
+
+from __future__ import annotations
+
+from yuccahitch import errors
+from yuccahitch.controllers import configuration
+from yuccahitch.filters import chain, exchange
+from yuccahitch.messages import actions
+
+
+class Residency(chain.Step):
+    """Intersects what client account, route, client directory and sender allow.
+
+    The entry and the instance that dispatches both run it, each with its own view: a request is
+    served only where both allow it.
+
+    Args:
+        config: Holds the catalog.
+        region: Region of this instance.
+    """
+
+    __slots__ = ("config", "region")
+    step = "residency"
+
+    def __init__(self, config: configuration.Configuration, *, region: str) -> None:
+        self.config = config
+        self.region = region
+
+    def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
+        """Set the allowed regions; a forwarded request must be in one of them."""
+        client = self.config.catalog.client(item.account.client) if item.account.client else None
+        limits = [
+            frozenset(regions)
+            for regions in (
+                item.account.residency,
+                item.route.regions,
+                (client.home,) if client is not None and client.home else (),
+                item.hop.regions if item.hop is not None else (),
+            )
+            if regions
+        ]
+        item.regions = frozenset.intersection(*limits) if limits else None
+        if item.regions is not None and not item.regions:
+            return self._refuse("no region is allowed by client account, route and directory")
+        arrived = item.hop is not None and not item.hop.owned
+        if arrived and item.regions is not None and self.region not in item.regions:
+            return self._refuse(f"the data may not reside in {self.region}")
+        return actions.Proceed()
+
+    def _refuse(self, detail: str) -> actions.Action:
+        error = errors.GatewayError(
+            errors.Code.RESIDENCY, step=self.step, peer=self.region, detail=detail
+        )
+        return actions.Refuse(error)
