Add the tasks and the command line

Cause: the decisions need sockets. Change: core task, store, peer and upstream clients, pollers, servers for callers, operators and peers, each with a mailbox; serve, check, apply, get, delete, watch, release and timeline. Conclusion: one executable, one process kind.

--- /dev/null
+++ b/yuccahitch/cli/__init__.py
@@ -0,0 +1,18 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import click
+
+import yuccahitch
+from yuccahitch.cli import operate, run, show
+
+
+@click.group()
+@click.version_option(yuccahitch.VERSION)
+def main() -> None:
+    """Run and operate yuccahitch, a multi-region inference gateway."""
+
+
+for command in (run.serve, run.check, *operate.COMMANDS, show.timeline):
+    main.add_command(command)
--- /dev/null
+++ b/yuccahitch/tasks/core.py
@@ -0,0 +1,352 @@
+"""The core task: owns all decisions of the instance and passes on what they ask for."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import traceback
+import typing
+
+from yuccahitch import clock, events, records
+from yuccahitch.controllers import configuration, gateway
+from yuccahitch.messages import commands, exchanges, peers
+from yuccahitch.messages import store as store_messages
+from yuccahitch.tasks import mailbox, metrics
+
+
+class Tick(records.Record):
+    """Time has passed."""
+
+    __slots__ = ()
+
+
+class PeerMessage(records.Record):
+    """A peer sent a message; the reply is the answer."""
+
+    __slots__ = ("body", "sender")
+
+    def __init__(self, body: peers.Body, sender: str) -> None:
+        self.body = body
+        self.sender = sender
+
+
+class LoadHeard(records.Record):
+    """A load report came from an upstream or the instance list."""
+
+    __slots__ = ("load",)
+
+    def __init__(self, load: peers.Load) -> None:
+        self.load = load
+
+
+class SeedsHeard(records.Record):
+    """The instance list named instances."""
+
+    __slots__ = ("addresses",)
+
+    def __init__(self, addresses: list[str]) -> None:
+        self.addresses = addresses
+
+
+class ClientsHeard(records.Record):
+    """The client directory was read."""
+
+    __slots__ = ("entries",)
+
+    def __init__(self, entries: list[typing.Any]) -> None:
+        self.entries = entries
+
+
+class WatchHeard(records.Record):
+    """The watch on the store saw a change or broke."""
+
+    __slots__ = ("event",)
+
+    def __init__(self, event: typing.Any) -> None:
+        self.event = event
+
+
+class Query(records.Record):
+    """A question to the decisions, answered at once; it must not change anything."""
+
+    __slots__ = ("read",)
+
+    def __init__(self, read: typing.Callable[[gateway.Gateway], typing.Any]) -> None:
+        self.read = read
+
+
+class Release(records.Record):
+    """An operator states that an instance is dead; the reply says whether that was recorded."""
+
+    __slots__ = ("instance", "ticket")
+
+    def __init__(self, instance: str, ticket: str) -> None:
+        self.instance = instance
+        self.ticket = ticket
+
+
+class BeginDrain(records.Record):
+    """Begin the graceful shutdown."""
+
+    __slots__ = ()
+
+
+class Core:
+    """Runs the decisions of one instance, one message at a time.
+
+    Args:
+        decisions: The controllers and chains.
+        time: The clock.
+        log: Writes events.
+        figures: Collects metrics.
+        store: Mailbox of the store client.
+        peers: Mailbox of the peer client.
+    """
+
+    __slots__ = (
+        "decisions",
+        "time",
+        "log",
+        "figures",
+        "store",
+        "peers",
+        "inbox",
+        "waiting",
+        "tickets",
+        "drained",
+    )
+
+    def __init__(
+        self,
+        decisions: gateway.Gateway,
+        *,
+        time: clock.Clock,
+        log: events.Log,
+        figures: metrics.Metrics,
+        store: mailbox.Mailbox,
+        peers: mailbox.Mailbox,
+    ) -> None:
+        self.decisions = decisions
+        self.time = time
+        self.log = log
+        self.figures = figures
+        self.store = store
+        self.peers = peers
+        self.inbox = mailbox.Mailbox()
+        self.waiting: dict[str, mailbox.Ask] = {}
+        self.tickets: dict[str, mailbox.Ask] = {}
+        self.drained = asyncio.Event()
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            message = await self.inbox.get()
+            try:
+                self.handle(message)
+            except Exception as error:  # one faulty message must not end the instance
+                self.log.write(
+                    events.Event.FAULT, error=repr(error), where=_where(error), task="core"
+                )
+                self.figures.count("faults")
+
+    def handle(self, message: typing.Any) -> None:
+        """Handle one message and pass on what the decisions ask for."""
+        now = self.time.now()
+        if type(message) is mailbox.Ask:
+            _asked(message.message, message, self, now)
+        else:
+            _told(message, self, now)
+        for item in self.decisions.drain(now):
+            _pass_on(item, self)
+
+    def settle(self, ask: mailbox.Ask, request_id: str, outcome: typing.Any) -> None:
+        """Answer a task that runs a request, or keep it waiting."""
+        if outcome is None:
+            self.waiting[request_id] = ask
+        else:
+            ask.answer(outcome)
+
+
+@functools.singledispatch
+def _asked(message: typing.Any, ask: mailbox.Ask, core: Core, now: float) -> None:
+    raise TypeError(type(message))
+
+
+@_asked.register
+def _(message: exchanges.Begin, ask: mailbox.Ask, core: Core, now: float) -> None:
+    core.figures.count("requests")
+    request = message.request
+    core.log.write(
+        events.Event.REQUEST_BEGAN,
+        request=request.id,
+        target=request.target,
+        forwarded_by=message.hop.sender if message.hop is not None else "",
+    )
+    outcome = core.decisions.begin(request, message.hop, now)
+    core.settle(ask, request.id, outcome)
+
+
+@_asked.register
+def _(message: exchanges.Resume, ask: mailbox.Ask, core: Core, now: float) -> None:
+    outcome = core.decisions.resume(message.request_id, message.part, now)
+    core.settle(ask, message.request_id, outcome)
+
+
+@_asked.register
+def _(message: PeerMessage, ask: mailbox.Ask, core: Core, now: float) -> None:
+    ask.answer(core.decisions.on_peer(message.body, message.sender, now))
+
+
+@_asked.register
+def _(message: Query, ask: mailbox.Ask, core: Core, now: float) -> None:
+    try:
+        ask.answer(message.read(core.decisions))
+    except Exception as error:  # the asking task is to see it
+        ask.reply.set_exception(error)
+
+
+@_asked.register
+def _(message: configuration.Write, ask: mailbox.Ask, core: Core, now: float) -> None:
+    core.tickets[message.ticket] = ask
+    core.decisions.config.write(message)
+
+
+@_asked.register
+def _(message: Release, ask: mailbox.Ask, core: Core, now: float) -> None:
+    core.tickets[message.ticket] = ask
+    core.decisions.reclaim.release(message.instance, message.ticket)
+
+
+@functools.singledispatch
+def _told(message: typing.Any, core: Core, now: float) -> None:
+    raise TypeError(type(message))
+
+
+@_told.register
+def _(message: Tick, core: Core, now: float) -> None:
+    was_ready = core.decisions.members.own.ready
+    core.decisions.tick(now)
+    if core.decisions.members.own.ready and not was_ready:
+        core.log.write(events.Event.READY)
+    if core.decisions.access.closed:
+        core.drained.set()
+
+
+@_told.register
+def _(message: BeginDrain, core: Core, now: float) -> None:
+    core.log.write(events.Event.DRAIN_BEGAN, open_requests=len(core.decisions.exchanges))
+    core.decisions.shutdown.begin(now)
+
+
+@_told.register
+def _(message: exchanges.Finished, core: Core, now: float) -> None:
+    core.waiting.pop(message.request_id, None)
+    item = core.decisions.finish(message, now)
+    if item is None:
+        return
+    _count(core, message, now - item.began)
+    note = gateway.note_of(message, item)
+    core.log.write(note.event, **note.fields)
+
+
+@_told.register
+def _(message: commands.StoreReply, core: Core, now: float) -> None:
+    core.decisions.on_store(message, now)
+
+
+@_told.register
+def _(message: commands.PeerReply, core: Core, now: float) -> None:
+    core.decisions.on_peer_reply(message, now)
+
+
+@_told.register
+def _(message: WatchHeard, core: Core, now: float) -> None:
+    _watch(message.event, core, now)
+
+
+@_told.register
+def _(message: LoadHeard, core: Core, now: float) -> None:
+    core.decisions.states.hear(message.load, now)
+
+
+@_told.register
+def _(message: SeedsHeard, core: Core, now: float) -> None:
+    known = core.decisions.members.seeds
+    own = core.decisions.members.own
+    taken = {*known, own.address, own.wan_address}
+    known.extend(address for address in message.addresses if address not in taken)
+
+
+@_told.register
+def _(message: ClientsHeard, core: Core, now: float) -> None:
+    core.decisions.config.publish(message.entries)
+
+
+@functools.singledispatch
+def _watch(event: typing.Any, core: Core, now: float) -> None:
+    raise TypeError(type(event))
+
+
+@_watch.register
+def _(event: store_messages.Changed, core: Core, now: float) -> None:
+    core.decisions.config.changed(event, now)
+
+
+@_watch.register
+def _(event: store_messages.WatchLost, core: Core, now: float) -> None:
+    core.log.write(events.Event.WATCH_BROKEN, detail=event.detail)
+    core.decisions.config.watch_lost()
+
+
+@functools.singledispatch
+def _pass_on(item: typing.Any, core: Core) -> None:
+    raise TypeError(type(item))
+
+
+@_pass_on.register
+def _(item: commands.StoreCall, core: Core) -> None:
+    core.store.post(item)
+
+
+@_pass_on.register
+def _(item: commands.WatchStore, core: Core) -> None:
+    core.store.post(item)
+
+
+@_pass_on.register
+def _(item: commands.PeerCall, core: Core) -> None:
+    core.peers.post(item)
+
+
+@_pass_on.register
+def _(item: commands.Note, core: Core) -> None:
+    core.log.write(item.event, **item.fields)
+
+
+@_pass_on.register
+def _(item: commands.Wake, core: Core) -> None:
+    ask = core.tickets.pop(item.request_id, None)
+    if ask is not None:
+        ask.answer(item.reply)
+
+
+@_pass_on.register
+def _(item: exchanges.Outcome, core: Core) -> None:
+    ask = core.waiting.pop(item.request_id, None)
+    if ask is not None:
+        ask.answer(item)
+
+
+def _count(core: Core, message: exchanges.Finished, seconds: float) -> None:
+    core.figures.record("request", seconds)
+    if message.first_byte_s is not None:
+        core.figures.record("first_byte", message.first_byte_s)
+    core.figures.count("output_tokens", by=message.usage.output)
+    if message.error is not None:
+        core.figures.count("refusals", message.error.code.wire)
+
+
+def _where(error: Exception) -> str:
+    """Return the places in the code that an error passed through, the innermost last."""
+    frames = traceback.extract_tb(error.__traceback__)[-6:]
+    return " < ".join(f"{frame.name}:{frame.lineno}" for frame in frames)
--- /dev/null
+++ b/yuccahitch/tasks/mailbox.py
@@ -0,0 +1,66 @@
+"""Mailboxes, by which tasks talk to each other."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+
+class Mailbox:
+    """Messages for one task, first in, first out."""
+
+    __slots__ = ("queue",)
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[typing.Any] = asyncio.Queue()
+
+    def post(self, message: typing.Any) -> None:
+        """Leave a message."""
+        self.queue.put_nowait(message)
+
+    async def ask(self, message: typing.Any) -> typing.Any:
+        """Leave a message and wait for its reply."""
+        reply: asyncio.Future[typing.Any] = asyncio.get_running_loop().create_future()
+        self.queue.put_nowait(Ask(message, reply))
+        return await reply
+
+    async def get(self) -> typing.Any:
+        """Wait for the next message."""
+        return await self.queue.get()
+
+
+class Ask:
+    """A message whose sender waits for a reply."""
+
+    __slots__ = ("message", "reply")
+
+    def __init__(self, message: typing.Any, reply: asyncio.Future[typing.Any]) -> None:
+        self.message = message
+        self.reply = reply
+
+    def answer(self, value: typing.Any) -> None:
+        """Give the reply, unless the sender has gone away."""
+        if not self.reply.done():
+            self.reply.set_result(value)
+
+
+class Children:
+    """Tasks that a task started and ends with itself."""
+
+    __slots__ = ("tasks",)
+
+    def __init__(self) -> None:
+        self.tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def start(self, work: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> asyncio.Task:
+        """Start a child task."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def stop(self) -> None:
+        """End all child tasks."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
--- /dev/null
+++ b/yuccahitch/tasks/peer_server.py
@@ -0,0 +1,155 @@
+"""Takes messages and forwarded requests from other instances."""
+
+from __future__ import annotations
+
+import typing
+
+import grpclib
+from grpclib import const, exceptions, server
+
+from yuccahitch import clock, errors, events
+from yuccahitch.codecs import peer as codec
+from yuccahitch.codecs.generated import peer_grpc
+from yuccahitch.messages import answers, peers
+from yuccahitch.tasks import core, mailbox, peer_proof, runner
+
+
+class PartSink:
+    """Sends the parts of an answer to the peer that forwarded the request."""
+
+    __slots__ = ("stream", "request_id", "attempt", "stamp")
+
+    def __init__(
+        self,
+        stream: server.Stream[typing.Any, typing.Any],
+        *,
+        request_id: str,
+        attempt: int,
+        stamp: events.Stamp,
+    ) -> None:
+        self.stream = stream
+        self.request_id = request_id
+        self.attempt = attempt
+        self.stamp = stamp
+
+    async def send(self, part: answers.Part) -> None:
+        """Send one part, as an answer to the peer's attempt."""
+        part.attempt = self.attempt
+        try:
+            await self.stream.send_message(codec.to_part(part, stamp=self.stamp.tick()))
+        except exceptions.StreamTerminatedError as error:
+            raise ConnectionError("the peer hung up") from error
+
+    async def start(self, head: answers.Head) -> None:
+        """Begin the answer."""
+        await self.send(head)
+
+    async def write(self, chunk: answers.Chunk) -> None:
+        """Pass bytes on."""
+        await self.send(chunk)
+
+    async def end(self, part: answers.End) -> None:
+        """End a whole answer."""
+        await self.send(part)
+
+    async def cut(self, part: answers.Failure) -> None:
+        """End an answer that is not whole."""
+        await self.send(part)
+
+    async def refuse(self, error: errors.GatewayError, operation: str) -> None:
+        """Send a refusal."""
+        await self.send(
+            answers.Failure(request_id=self.request_id, attempt=self.attempt, error=error)
+        )
+
+    async def replay(self, answer: answers.Recorded) -> None:
+        """Send a recorded answer."""
+        request_id, attempt = self.request_id, self.attempt
+        head = answers.Head(
+            request_id=request_id,
+            attempt=attempt,
+            status=answer.status,
+            headers=(*answer.headers, ("x-replayed", "true")),
+            source="",
+        )
+        await self.send(head)
+        await self.send(answers.Chunk(request_id=request_id, attempt=attempt, data=answer.body))
+        await self.send(answers.End(request_id=request_id, attempt=attempt, usage=answers.Usage()))
+
+
+class PeerServer(peer_grpc.PeerBase):
+    """Owns the socket for peers.
+
+    Args:
+        secret: Secret of the fleet.
+        decisions: Mailbox of the core.
+        desks: Mailboxes for running requests.
+        time: The clock.
+        log: Writes events.
+    """
+
+    __slots__ = ("secret", "decisions", "desks", "time", "log", "server")
+
+    def __init__(
+        self,
+        *,
+        secret: str,
+        decisions: mailbox.Mailbox,
+        desks: runner.Desks,
+        time: clock.Clock,
+        log: events.Log,
+    ) -> None:
+        self.secret = secret
+        self.decisions = decisions
+        self.desks = desks
+        self.time = time
+        self.log = log
+        self.server: server.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for peers."""
+        self.server = server.Server([self])
+        await self.server.start(host, port)
+
+    async def stop(self) -> None:
+        """Stop listening and end what is open."""
+        if self.server is not None:
+            self.server.close()
+            await self.server.wait_closed()
+
+    async def Tell(self, stream: server.Stream[typing.Any, typing.Any]) -> None:
+        """Take one message and answer it."""
+        sender = self._sender(stream)
+        envelope = await stream.recv_message()
+        try:
+            body = codec.from_envelope(envelope)
+        except errors.GatewayError as error:
+            raise self._garbage(sender, error) from error
+        self.log.stamp.observe(envelope.stamp)
+        reply: peers.Body = await self.decisions.ask(core.PeerMessage(body, sender))
+        await stream.send_message(codec.to_envelope(reply, stamp=self.log.stamp.tick()))
+
+    async def Forward(self, stream: server.Stream[typing.Any, typing.Any]) -> None:
+        """Serve a forwarded request, or refuse it; it is never forwarded on."""
+        sender = self._sender(stream)
+        message = await stream.recv_message()
+        try:
+            request, hop, attempt = codec.from_forwarded(message, now=self.time.now())
+        except errors.GatewayError as error:
+            raise self._garbage(sender, error) from error
+        self.log.stamp.observe(message.stamp)
+        sink = PartSink(stream, request_id=request.id, attempt=attempt, stamp=self.log.stamp)
+        await runner.Runner(self.desks, request, sink, now=self.time.now).run(hop)
+
+    def _sender(self, stream: server.Stream[typing.Any, typing.Any]) -> str:
+        metadata = stream.metadata or {}
+        sender = str(metadata.get(peer_proof.SENDER_HEADER, ""))
+        shown = str(metadata.get(peer_proof.HEADER, ""))
+        if not peer_proof.valid(self.secret, sender, shown):
+            self.log.write(events.Event.PEER_GARBAGE, peer=sender[:64], detail="wrong proof")
+            raise grpclib.GRPCError(const.Status.UNAUTHENTICATED, "the proof is wrong")
+        return sender
+
+    def _garbage(self, sender: str, error: errors.GatewayError) -> grpclib.GRPCError:
+        self.log.write(events.Event.PEER_GARBAGE, peer=sender, detail=error.detail)
+        return grpclib.GRPCError(const.Status.INVALID_ARGUMENT, error.detail)
--- /dev/null
+++ b/yuccahitch/tasks/process.py
@@ -0,0 +1,199 @@
+"""Puts the tasks of one instance together and runs them until a graceful shutdown is done."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import uuid
+
+import eliot
+import reactivex
+from reactivex.scheduler import eventloop
+
+from yuccahitch import clock, events
+from yuccahitch import settings as config_file
+from yuccahitch.controllers import gateway, session
+from yuccahitch.messages import store
+from yuccahitch.tasks import (
+    caller_server,
+    core,
+    mailbox,
+    metrics,
+    operator_server,
+    peer_client,
+    peer_server,
+    pollers,
+    runner,
+    store_client,
+    upstream_client,
+)
+
+TICK_S = 0.1
+
+
+class Process:
+    """All tasks of one instance.
+
+    Args:
+        settings: Its settings.
+    """
+
+    __slots__ = (
+        "settings",
+        "instance",
+        "time",
+        "log",
+        "figures",
+        "core",
+        "store",
+        "peers",
+        "upstreams",
+        "pollers",
+        "callers",
+        "operators",
+        "peer_server",
+        "children",
+    )
+
+    def __init__(self, settings: config_file.Settings) -> None:
+        self.settings = settings
+        self.time = clock.SystemClock()
+        self.instance = f"{settings.instance.name}~{uuid.uuid4().hex[:8]}"
+        self.log = events.Log(self.instance, events.Stamp(self.time.wall))
+        self.figures = metrics.Metrics()
+        self.children = mailbox.Children()
+        rng = random.Random(os.urandom(16))
+        self.core = self._make_core(rng)
+        self.upstreams = upstream_client.UpstreamClient(time=self.time, log=self.log)
+        desks = runner.Desks(
+            core=self.core.inbox,
+            upstreams=self.upstreams.inbox,
+            peers=self.peers.inbox,
+            capacity=settings.callers.answer_buffer_chunks,
+            write_timeout_s=settings.callers.write_timeout_s,
+        )
+        self._make_servers(desks)
+
+    async def run(self) -> None:
+        """Serve until a graceful shutdown is done."""
+        tasks = [
+            self.children.start(part.run())
+            for part in (self.core, self.store, self.peers, self.upstreams, self.pollers)
+        ]
+        place = self.settings.instance
+        await self.peer_server.start(place.listen, place.peer_port)
+        await self.operators.start()
+        await self.callers.start()
+        self.log.write(events.Event.STARTED, region=place.region, zone=place.zone)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.core.inbox.post, core.BeginDrain())
+        ticks = reactivex.interval(TICK_S, scheduler=eventloop.AsyncIOScheduler(loop))
+        subscription = ticks.subscribe(on_next=lambda _: self.core.inbox.post(core.Tick()))
+        drained = self.children.start(self.core.drained.wait())
+        await asyncio.wait([drained, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        subscription.dispose()
+        await self._leave()
+        await self.callers.stop()
+        await self.operators.stop()
+        await self.peer_server.stop()
+        self.log.write(events.Event.STOPPED)
+        failed = [task for task in tasks if task.done() and task.exception() is not None]
+        await self.children.stop()
+        for task in failed:
+            raise task.exception()
+
+    def _make_core(self, rng: random.Random) -> core.Core:
+        decisions = gateway.Gateway(
+            self.settings,
+            instance=self.instance,
+            time=self.time,
+            rng=rng,
+            new_id=lambda: uuid.uuid4().hex,
+        )
+        self.store = store_client.StoreClient(
+            self.settings.store.url,
+            prefix=self.settings.store.prefix,
+            timeout_s=self.settings.store.timeout_s,
+            time=self.time,
+            log=self.log,
+            reply_to=lambda reply: self.core.inbox.post(reply),
+            watch_to=lambda event: self.core.inbox.post(core.WatchHeard(event)),
+            rng=rng,
+        )
+        self.peers = peer_client.PeerClient(
+            self.instance,
+            secret=self.settings.peers.secret,
+            timeout_s=self.settings.peers.timeout_s,
+            time=self.time,
+            log=self.log,
+            reply_to=lambda reply: self.core.inbox.post(reply),
+        )
+        return core.Core(
+            decisions,
+            time=self.time,
+            log=self.log,
+            figures=self.figures,
+            store=self.store.inbox,
+            peers=self.peers.inbox,
+        )
+
+    def _make_servers(self, desks: runner.Desks) -> None:
+        inbox, decisions = self.core.inbox, self.core.decisions
+        self.pollers = pollers.Pollers(self.settings, decisions=inbox)
+        self.callers = caller_server.CallerServer(
+            self.settings, decisions=inbox, desks=desks, figures=self.figures, time=self.time
+        )
+        changes = operator_server.changes_of(decisions.config.listeners)
+        self.operators = operator_server.OperatorServer(
+            self.settings, decisions=inbox, changes=changes
+        )
+        self.peer_server = peer_server.PeerServer(
+            secret=self.settings.peers.secret,
+            decisions=inbox,
+            desks=desks,
+            time=self.time,
+            log=self.log,
+        )
+        self._show_gauges(decisions)
+
+    def _show_gauges(self, decisions: gateway.Gateway) -> None:
+        now = self.time.now
+        self.figures.gauges.update(
+            open_requests=lambda: len(decisions.exchanges),
+            waiting_requests=lambda: decisions.queue.size,
+            live_instances=lambda: len(decisions.members.members) + 1,
+            config_age_seconds=lambda: min(1e9, decisions.config.age(now())),
+            resources=lambda: len(decisions.config.catalog.entries),
+            may_spend=lambda: float(decisions.access.may_spend(now())),
+            store_calls=lambda: self.store.calls,
+            retries=lambda: decisions.budget.spent,
+        )
+
+    async def _leave(self) -> None:
+        """Tell the store that this instance left, so that its slices are free at once."""
+        access = self.core.decisions.access
+        if not access.lease or not self.core.decisions.shutdown.clean:
+            return
+        left_ttl_s = self.settings.limits.horizon_s
+        granted = await self.store.call(store.GrantLease(left_ttl_s))
+        lease = granted.lease if type(granted) is store.Leased else 0
+        commit = store.Commit(
+            expects=[],
+            changes=[
+                store.Put(session.LEFT_PREFIX + self.instance, b"graceful", lease=lease),
+                store.Delete(session.PIN_PREFIX + self.instance),
+            ],
+        )
+        await self.store.call(commit)
+        await self.store.call(store.RevokeLease(access.lease))
+
+
+def serve(settings: config_file.Settings) -> None:
+    """Run one instance until it is told to stop."""
+    file = sys.stdout if settings.log.file == "-" else open(settings.log.file, "a", buffering=1)
+    eliot.to_file(file)
+    asyncio.run(Process(settings).run())
--- /dev/null
+++ b/yuccahitch/tasks/runner.py
@@ -0,0 +1,285 @@
+"""Runs one request: asks the core what to do, opens attempts and passes the answer on."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import typing
+
+from yuccahitch import errors
+from yuccahitch.controllers import operations
+from yuccahitch.messages import actions, answers, exchanges, requests
+from yuccahitch.tasks import answer_stream, mailbox, peer_client, upstream_client
+
+
+class Sink(typing.Protocol):
+    """Where an answer goes; each method may raise ``ConnectionError`` when nobody listens."""
+
+    async def start(self, head: answers.Head) -> None:
+        """Begin the answer."""
+
+    async def write(self, chunk: answers.Chunk) -> None:
+        """Pass bytes on."""
+
+    async def end(self, part: answers.End) -> None:
+        """End a whole answer."""
+
+    async def cut(self, part: answers.Failure) -> None:
+        """End an answer that is not whole, with an explicit error."""
+
+    async def refuse(self, error: errors.GatewayError, operation: str) -> None:
+        """Send a refusal in the place of an answer."""
+
+    async def replay(self, answer: answers.Recorded) -> None:
+        """Send a recorded answer."""
+
+
+class Desks:
+    """The mailboxes that a runner needs.
+
+    Args:
+        core: The decisions.
+        upstreams: Attempts at upstreams.
+        peers: Attempts at other instances.
+        capacity: Parts of an answer held for a slow reader.
+        write_timeout_s: Longest wait for a slow reader, in seconds.
+    """
+
+    __slots__ = ("core", "upstreams", "peers", "capacity", "write_timeout_s")
+
+    def __init__(
+        self,
+        *,
+        core: mailbox.Mailbox,
+        upstreams: mailbox.Mailbox,
+        peers: mailbox.Mailbox,
+        capacity: int,
+        write_timeout_s: float,
+    ) -> None:
+        self.core = core
+        self.upstreams = upstreams
+        self.peers = peers
+        self.capacity = capacity
+        self.write_timeout_s = write_timeout_s
+
+
+class Runner:
+    """One request on its way.
+
+    Attributes:
+        listening: Whether the caller is still there.
+    """
+
+    __slots__ = (
+        "desks",
+        "request",
+        "sink",
+        "now",
+        "stream",
+        "listening",
+        "succeeded",
+        "usage",
+        "error",
+        "head",
+        "kept",
+        "began",
+        "first_byte_s",
+        "crashed",
+    )
+
+    def __init__(
+        self,
+        desks: Desks,
+        request: requests.Request,
+        sink: Sink,
+        *,
+        now: typing.Callable[[], float],
+    ) -> None:
+        self.desks = desks
+        self.request = request
+        self.sink = sink
+        self.now = now
+        self.stream: answer_stream.AnswerStream | None = None
+        self.listening = True
+        self.succeeded = False
+        self.usage = answers.Usage()
+        self.error: errors.GatewayError | None = None
+        self.head: answers.Head | None = None
+        self.kept: bytearray | None = bytearray() if request.operation_key else None
+        self.began = now()
+        self.first_byte_s: float | None = None
+        self.crashed = ""
+
+    async def run(self, hop: requests.Hop | None = None) -> None:
+        """Run the request to its end; what it holds is settled however it ends."""
+        try:
+            outcome = await self.desks.core.ask(exchanges.Begin(self.request, hop))
+            while outcome is not None:
+                outcome = await _act(outcome.action, outcome, self)
+        except (ConnectionError, TimeoutError):
+            self.listening = False
+        finally:
+            if self.stream is not None:
+                self.stream.close()
+            self.desks.core.post(self._finished())
+
+    async def attempt(self, stream: answer_stream.AnswerStream) -> exchanges.Outcome:
+        """Wait for an attempt's first part and ask what to do with it."""
+        if self.stream is not None:
+            self.stream.close()
+        self.stream = stream
+        part = await stream.get()
+        return await self.desks.core.ask(exchanges.Resume(self.request.id, part))
+
+    def open_stream(self, attempt: int) -> answer_stream.AnswerStream:
+        """Return a stream for an attempt."""
+        return answer_stream.AnswerStream(self.request.id, attempt, capacity=self.desks.capacity)
+
+    async def relay(self, head: answers.Head) -> None:
+        """Pass an answer on until it ends.
+
+        When the caller has hung up, a request with an idempotency key goes on, so that its answer
+        is there for a repeat; any other is abandoned.
+        """
+        self.head = head
+        self.first_byte_s = self.now() - self.began
+        await self.send(self.sink.start(head))
+        ended = False
+        while not ended:
+            part = await self.stream.get()
+            ended = await _relay(part, self)
+
+    async def send(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+        """Send something to the caller, unless it has hung up."""
+        if not self.listening:
+            work.close()
+            return
+        try:
+            async with asyncio.timeout(self.desks.write_timeout_s):
+                await work
+        except (ConnectionError, TimeoutError):
+            self.listening = False
+            if not self.request.operation_key:
+                raise
+
+    def keep(self, data: bytes) -> None:
+        """Keep bytes of the answer for repeats, as long as they are few."""
+        if self.kept is None:
+            return
+        self.kept += data
+        if len(self.kept) > operations.MAX_ANSWER_BYTES:
+            self.kept = None
+
+    def _finished(self) -> exchanges.Finished:
+        recorded = None
+        if self.succeeded and self.request.operation_key and self.head is not None:
+            recorded = answers.Recorded(
+                status=self.head.status,
+                headers=self.head.headers,
+                body=bytes(self.kept or b""),
+                whole=self.kept is not None,
+            )
+        return exchanges.Finished(
+            self.request.id,
+            succeeded=self.succeeded,
+            usage=self.usage,
+            recorded=recorded,
+            error=self.error,
+            abandoned=not self.listening,
+            crashed=self.crashed,
+            first_byte_s=self.first_byte_s,
+        )
+
+
+@functools.singledispatch
+async def _act(
+    action: typing.Any, outcome: exchanges.Outcome, runner: Runner
+) -> exchanges.Outcome | None:
+    raise TypeError(type(action))
+
+
+@_act.register
+async def _(
+    action: actions.Refuse, outcome: exchanges.Outcome, runner: Runner
+) -> exchanges.Outcome | None:
+    runner.error = action.error
+    await runner.send(runner.sink.refuse(action.error, outcome.operation))
+    return None
+
+
+@_act.register
+async def _(
+    action: actions.Replay, outcome: exchanges.Outcome, runner: Runner
+) -> exchanges.Outcome | None:
+    runner.succeeded = True
+    await runner.send(runner.sink.replay(action.answer))
+    return None
+
+
+@_act.register
+async def _(
+    action: actions.Deliver, outcome: exchanges.Outcome, runner: Runner
+) -> exchanges.Outcome | None:
+    await runner.relay(action.head)
+    return None
+
+
+@_act.register
+async def _(
+    action: actions.Perform, outcome: exchanges.Outcome, runner: Runner
+) -> exchanges.Outcome | None:
+    return await _perform(action.work, runner)
+
+
+@functools.singledispatch
+async def _perform(work: typing.Any, runner: Runner) -> exchanges.Outcome:
+    raise TypeError(type(work))
+
+
+@_perform.register
+async def _(work: actions.Dispatch, runner: Runner) -> exchanges.Outcome:
+    stream = runner.open_stream(work.attempt)
+    runner.desks.upstreams.post(upstream_client.Open(work, stream))
+    return await runner.attempt(stream)
+
+
+@_perform.register
+async def _(work: actions.Forward, runner: Runner) -> exchanges.Outcome:
+    stream = runner.open_stream(work.attempt)
+    runner.desks.peers.post(peer_client.OpenForward(work, stream))
+    return await runner.attempt(stream)
+
+
+@functools.singledispatch
+async def _relay(part: answers.Part, runner: Runner) -> bool:
+    """Pass a part on; return whether it is the last one."""
+    raise TypeError(type(part))
+
+
+@_relay.register
+async def _(part: answers.Head, runner: Runner) -> bool:
+    return False
+
+
+@_relay.register
+async def _(part: answers.Chunk, runner: Runner) -> bool:
+    runner.keep(part.data)
+    await runner.send(runner.sink.write(part))
+    return False
+
+
+@_relay.register
+async def _(part: answers.End, runner: Runner) -> bool:
+    runner.usage = part.usage
+    runner.succeeded = True
+    await runner.send(runner.sink.end(part))
+    return True
+
+
+@_relay.register
+async def _(part: answers.Failure, runner: Runner) -> bool:
+    runner.usage = part.usage
+    runner.error = part.error
+    runner.crashed = part.error.peer if part.crashed else ""
+    await runner.send(runner.sink.cut(part))
+    return True
--- /dev/null
+++ b/yuccahitch/tasks/store_client.py
@@ -0,0 +1,257 @@
+"""Talks to the platform's key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+import random
+import typing
+
+import aiohttp
+import reactivex
+from reactivex import abc as reactivex_abc
+
+from yuccahitch import clock, events
+from yuccahitch.codecs import etcd
+from yuccahitch.messages import commands, store
+from yuccahitch.tasks import mailbox
+
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.0
+LOST_AFTER_FAILURES = 3
+MAX_CALLS = 32
+MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
+
+
+class StoreClient:
+    """Owns the connections to the store; one call of the core is one call of the store.
+
+    Failed calls are reported after a pause that grows, so that nobody who tries again at once
+    floods a store that is in trouble.
+
+    Args:
+        url: Base URL of the JSON interface.
+        prefix: Prefix of all keys.
+        timeout_s: Time-out of a call, in seconds.
+        time: The clock.
+        log: Writes events.
+        reply_to: Takes each reply.
+        watch_to: Takes what the watch sees.
+        rng: Source of jitter.
+    """
+
+    __slots__ = (
+        "url",
+        "prefix",
+        "timeout_s",
+        "time",
+        "log",
+        "reply_to",
+        "watch_to",
+        "rng",
+        "inbox",
+        "children",
+        "session",
+        "failures",
+        "watching",
+        "slots",
+        "calls",
+    )
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        prefix: str,
+        timeout_s: float,
+        time: clock.Clock,
+        log: events.Log,
+        reply_to: typing.Callable[[commands.StoreReply], None],
+        watch_to: typing.Callable[[store.Changed | store.WatchLost], None],
+        rng: random.Random,
+    ) -> None:
+        self.url = url.rstrip("/")
+        self.prefix = prefix
+        self.timeout_s = timeout_s
+        self.time = time
+        self.log = log
+        self.reply_to = reply_to
+        self.watch_to = watch_to
+        self.rng = rng
+        self.inbox = mailbox.Mailbox()
+        self.children = mailbox.Children()
+        self.session: aiohttp.ClientSession | None = None
+        self.failures = 0
+        self.watching: asyncio.Task[None] | None = None
+        self.slots = asyncio.Semaphore(MAX_CALLS)
+        self.calls = 0
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        async with aiohttp.ClientSession(read_bufsize=MAX_WATCH_LINE_BYTES) as session:
+            self.session = session
+            try:
+                while True:
+                    _handle(await self.inbox.get(), self)
+            finally:
+                await self.children.stop()
+
+    async def call(self, call: store.Call) -> store.Reply:
+        """Make one call and return its reply or failure."""
+        post = etcd.encode(_prefixed(call, self.prefix))
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        self.calls += 1
+        try:
+            async with self.session.post(
+                self.url + post.path, json=post.body, timeout=timeout
+            ) as response:
+                body = await response.json(content_type=None)
+                if response.status != 200:
+                    return store.Failed(sent=True, detail=f"status {response.status}")
+                return _unprefixed(etcd.decode(call, body), self.prefix)
+        except aiohttp.ClientConnectorError as error:
+            return store.Failed(sent=False, detail=type(error).__name__)
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
+            return store.Failed(sent=True, detail=type(error).__name__)
+
+    async def perform(self, command: commands.StoreCall) -> None:
+        """Make a call for the core and report the reply."""
+        async with self.slots:
+            sent_at = self.time.now()
+            reply = await self.call(command.call)
+        if type(reply) is store.Failed:
+            self.failures += 1
+            if self.failures == LOST_AFTER_FAILURES:
+                self.log.write(events.Event.STORE_LOST, detail=reply.detail)
+            pause = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(self.failures, 8))
+            await asyncio.sleep(pause * (0.5 + self.rng.random() / 2))
+        else:
+            if self.failures >= LOST_AFTER_FAILURES:
+                self.log.write(events.Event.STORE_FOUND)
+            self.failures = 0
+        self.reply_to(commands.StoreReply(purpose=command.purpose, reply=reply, sent_at=sent_at))
+
+    def watch(self, prefix: str, revision: int) -> reactivex.Observable:
+        """Return the changes under a prefix as an observable that ends when the watch breaks."""
+
+        def subscribe(
+            observer: reactivex_abc.ObserverBase, scheduler: typing.Any = None
+        ) -> reactivex_abc.DisposableBase:
+            task = self.children.start(self._watch(prefix, revision, observer))
+            return reactivex.disposable.Disposable(task.cancel)
+
+        return reactivex.create(subscribe)
+
+    def start_watch(self, command: commands.WatchStore) -> None:
+        """Begin or end the watch that the core asks for."""
+        if self.watching is not None:
+            self.watching.dispose()
+            self.watching = None
+        if command.active:
+            observable = self.watch(command.prefix, command.revision)
+            self.watching = observable.subscribe(on_next=self.watch_to)
+
+    async def _watch(
+        self, prefix: str, revision: int, observer: reactivex_abc.ObserverBase
+    ) -> None:
+        detail = "closed"
+        body = etcd.watch_request(self.prefix + prefix, revision)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.timeout_s)
+        try:
+            async with self.session.post(
+                self.url + "/v3/watch", json=body, timeout=timeout
+            ) as response:
+                async for line in response.content:
+                    event = etcd.decode_watch(json.loads(line))
+                    if type(event) is store.WatchLost:
+                        detail = event.detail
+                        break
+                    if event.items:
+                        observer.on_next(_unprefixed_change(event, self.prefix))
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
+            detail = type(error).__name__
+        await asyncio.sleep(FIRST_PAUSE_S)
+        observer.on_next(store.WatchLost(detail))
+        observer.on_completed()
+
+
+@functools.singledispatch
+def _handle(message: typing.Any, client: StoreClient) -> None:
+    raise TypeError(type(message))
+
+
+@_handle.register
+def _(message: commands.StoreCall, client: StoreClient) -> None:
+    client.children.start(client.perform(message))
+
+
+@_handle.register
+def _(message: commands.WatchStore, client: StoreClient) -> None:
+    client.start_watch(message)
+
+
+@functools.singledispatch
+def _prefixed(call: typing.Any, prefix: str) -> typing.Any:
+    return call
+
+
+@_prefixed.register
+def _(call: store.Range, prefix: str) -> store.Call:
+    return store.Range(prefix + call.key, prefix=call.prefix)
+
+
+@_prefixed.register
+def _(call: store.Commit, prefix: str) -> store.Call:
+    return store.Commit(
+        expects=[store.Expect(prefix + e.key, e.revision) for e in call.expects],
+        changes=[_prefixed(change, prefix) for change in call.changes],
+    )
+
+
+@_prefixed.register
+def _(call: store.CommitMany, prefix: str) -> store.Call:
+    return store.CommitMany([_prefixed(commit, prefix) for commit in call.commits])
+
+
+@_prefixed.register
+def _(change: store.Put, prefix: str) -> store.Put:
+    return store.Put(prefix + change.key, change.value, lease=change.lease)
+
+
+@_prefixed.register
+def _(change: store.Delete, prefix: str) -> store.Delete:
+    return store.Delete(prefix + change.key)
+
+
+@functools.singledispatch
+def _unprefixed(reply: typing.Any, prefix: str) -> typing.Any:
+    return reply
+
+
+@_unprefixed.register
+def _(reply: store.Items, prefix: str) -> store.Reply:
+    return store.Items([_cut(item, prefix) for item in reply.items], revision=reply.revision)
+
+
+@_unprefixed.register
+def _(reply: store.Committed, prefix: str) -> store.Reply:
+    items = [_cut(item, prefix) for item in reply.items]
+    return store.Committed(applied=reply.applied, items=items, revision=reply.revision)
+
+
+@_unprefixed.register
+def _(reply: store.CommittedMany, prefix: str) -> store.Reply:
+    return store.CommittedMany([_unprefixed(inner, prefix) for inner in reply.replies])
+
+
+def _unprefixed_change(change: store.Changed, prefix: str) -> store.Changed:
+    items = [
+        (key.removeprefix(prefix), _cut(item, prefix) if item is not None else None)
+        for key, item in change.items
+    ]
+    return store.Changed(items, revision=change.revision)
+
+
+def _cut(item: store.Item, prefix: str) -> store.Item:
+    return store.Item(key=item.key.removeprefix(prefix), value=item.value, revision=item.revision)
