--- /dev/null
+++ b/examples/generate.py
@@ -0,0 +1,258 @@
+"""Writes the settings and resources of the two example deployments.
+
+Run as ``python examples/generate.py``; the files it writes are committed. Every region has its own
+loopback addresses; links between regions are stand-ins that relay the peer ports.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import json
+import pathlib
+import typing
+
+HERE = pathlib.Path(__file__).parent
+INSTANCES_PER_REGION = 2
+CALLER_PORT = 7001
+OPERATOR_PORT = 7002
+PEER_PORT = 7003
+WAN_PORT = 7004
+LINK_CONTROL_PORT = 7100
+STORE_PORT = 7201
+DIRECTORY_PORT = 7202
+LIST_PORT = 7203
+STORE_LINK_PORT = 7204
+ENGINE_PORT = 7300
+
+ICE_WORKS = {
+    "name": "ice-works",
+    "net": 11,
+    "regions": ["muscat-a", "sohar-a", "salalah-a"],
+    "delay_s": 0.055,
+    "bytes_per_s": 8_750_000,
+    "models": {"ice-model": 5},
+    "plain": {"rink-desk": 3},
+    "accounts": {
+        "sahil-rinks": (4000, 40000, []),
+        "hotel-rinks": (2000, 20000, []),
+        "curling-clubs": (1000, 16000, ["muscat-a", "sohar-a"]),
+        "school-ponds": (500, 8000, ["salalah-a"]),
+        "guest-crews": (200, 6000, []),
+    },
+}
+DOORS = {
+    "name": "doors",
+    "net": 12,
+    "regions": ["occ-a", "cen-a", "nte-a"],
+    "delay_s": 0.055,
+    "bytes_per_s": 125_000_000,
+    "models": {"pintor-lm": 6},
+    "plain": {"taller-app": 3},
+    "accounts": {
+        "occidente": (5000, 50000, ["occ-a"]),
+        "centro": (3000, 30000, []),
+        "norte": (2000, 20000, []),
+        "talleres": (1000, 16000, ["occ-a", "cen-a"]),
+        "visitas": (300, 6000, []),
+    },
+}
+Shape = dict[str, typing.Any]
+
+
+def address(shape: Shape, region: int, host: int) -> str:
+    """Return the loopback address of a host in a region."""
+    return f"127.{shape['net']}.{region + 1}.{host + 1}"
+
+
+def instances(shape: Shape) -> list[tuple[int, int, str, str]]:
+    """Return region number, host number, name and address of each instance."""
+    return [
+        (r, h, f"{region}-{h + 1}", address(shape, r, h))
+        for r, region in enumerate(shape["regions"])
+        for h in range(INSTANCES_PER_REGION)
+    ]
+
+
+def settings(shape: Shape, region: int, name: str, host: str, zone: int) -> str:
+    """Return the settings of one instance."""
+    seeds = ", ".join(
+        f"{ip}:{PEER_PORT if r == region else WAN_PORT}"
+        for r, _, _, ip in instances(shape)
+        if ip != host
+    )
+    home = address(shape, 0, 200)
+    store = f"{home}:{STORE_PORT}"
+    if region:
+        store = f"{address(shape, region, 200)}:{STORE_LINK_PORT}"
+    label = shape["regions"][region]
+    return f"""[instance]
+name = {name}
+region = {label}
+zone = {label}{zone + 1}
+listen = {host}
+caller_port = {CALLER_PORT}
+operator_port = {OPERATOR_PORT}
+peer_port = {PEER_PORT}
+wan_address = {host}:{WAN_PORT}
+
+[peers]
+secret = env:YUCCAHITCH_FLEET_SECRET
+seeds = {seeds}
+
+[store]
+url = http://{store}
+
+[platform]
+directory_url = http://{home}:{DIRECTORY_PORT}
+instances_url = http://{home}:{LIST_PORT}
+
+[operators]
+token = env:YUCCAHITCH_OPERATOR_TOKEN
+
+[policy]
+link_bytes_per_s = {shape['bytes_per_s']}
+link_delay_s = {shape['delay_s']}
+"""
+
+
+def replicas(shape: Shape) -> list[tuple[str, str, str, int, str, int]]:
+    """Return name, service, kind, region number, address and port of each upstream."""
+    kinds = [("model", shape["models"]), ("plain", shape["plain"])]
+    numbered = [
+        (kind, service, number)
+        for kind, services in kinds
+        for service, count in services.items()
+        for number in range(count)
+    ]
+    return [
+        (
+            f"{service}-{number + 1}",
+            service,
+            kind,
+            number % len(shape["regions"]),
+            address(shape, number % len(shape["regions"]), 100 + place),
+            ENGINE_PORT,
+        )
+        for place, (kind, service, number) in enumerate(numbered)
+    ]
+
+
+def key_of(account: str) -> str:
+    """Return the example key of an account; real keys are random and never written down."""
+    return f"example-key-{account}"
+
+
+def resources(shape: Shape) -> list[dict[str, typing.Any]]:
+    """Return all resources of a deployment."""
+    services = [
+        {"kind": "service", "spec": {"name": name, "kind": "model", "max_output_tokens": 2000}}
+        for name in shape["models"]
+    ] + [
+        {"kind": "service", "spec": {"name": name, "kind": "plain", "tokens_per_call": 1}}
+        for name in shape["plain"]
+    ]
+    accounts = [
+        {"kind": "account", "spec": {"name": name, "residency": residency, "client": name}}
+        for name, (_, _, residency) in shape["accounts"].items()
+    ]
+    rates = [
+        {"kind": "rate", "spec": {"name": name, "tokens_per_s": rate, "burst_tokens": burst}}
+        for name, (rate, burst, _) in shape["accounts"].items()
+    ]
+    keys = [
+        {
+            "kind": "key",
+            "spec": {
+                "name": f"{name}-1",
+                "account": name,
+                "digest": hashlib.sha256(key_of(name).encode()).hexdigest(),
+            },
+        }
+        for name in shape["accounts"]
+    ]
+    routes = [
+        {
+            "kind": "route",
+            "spec": {
+                "name": name,
+                "target": name,
+                "service": name,
+                "idempotent": name in shape["models"],
+            },
+        }
+        for name in itertools.chain(shape["models"], shape["plain"])
+    ]
+    upstreams = [
+        {
+            "kind": "upstream",
+            "spec": {
+                "name": name,
+                "service": service,
+                "region": shape["regions"][region],
+                "zone": f"{shape['regions'][region]}1",
+                "address": f"http://{host}:{port}",
+                "slots": 8,
+                "abilities": (
+                    ["load", "echo", "cancel", "priority", "resume"] if kind == "model" else []
+                ),
+            },
+        }
+        for name, service, kind, region, host, port in replicas(shape)
+    ]
+    return services + accounts + rates + keys + routes + upstreams
+
+
+def standins(shape: Shape) -> list[list[str]]:
+    """Return the stand-ins to start, as arguments for ``python -m standins``."""
+    home = address(shape, 0, 200)
+    link = [f"delay_s={shape['delay_s']}", f"bytes_per_s={shape['bytes_per_s']}"]
+    platform = [
+        ["keyvalue", str(STORE_PORT), f"host={home}"],
+        ["directory", str(DIRECTORY_PORT), f"host={home}"],
+        ["instances", str(LIST_PORT), f"host={home}"],
+    ]
+    engines = [
+        ["engine" if kind == "model" else "plain", str(port), f"host={host}", f"name={name}"]
+        for name, _, kind, _, host, port in replicas(shape)
+    ]
+    peer_links = [
+        [
+            "link",
+            str(LINK_CONTROL_PORT),
+            f"host={ip}",
+            f"listen={ip}:{WAN_PORT}",
+            f"target={ip}:{PEER_PORT}",
+            *link,
+        ]
+        for _, _, _, ip in instances(shape)
+    ]
+    store_links = [
+        [
+            "link",
+            str(LINK_CONTROL_PORT),
+            f"host={address(shape, r, 200)}",
+            f"listen={address(shape, r, 200)}:{STORE_LINK_PORT}",
+            f"target={home}:{STORE_PORT}",
+            *link,
+        ]
+        for r in range(1, len(shape["regions"]))
+    ]
+    return platform + engines + peer_links + store_links
+
+
+def main() -> None:
+    """Write all files."""
+    for shape in (ICE_WORKS, DOORS):
+        folder = HERE / shape["name"]
+        folder.mkdir(exist_ok=True)
+        for region, host, name, ip in instances(shape):
+            (folder / f"{name}.ini").write_text(settings(shape, region, name, ip, host))
+        text = json.dumps(resources(shape), indent=1) + "\n"
+        (folder / "resources.json").write_text(text)
+        lines = "\n".join(" ".join(words) for words in standins(shape)) + "\n"
+        (folder / "standins.txt").write_text(lines)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,303 @@
+"""Stand-in for a model engine: continuous batching, a prefix cache, priorities, orders.
+
+Time per token grows with the batch; a prompt's first token waits for its uncached part.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import hashlib
+import json
+import time
+import typing
+
+from aiohttp import web
+
+from standins import faults, watching
+
+PREFIX_CHARACTERS = 256
+CHARACTERS_PER_TOKEN = 4
+FAULTS = {
+    "down": False,
+    "crash_on": "",
+    "cut_after_tokens": 0,
+    "cross_answers": False,
+    "slow_factor": 1.0,
+    "leaving": False,
+    "load_lag_s": 0.0,
+    "drop_events": 0,
+    "refuse_status": 0,
+}
+
+
+class Engine:
+    """The state of one engine."""
+
+    __slots__ = (
+        "name",
+        "slots",
+        "token_s",
+        "prefill_tokens_per_s",
+        "cache_prefixes",
+        "fencing",
+        "faults",
+        "seen",
+        "running",
+        "waiting",
+        "turn",
+        "cache",
+        "sequence",
+        "loads",
+        "events",
+        "highest_fence",
+        "orders",
+        "cancelled",
+        "kept",
+        "served",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        slots: int,
+        token_s: float,
+        prefill_tokens_per_s: float,
+        cache_prefixes: int,
+        fencing: bool,
+    ) -> None:
+        self.name = name
+        self.slots = slots
+        self.token_s = token_s
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.cache_prefixes = cache_prefixes
+        self.fencing = fencing
+        self.faults = faults.Faults(FAULTS)
+        self.seen = watching.Seen()
+        self.running = 0
+        self.waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self.turn = 0
+        self.cache: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self.sequence = 0
+        self.loads: collections.deque[tuple[float, dict]] = collections.deque(maxlen=1000)
+        self.events: list[dict] = []
+        self.highest_fence = 0
+        self.orders: list[dict] = []
+        self.cancelled = 0
+        self.kept: dict[str, list[str]] = {}
+        self.served = 0
+
+    async def enter(self, priority: int) -> None:
+        """Wait for a place in the batch; a smaller priority goes first."""
+        if self.running < self.slots:
+            self.running += 1
+            return
+        self.turn += 1
+        place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.waiting.append((priority, self.turn, place))
+        self.waiting.sort(key=lambda item: item[:2])
+        try:
+            await place
+        except asyncio.CancelledError:
+            self.waiting = [item for item in self.waiting if item[2] is not place]
+            raise
+
+    def leave(self) -> None:
+        """Give the place in the batch to the next one."""
+        while self.waiting:
+            _, _, place = self.waiting.pop(0)
+            if not place.done():
+                place.set_result(None)
+                return
+        self.running -= 1
+
+    def prefill_s(self, prompt: str) -> float:
+        """Return the time for a prompt's uncached part and keep its prefix in the cache."""
+        prefix = hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
+        tokens = len(prompt) / CHARACTERS_PER_TOKEN
+        if prefix in self.cache:
+            tokens *= 0.1
+        self.cache[prefix] = None
+        self.cache.move_to_end(prefix)
+        self._event("stored", prefix)
+        while len(self.cache) > self.cache_prefixes:
+            gone, _ = self.cache.popitem(last=False)
+            self._event("evicted", gone)
+        return tokens / self.prefill_tokens_per_s * self.faults["slow_factor"]
+
+    def step_s(self) -> float:
+        """Return the time for one token of the batch as it is."""
+        crowding = 1 + 0.5 * self.running / self.slots
+        return self.token_s * crowding * self.faults["slow_factor"]
+
+    def load(self) -> dict:
+        """Return the load report, as old as the lag says."""
+        self.sequence += 1
+        now = time.monotonic()
+        report = {
+            "running": self.running,
+            "waiting": len(self.waiting),
+            "sequence": self.sequence,
+            "leaving": self.faults["leaving"],
+        }
+        self.loads.append((now, report))
+        old = [r for at, r in self.loads if at <= now - self.faults["load_lag_s"]]
+        return old[-1] if old else self.loads[0][1]
+
+    def _event(self, kind: str, prefix: str) -> None:
+        if self.faults.take("drop_events"):
+            return
+        self.events.append({"number": len(self.events) + 1, "kind": kind, "prefix": prefix})
+
+
+def application(
+    name: str = "engine",
+    slots: str = "8",
+    token_s: str = "0.002",
+    prefill_tokens_per_s: str = "8000",
+    cache_prefixes: str = "16",
+    fencing: str = "yes",
+) -> web.Application:
+    """Return an engine as an application."""
+    engine = Engine(
+        name=name,
+        slots=int(slots),
+        token_s=float(token_s),
+        prefill_tokens_per_s=float(prefill_tokens_per_s),
+        cache_prefixes=int(cache_prefixes),
+        fencing=fencing == "yes",
+    )
+    app = faults.application(engine.faults)
+    app["engine"] = engine
+    app.router.add_post("/v1/chat/completions", lambda request: _chat(engine, request))
+    app.router.add_get("/load", lambda request: _load(engine, request))
+    app.router.add_get("/cache-events", lambda request: _cache_events(engine, request))
+    app.router.add_post("/orders", lambda request: _order(engine, request))
+    app.router.add_get("/orders", lambda request: _orders(engine, request))
+    app.router.add_get("/seen", engine.seen.handle)
+    app.router.add_get("/stats", lambda request: _stats(engine, request))
+    return app
+
+
+async def _chat(engine: Engine, request: web.Request) -> web.StreamResponse:
+    text = await request.text()
+    engine.seen.add(request, text)
+    crash_on = engine.faults["crash_on"]
+    if engine.faults["down"] or (crash_on and crash_on in text):
+        request.transport.abort()
+        raise ConnectionResetError("fault")
+    if engine.faults["refuse_status"]:
+        return web.json_response({"error": "busy"}, status=engine.faults["refuse_status"])
+    body = json.loads(text)
+    await engine.enter(int(request.headers.get("x-priority", "0")))
+    try:
+        return await _generate(engine, request, body)
+    except (ConnectionResetError, asyncio.CancelledError):
+        engine.cancelled += 1
+        raise
+    finally:
+        engine.leave()
+
+
+async def _generate(engine: Engine, request: web.Request, body: dict) -> web.StreamResponse:
+    prompt = json.dumps(body["messages"])
+    await asyncio.sleep(engine.prefill_s(prompt))
+    wanted = body.get("max_completion_tokens", body.get("max_tokens", 16))
+    asked = body.get("reply_tokens", wanted)
+    words = [f"w{n} " for n in range(min(wanted, asked))]
+    skip = int(request.headers.get("x-resume-from", "0"))
+    echoed = request.headers.get("x-request-id", "")
+    headers = {"x-request-id": "crossed" if engine.faults["cross_answers"] else echoed}
+    engine.served += 1
+    usage = {"prompt_tokens": len(prompt) // CHARACTERS_PER_TOKEN, "completion_tokens": len(words)}
+    if not body.get("stream"):
+        await asyncio.sleep(engine.step_s() * len(words))
+        return _whole(engine, request, body, words, usage, headers)
+    response = web.StreamResponse(headers={"content-type": "text/event-stream"} | headers)
+    await response.prepare(request)
+    for number, word in enumerate(words):
+        await asyncio.sleep(engine.step_s())
+        if engine.faults["cut_after_tokens"] and number >= engine.faults["cut_after_tokens"]:
+            request.transport.abort()
+            raise ConnectionResetError("fault")
+        if number >= skip:
+            await response.write(_event(body, {"content": word}, None))
+    await response.write(_event(body, {}, "stop"))
+    if (body.get("stream_options") or {}).get("include_usage"):
+        last = {"id": "c", "object": "chat.completion.chunk", "choices": [], "usage": usage}
+        await response.write(b"data: " + json.dumps(last).encode() + b"\n\n")
+    await response.write(b"data: [DONE]\n\n")
+    await response.write_eof()
+    return response
+
+
+def _whole(
+    engine: Engine,
+    request: web.Request,
+    body: dict,
+    words: list[str],
+    usage: dict,
+    headers: dict[str, str],
+) -> web.Response:
+    if engine.faults["cut_after_tokens"]:
+        request.transport.abort()
+        raise ConnectionResetError("fault")
+    message = {"role": "assistant", "content": "".join(words)}
+    reply = {
+        "id": "c",
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": body["model"],
+        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+        "usage": usage,
+    }
+    return web.json_response(reply, headers=headers)
+
+
+def _event(body: dict, delta: dict, finish: str | None) -> bytes:
+    data = {
+        "id": "c",
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": body["model"],
+        "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+    }
+    return b"data: " + json.dumps(data).encode() + b"\n\n"
+
+
+async def _load(engine: Engine, request: web.Request) -> web.Response:
+    if engine.faults["down"]:
+        raise web.HTTPServiceUnavailable
+    return web.json_response(engine.load())
+
+
+async def _cache_events(engine: Engine, request: web.Request) -> web.Response:
+    since = int(request.query.get("since", "0"))
+    return web.json_response({"events": [e for e in engine.events if e["number"] > since]})
+
+
+async def _order(engine: Engine, request: web.Request) -> web.Response:
+    order: dict[str, typing.Any] = await request.json()
+    fence = int(request.headers.get("x-fencing-number", "0"))
+    if engine.fencing and fence < engine.highest_fence:
+        return web.json_response({"error": "old fencing number"}, status=409)
+    engine.highest_fence = max(engine.highest_fence, fence)
+    await asyncio.sleep(float(order.get("seconds", 0.0)))
+    engine.orders.append(order | {"fence": fence})
+    return web.json_response({"done": len(engine.orders)})
+
+
+async def _orders(engine: Engine, request: web.Request) -> web.Response:
+    return web.json_response(engine.orders)
+
+
+async def _stats(engine: Engine, request: web.Request) -> web.Response:
+    return web.json_response(
+        {
+            "served": engine.served,
+            "cancelled": engine.cancelled,
+            "running": engine.running,
+            "cached": len(engine.cache),
+        }
+    )
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,217 @@
+"""Builders of test data."""
+
+from __future__ import annotations
+
+import itertools
+import time
+import typing
+import uuid
+
+from yuccahitch import settings as config_file
+from yuccahitch.controllers import configuration
+from yuccahitch.messages import peers, requests
+from yuccahitch.resources import account, entry, key, rate, route, service, upstream
+
+SECRET_VARIABLE = "YUCCAHITCH_TEST_SECRET"
+SECRET = "test-secret-of-the-fleet"
+_numbers = itertools.count(1)
+
+
+def raw_settings(**sections: dict[str, str]) -> dict[str, dict[str, str]]:
+    """Return raw settings with the sections' options set."""
+    raw = {
+        "instance": {
+            "name": "muscat-a-1",
+            "region": "muscat-a",
+            "zone": "muscat-a1",
+            "listen": "127.0.0.1",
+            "caller_port": "7001",
+            "operator_port": "7002",
+            "peer_port": "7003",
+        },
+        "peers": {"secret": f"env:{SECRET_VARIABLE}"},
+        "store": {"url": "http://127.0.0.1:2379"},
+        "platform": {
+            "directory_url": "http://127.0.0.1:2380",
+            "instances_url": "http://127.0.0.1:2381",
+        },
+        "operators": {"token": f"env:{SECRET_VARIABLE}"},
+    }
+    for name, options in sections.items():
+        raw[name] = raw.get(name, {}) | options
+    return raw
+
+
+def settings(**sections: dict[str, str]) -> config_file.Settings:
+    """Return checked settings with the sections' options set."""
+    return config_file.check(raw_settings(**sections))
+
+
+def an_entry(spec: entry.Spec, *, version: int = 1, write_id: str = "w") -> entry.Entry:
+    """Return a resource as a versioned entry."""
+    kind = next(kind for kind, its in entry.KINDS.items() if type(spec) is its)
+    return entry.Entry(kind=kind, name=spec.name, version=version, write_id=write_id, spec=spec)
+
+
+def an_account(name: str = "rinks", **options: typing.Any) -> account.Account:
+    """Return a client account."""
+    return account.Account(name=name, **options)
+
+
+def a_key(secret: str = "secret-key", account_name: str = "rinks", **options) -> key.Key:
+    """Return the resource of a key."""
+    return key.Key(
+        name=options.pop("name", f"{account_name}-key"),
+        account=account_name,
+        digest=key.digest_of(secret),
+        **options,
+    )
+
+
+def a_rate(name: str = "rinks", tokens_per_s: float = 100, burst_tokens: float = 1000) -> rate.Rate:
+    """Return a rate."""
+    return rate.Rate(name=name, tokens_per_s=tokens_per_s, burst_tokens=burst_tokens)
+
+
+def a_service(name: str = "ice-model", **options: typing.Any) -> service.Service:
+    """Return a service."""
+    return service.Service(name=name, **options)
+
+
+def a_route(target: str = "ice-model", **options: typing.Any) -> route.Route:
+    """Return a route to the service of the same name."""
+    return route.Route(
+        name=options.pop("name", target),
+        target=target,
+        service=options.pop("service", target),
+        **options,
+    )
+
+
+def an_upstream(name: str = "ice-1", **options: typing.Any) -> upstream.Upstream:
+    """Return an upstream."""
+    region = options.pop("region", "muscat-a")
+    return upstream.Upstream(
+        name=name,
+        service=options.pop("service", "ice-model"),
+        region=region,
+        zone=options.pop("zone", f"{region}1"),
+        address=options.pop("address", "http://127.0.0.1:1"),
+        **options,
+    )
+
+
+def a_site(*, regions: tuple[str, ...] = ("muscat-a",), replicas: int = 2) -> list[entry.Spec]:
+    """Return the resources of a small site: one account, one model, one plain service."""
+    models = [
+        an_upstream(f"ice-{region}-{number}", region=region)
+        for region in regions
+        for number in range(replicas)
+    ]
+    desks = [
+        an_upstream(f"desk-{region}", region=region, service="rink-desk") for region in regions
+    ]
+    return [
+        an_account(),
+        a_key(),
+        a_rate(),
+        a_service(),
+        a_service("rink-desk", kind="plain"),
+        a_route(),
+        a_route("rink-desk", idempotent=False),
+        *models,
+        *desks,
+    ]
+
+
+def a_request(**options: typing.Any) -> requests.Request:
+    """Return a chat request that the test account's key came with."""
+    values = {
+        "id": f"r-{next(_numbers)}",
+        "kind": requests.CHAT,
+        "target": "ice-model",
+        "method": "POST",
+        "path": "/v1/chat/completions",
+        "headers": (),
+        "body": b"{}",
+        "stream": False,
+        "prompt_tokens": 10,
+        "max_tokens": 20,
+        "prefix": 0,
+        "digest": "digest",
+        "key_digest": key.digest_of("secret-key"),
+        "operation_key": "",
+        "deadline": 1e9,
+    }
+    return requests.Request(**(values | options))
+
+
+def an_order(operation_key: str = "", **options: typing.Any) -> requests.Request:
+    """Return a flood order: a request that must not run twice."""
+    values = {
+        "kind": requests.CALL,
+        "target": "rink-desk",
+        "path": "/flood-orders",
+        "prompt_tokens": 0,
+        "max_tokens": 0,
+        "operation_key": operation_key,
+    }
+    return a_request(**(values | options))
+
+
+def a_hop(**options: typing.Any) -> requests.Hop:
+    """Return what comes with a forwarded request."""
+    values = {
+        "sender": "sohar-a-1~1",
+        "account": "rinks",
+        "key_name": "rinks-key",
+        "regions": (),
+        "hops": 1,
+        "visited": ("sohar-a-1~1",),
+        "owned": False,
+        "charged": True,
+        "granted_tokens": 20,
+    }
+    return requests.Hop(**(values | options))
+
+
+def a_row(instance: str = "sohar-a-1~1", **options: typing.Any) -> peers.Row:
+    """Return the row of a live instance."""
+    name = instance.partition("~")[0]
+    region = options.pop("region", name.rpartition("-")[0])
+    return peers.Row(
+        instance=instance,
+        region=region,
+        zone=options.pop("zone", f"{region}1"),
+        host="127.0.0.1",
+        caller_port=7001,
+        peer_port=7003,
+        wan_address="127.0.0.1:7003",
+        beat=options.pop("beat", 1),
+        ready=options.pop("ready", True),
+        **options,
+    )
+
+
+def a_write(spec: entry.Spec, *, expected: int | None = None) -> configuration.Write:
+    """Return an operator's write of a resource."""
+    item = an_entry(spec, version=0, write_id=f"w-{next(_numbers)}")
+    return configuration.Write(item.write_id, item, expected=expected)
+
+
+def uuid7(milliseconds: int | None = None) -> str:
+    """Return a UUID of version 7 made at a time, or now."""
+    made_at = milliseconds if milliseconds is not None else int(time.time() * 1000)
+    low = uuid.uuid4().int & ((1 << 62) - 1)
+    return str(uuid.UUID(int=made_at << 80 | 0x7 << 76 | 0x2 << 62 | low))
+
+
+def chat_body(**options: typing.Any) -> dict[str, typing.Any]:
+    """Return the JSON body of a chat request."""
+    messages = [{"role": "user", "content": "How thick is sheet four?"}]
+    return {"model": "ice-model", "max_tokens": 5, "messages": messages} | options
+
+
+def key_header(account_name: str) -> dict[str, str]:
+    """Return the header with an account's key in the example deployments."""
+    return {"Authorization": f"Bearer example-key-{account_name}"}
