--- /dev/null
+++ b/fakes/runs.py
@@ -0,0 +1,341 @@
+"""Requests on their way through the fake fleet: callers, attempts at upstreams, forwards."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+from yuccahitch import errors
+from yuccahitch.codecs import peer as codec
+from yuccahitch.codecs.generated import peer_pb2
+from yuccahitch.messages import actions, answers, exchanges, requests
+
+if typing.TYPE_CHECKING:
+    from fakes import fleet as fleets
+
+BROKEN_S = 2.0
+
+
+class Result:
+    """What became of a request.
+
+    Attributes:
+        request: The request.
+        asked_at: When it was sent, in virtual seconds.
+        instance: The instance that took it first.
+        admitted_at: When it was sent to an upstream or peer, in virtual seconds, or None.
+        runs: Attempts that reached an upstream.
+        error: The refusal, or None.
+        operation: State of its idempotency key, for refusals.
+        finished_at: When it ended, in virtual seconds, or None.
+        replayed: Whether it got a recorded answer.
+    """
+
+    __slots__ = (
+        "request",
+        "instance",
+        "admitted_at",
+        "runs",
+        "error",
+        "operation",
+        "finished_at",
+        "replayed",
+        "first_byte_at",
+        "usage",
+        "asked_at",
+    )
+
+    def __init__(self, request: requests.Request, instance: str, asked_at: float) -> None:
+        self.request = request
+        self.asked_at = asked_at
+        self.instance = instance
+        self.admitted_at: float | None = None
+        self.runs: list[str] = []
+        self.error: errors.GatewayError | None = None
+        self.operation = ""
+        self.finished_at: float | None = None
+        self.replayed = False
+        self.first_byte_at: float | None = None
+        self.usage = answers.Usage()
+
+
+class DirectCaller:
+    """A caller at the entry: notes in the result what it is told."""
+
+    __slots__ = ("fleet", "instance", "result")
+
+    def __init__(self, fleet: fleets.Fleet, instance: fleets.Instance, result: Result) -> None:
+        self.fleet = fleet
+        self.instance = instance
+        self.result = result
+
+    def admitted(self) -> None:
+        """Note that the request was sent on."""
+        if self.result.admitted_at is None:
+            self.result.admitted_at = self.fleet.now
+
+    def first_byte(self) -> None:
+        """Note that the answer began."""
+        self.result.first_byte_at = self.fleet.now
+
+    def ended(
+        self,
+        *,
+        usage: answers.Usage,
+        error: errors.GatewayError | None,
+        operation: str = "",
+        replayed: bool = False,
+    ) -> None:
+        """Note how the request ended."""
+        self.result.finished_at = self.fleet.now
+        self.result.usage = usage
+        self.result.error = error
+        self.result.operation = operation
+        self.result.replayed = replayed
+
+
+class PeerCaller:
+    """An instance that forwarded a request: passes on to it what it is told."""
+
+    __slots__ = ("fleet", "source", "target", "request_id", "attempt", "origin", "over")
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        *,
+        source: fleets.Instance,
+        target: fleets.Instance,
+        request_id: str,
+        attempt: int,
+        origin: typing.Any,
+    ) -> None:
+        self.fleet = fleet
+        self.source = source
+        self.target = target
+        self.request_id = request_id
+        self.attempt = attempt
+        self.origin = origin
+        self.over = False
+
+    def admitted(self) -> None:
+        """Nothing to pass on: the source admitted it."""
+
+    def first_byte(self) -> None:
+        """Pass on that the answer began."""
+        head = answers.Head(
+            request_id=self.request_id, attempt=self.attempt, status=200, headers=(), source=""
+        )
+        self._back(lambda: self.fleet.resume(self.source, self.request_id, head, self.origin))
+
+    def ended(
+        self,
+        *,
+        usage: answers.Usage,
+        error: errors.GatewayError | None,
+        operation: str = "",
+        replayed: bool = False,
+    ) -> None:
+        """Pass on how the request ended."""
+        self.over = True
+        if error is not None:
+            part = answers.Failure(request_id=self.request_id, attempt=self.attempt, error=error)
+            self._back(lambda: self.fleet.resume(self.source, self.request_id, part, self.origin))
+            return
+        self._back(lambda: _end(self.fleet, self.source, self.request_id, usage, self.origin))
+
+    def _back(self, work: typing.Callable[[], None]) -> None:
+        if self.fleet.reachable(self.target, self.source):
+            self.fleet.clock.after(self.fleet.peer_delay(self.target, self.source), work)
+        else:
+            self.fleet.clock.after(BROKEN_S, self.broken)
+
+    def broken(self) -> None:
+        """Tell the source that its peer is gone after the request was sent."""
+        self.over = True
+        error = errors.GatewayError(
+            errors.Code.PEER_FAILED,
+            step="forward",
+            peer=self.target.name,
+            run=errors.Run.MAY_HAVE_RUN,
+        )
+        part = answers.Failure(request_id=self.request_id, attempt=self.attempt, error=error)
+        self.fleet.resume(self.source, self.request_id, part, self.origin)
+
+
+def _end(
+    fleet: fleets.Fleet,
+    instance: fleets.Instance,
+    request_id: str,
+    usage: answers.Usage,
+    caller: typing.Any,
+) -> None:
+    recorded = answers.Recorded(status=200, headers=(), body=b"done", whole=True)
+    fleet.finish(instance, request_id, usage=usage, recorded=recorded)
+    caller.ended(usage=usage, error=None)
+
+
+def serve_at_once(
+    fleet: fleets.Fleet,
+    instance: fleets.Instance,
+    work: actions.Dispatch,
+    report: typing.Callable[..., None],
+) -> None:
+    """Be an upstream that answers after a moment and uses all that it may."""
+    usage = answers.Usage(work.request.prompt_tokens, work.max_tokens)
+    fleet.clock.after(0.01, lambda: report("head"))
+    fleet.clock.after(0.05, lambda: report("end", usage=usage))
+
+
+@functools.singledispatch
+def act(
+    action: typing.Any,
+    fleet: fleets.Fleet,
+    instance: fleets.Instance,
+    outcome: exchanges.Outcome,
+    caller: typing.Any,
+) -> None:
+    """Carry out an action that a chain returned."""
+    raise TypeError(type(action))
+
+
+@act.register(actions.Refuse)
+def _(
+    action: actions.Refuse,
+    fleet: fleets.Fleet,
+    instance: fleets.Instance,
+    outcome: exchanges.Outcome,
+    caller: typing.Any,
+) -> None:
+    fleet.finish(
+        instance,
+        outcome.request_id,
+        usage=answers.Usage(),
+        succeeded=False,
+        error=action.error,
+    )
+    caller.ended(usage=answers.Usage(), error=action.error, operation=outcome.operation)
+
+
+@act.register(actions.Replay)
+def _(
+    action: actions.Replay,
+    fleet: fleets.Fleet,
+    instance: fleets.Instance,
+    outcome: exchanges.Outcome,
+    caller: typing.Any,
+) -> None:
+    fleet.finish(instance, outcome.request_id, usage=answers.Usage())
+    caller.first_byte()
+    caller.ended(usage=answers.Usage(), error=None, replayed=True)
+
+
+@act.register(actions.Deliver)
+def _(
+    action: actions.Deliver,
+    fleet: fleets.Fleet,
+    instance: fleets.Instance,
+    outcome: exchanges.Outcome,
+    caller: typing.Any,
+) -> None:
+    caller.first_byte()
+
+
+@act.register(actions.Perform)
+def _(
+    action: actions.Perform,
+    fleet: fleets.Fleet,
+    instance: fleets.Instance,
+    outcome: exchanges.Outcome,
+    caller: typing.Any,
+) -> None:
+    _perform(action.work, fleet, instance, caller)
+
+
+@functools.singledispatch
+def _perform(
+    work: typing.Any, fleet: fleets.Fleet, instance: fleets.Instance, caller: typing.Any
+) -> None:
+    raise TypeError(type(work))
+
+
+@_perform.register(actions.Dispatch)
+def _(
+    work: actions.Dispatch, fleet: fleets.Fleet, instance: fleets.Instance, caller: typing.Any
+) -> None:
+    caller.admitted()
+    result = fleet.results.get(work.request.id)
+
+    def report(
+        kind: str,
+        *,
+        usage: answers.Usage | None = None,
+        error: errors.GatewayError | None = None,
+        crashed: bool = False,
+    ) -> None:
+        if not instance.alive:
+            return
+        if kind == "head":
+            head = answers.Head(
+                request_id=work.request.id,
+                attempt=work.attempt,
+                status=200,
+                headers=(),
+                source=work.upstream,
+            )
+            fleet.resume(instance, work.request.id, head, caller)
+        elif kind == "end":
+            _end(fleet, instance, work.request.id, usage, caller)
+        else:
+            part = answers.Failure(
+                request_id=work.request.id, attempt=work.attempt, error=error, crashed=crashed
+            )
+            fleet.resume(instance, work.request.id, part, caller)
+
+    if result is not None:
+        result.runs.append(work.upstream)
+    fleet.serve(fleet, instance, work, report)
+
+
+@_perform.register(actions.Forward)
+def _(
+    work: actions.Forward, fleet: fleets.Fleet, instance: fleets.Instance, caller: typing.Any
+) -> None:
+    caller.admitted()
+    target = fleet.by_address(work.address)
+    raw = codec.to_forwarded(work, stamp=0).SerializeToString()
+    fleet.forwards.append((work.request.id, instance.name, work.instance))
+
+    def unreachable() -> None:
+        error = errors.GatewayError(
+            errors.Code.PEER_UNREACHABLE, step="forward", peer=work.instance
+        )
+        part = answers.Failure(request_id=work.request.id, attempt=work.attempt, error=error)
+        fleet.resume(instance, work.request.id, part, caller)
+
+    def arrive() -> None:
+        if not target.alive:
+            unreachable()
+            return
+
+        def begin(now: float) -> None:
+            message = peer_pb2.Forwarded.FromString(raw)
+            request, hop, attempt = codec.from_forwarded(message, now=now)
+            passed = PeerCaller(
+                fleet,
+                source=instance,
+                target=target,
+                request_id=request.id,
+                attempt=attempt,
+                origin=caller,
+            )
+            outcome = target.decisions.begin(request, hop, now)
+            fleet.callers[(target.name, request.id)] = passed
+            if outcome is not None:
+                act(target, outcome, passed)
+
+        fleet.do(target, begin)
+
+    if target is None or not fleet.reachable(instance, target):
+        fleet.clock.after(1.0, unreachable)
+    else:
+        fleet.clock.after(fleet.peer_delay(instance, target), arrive)
--- /dev/null
+++ b/fakes/store.py
@@ -0,0 +1,152 @@
+"""A key-value service in memory: compare-and-swap, leases, watches, and restore of an old state."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+from yuccahitch.messages import store
+
+
+class Lease:
+    """A lease with its end in virtual seconds."""
+
+    __slots__ = ("ttl_s", "ends")
+
+    def __init__(self, ttl_s: float, ends: float) -> None:
+        self.ttl_s = ttl_s
+        self.ends = ends
+
+
+class FakeStore:
+    """Applies calls one at a time; the world around it delays, loses and refuses them."""
+
+    __slots__ = ("items", "leases", "bound", "revision", "next_lease", "listeners", "calls")
+
+    def __init__(self) -> None:
+        self.items: dict[str, store.Item] = {}
+        self.leases: dict[int, Lease] = {}
+        self.bound: dict[str, int] = {}
+        self.revision = 1
+        self.next_lease = 0
+        self.listeners: list[typing.Callable[[str, store.Item | None, int], None]] = []
+        self.calls = 0
+
+    def apply(self, call: store.Call, now: float) -> store.Reply:
+        """Apply a call at a time."""
+        self.calls += 1
+        self.expire(now)
+        return _apply(call, self, now)
+
+    def expire(self, now: float) -> None:
+        """End leases whose time has come."""
+        for lease in [n for n, found in self.leases.items() if now >= found.ends]:
+            self.end_lease(lease)
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        self.leases.pop(lease, None)
+        for key in [key for key, its in self.bound.items() if its == lease]:
+            self.revision += 1
+            self.remove(key)
+
+    def put(self, change: store.Put) -> None:
+        """Write a key at the present revision."""
+        item = store.Item(key=change.key, value=change.value, revision=self.revision)
+        self.items[change.key] = item
+        self.bound.pop(change.key, None)
+        if change.lease:
+            self.bound[change.key] = change.lease
+        self.tell(change.key, item)
+
+    def remove(self, key: str) -> None:
+        """Delete a key at the present revision."""
+        self.bound.pop(key, None)
+        if self.items.pop(key, None) is not None:
+            self.tell(key, None)
+
+    def tell(self, key: str, item: store.Item | None) -> None:
+        """Tell the watches of a change."""
+        for listener in self.listeners:
+            listener(key, item, self.revision)
+
+    def save(self) -> tuple[dict[str, store.Item], int]:
+        """Return a copy of the state."""
+        return dict(self.items), self.revision
+
+    def restore(self, saved: tuple[dict[str, store.Item], int]) -> None:
+        """Go back to an older state; leases are gone with it."""
+        self.items, self.revision = dict(saved[0]), saved[1]
+        self.leases.clear()
+        self.bound.clear()
+
+
+@functools.singledispatch
+def _apply(call: store.Call, state: FakeStore, now: float) -> store.Reply:
+    raise TypeError(type(call))
+
+
+@_apply.register
+def _(call: store.Range, state: FakeStore, now: float) -> store.Reply:
+    found = [
+        item
+        for key, item in sorted(state.items.items())
+        if key == call.key or (call.prefix and key.startswith(call.key))
+    ]
+    return store.Items(found, revision=state.revision)
+
+
+@_apply.register
+def _(call: store.Commit, state: FakeStore, now: float) -> store.Reply:
+    current = {e.key: state.items.get(e.key) for e in call.expects}
+    revisions = {key: item.revision if item else 0 for key, item in current.items()}
+    if any(revisions[e.key] != e.revision for e in call.expects):
+        items = [item for item in current.values() if item is not None]
+        return store.Committed(applied=False, items=items, revision=state.revision)
+    state.revision += 1
+    for change in call.changes:
+        _change(change, state)
+    return store.Committed(applied=True, items=[], revision=state.revision)
+
+
+@_apply.register
+def _(call: store.CommitMany, state: FakeStore, now: float) -> store.Reply:
+    return store.CommittedMany([_apply(commit, state, now) for commit in call.commits])
+
+
+@_apply.register
+def _(call: store.GrantLease, state: FakeStore, now: float) -> store.Reply:
+    state.next_lease += 1
+    state.leases[state.next_lease] = Lease(call.ttl_s, now + call.ttl_s)
+    return store.Leased(lease=state.next_lease, ttl_s=call.ttl_s)
+
+
+@_apply.register
+def _(call: store.KeepAlive, state: FakeStore, now: float) -> store.Reply:
+    found = state.leases.get(call.lease)
+    if found is None:
+        return store.Leased(lease=call.lease, ttl_s=0.0)
+    found.ends = now + found.ttl_s
+    return store.Leased(lease=call.lease, ttl_s=found.ttl_s)
+
+
+@_apply.register
+def _(call: store.RevokeLease, state: FakeStore, now: float) -> store.Reply:
+    state.end_lease(call.lease)
+    return store.Leased(lease=call.lease, ttl_s=0.0)
+
+
+@functools.singledispatch
+def _change(change: store.Put | store.Delete, state: FakeStore) -> None:
+    raise TypeError(type(change))
+
+
+@_change.register
+def _(change: store.Put, state: FakeStore) -> None:
+    if not change.lease or change.lease in state.leases:
+        state.put(change)
+
+
+@_change.register
+def _(change: store.Delete, state: FakeStore) -> None:
+    state.remove(change.key)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,6 +7,7 @@
 import typing
 import uuid
 
+from fakes import fleet as fleets
 from yuccahitch import settings as config_file
 from yuccahitch.controllers import configuration
 from yuccahitch.messages import peers, requests
@@ -215,3 +216,38 @@
 def key_header(account_name: str) -> dict[str, str]:
     """Return the header with an account's key in the example deployments."""
     return {"Authorization": f"Bearer example-key-{account_name}"}
+
+
+QUICK = {
+    "peers": {"heartbeat_s": "0.5", "lost_after_s": "2", "secret": f"env:{SECRET_VARIABLE}"},
+    "store": {"url": "http://127.0.0.1:2379", "lease_s": "3", "resync_s": "10"},
+    "limits": {"loan_s": "1", "drift_s": "0.1", "horizon_s": "60", "rebalance_s": "2"},
+    "callers": {"drain_announce_s": "0.5"},
+}
+
+
+def quick_settings(name: str, region: str, zone: str) -> config_file.Settings:
+    """Return settings whose times are short, so that histories in virtual time are too."""
+    return settings(instance={"name": name, "region": region, "zone": zone}, **QUICK)
+
+
+def a_fleet(
+    seed: int = 1,
+    *,
+    regions: tuple[str, ...] = ("muscat-a", "sohar-a"),
+    per_region: int = 2,
+    specs: list[entry.Spec] | None = None,
+    settle_s: float = 8.0,
+    clocks: typing.Sequence[float] = (),
+    **options: typing.Any,
+) -> fleets.Fleet:
+    """Return a fleet in virtual time that has settled, its resources in force."""
+    fleet = fleets.Fleet(seed, settings_of=quick_settings, **options)
+    fleet.net.store_region = regions[0]
+    rates = itertools.chain(clocks, itertools.repeat(1.0))
+    for number, region in itertools.product(range(per_region), regions):
+        fleet.add(f"{region}-{number + 1}", region, rate=next(rates), offset=number * 1000.0)
+    given = specs if specs is not None else a_site(regions=regions)
+    fleet.load([an_entry(spec) for spec in given])
+    fleet.run(settle_s)
+    return fleet
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -10,12 +11,14 @@
 sys.path.insert(0, str(ROOT))
 
 from standins import deployment  # noqa: E402
+from tests import builders  # noqa: E402
 
 EXAMPLES = ("ice-works", "doors")
 
 
 def before_all(context) -> None:
     """Make one event loop for all scenarios."""
+    os.environ[builders.SECRET_VARIABLE] = builders.SECRET
     context.loop = asyncio.new_event_loop()
     asyncio.set_event_loop(context.loop)
 
--- /dev/null
+++ b/tests/features/steps/limits.py
@@ -0,0 +1,451 @@
+"""Steps about rates, slices and loans."""
+
+from __future__ import annotations
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from fakes import network
+from tests import builders, histories, judges
+from yuccahitch.controllers import _bucket, _holding, reclaim, slice_record
+from yuccahitch.messages import commands, peers, store
+from yuccahitch.resources import rate as rates
+
+RATE = 100.0
+BURST = 200.0
+PARTS = _bucket.PARTS
+CHECK_S = 0.1
+DEFAULT_HORIZON_S = 5400.0
+PROFILE = hypothesis.settings(
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class Watcher:
+    """Notes the most parts and tokens that could ever be spent at one moment."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.parts = 0
+        self.tokens = 0.0
+        self.look()
+
+    def look(self):
+        parts, tokens = judges.entitlement(self.fleet, "rinks")
+        self.parts = max(self.parts, parts)
+        self.tokens = max(self.tokens, tokens)
+        self.fleet.clock.after(CHECK_S, self.look)
+
+
+def a_site(regions):
+    """Return the resources, with a small burst and upstreams that never fill up."""
+    site = builders.a_site(regions=regions)
+    for spec in site:
+        if type(spec) is rates.Rate:
+            spec.tokens_per_s, spec.burst_tokens = RATE, BURST
+    for name in ("slots", "max_output_tokens"):
+        for spec in site:
+            if hasattr(spec, name):
+                setattr(spec, name, 10000)
+    return site
+
+
+@behave.when("{count:d} random histories are played")
+def step_random(context, count):
+    context.excess = []
+    context.watchers = []
+
+    @hypothesis.settings(PROFILE, max_examples=count)
+    @hypothesis.given(
+        histories.histories(),
+        strategies.integers(0, 1000),
+        strategies.lists(strategies.floats(1 - 1e-4, 1 + 1e-4), min_size=4, max_size=4),
+    )
+    def play(history, seed, clocks):
+        fleet = builders.a_fleet(
+            seed,
+            regions=histories.REGIONS,
+            specs=a_site(histories.REGIONS),
+            clocks=clocks,
+            serve=histories.serve_part,
+        )
+        context.watchers.append(Watcher(fleet))
+        player = histories.Player(fleet, seed=seed)
+        player.traffic(tokens_per_s=4 * RATE, mean_tokens=20, most=150)
+        player.play(history)
+        used = judges.uses(player.results)
+        context.excess.append(judges.worst_excess(used, rate=RATE, burst=BURST))
+
+    play()
+    assert len(context.excess) >= count / 2
+
+
+@behave.then("in no window did the use exceed burst plus rate times the window")
+def step_no_excess(context):
+    if hasattr(context, "player"):
+        used = judges.uses(context.player.results)
+        context.excess = [judges.worst_excess(used, rate=RATE, burst=BURST)]
+    assert max(context.excess) == 0, context.excess
+
+
+@behave.then("the parts and tokens that could be spent never exceeded the whole")
+def step_whole(context):
+    worst = (max(w.parts for w in context.watchers), max(w.tokens for w in context.watchers))
+    assert worst[0] <= PARTS and worst[1] <= BURST + 0.01, worst
+
+
+@behave.given("a settled fleet with {count:d} for each of {regions:d} regions")
+def step_fleet(context, count, regions):
+    names = histories.REGIONS[:regions]
+    context.fleet = builders.a_fleet(
+        7, regions=names, per_region=count, specs=a_site(names), serve=histories.serve_part
+    )
+    holders = record(context)
+    assert len(holders) >= min(2, count), holders
+    context.members = sorted(context.fleet.alive(), key=lambda item: item.name not in holders)
+    context.watchers = [Watcher(context.fleet)]
+
+
+def record(context):
+    """Return the parts that the store records, by instance."""
+    item = context.fleet.store.items["slices/rinks"]
+    return slice_record.from_item(item).holders
+
+
+def member(context, number):
+    return context.members[int(number) - 1]
+
+
+def may_spend(context, number):
+    instance = member(context, number)
+    return instance.decisions.access.may_spend(instance.local(context.fleet.now))
+
+
+@behave.when("{seconds:g} second passes")
+@behave.when("{seconds:g} seconds pass")
+def step_pass(context, seconds):
+    context.fleet.run(seconds)
+
+
+@behave.when("every instance is replaced gracefully, one after the other")
+def step_replace_all(context):
+    player = histories.Player(context.fleet)
+    for leaving in context.members:
+        place = context.fleet.alive().index(leaving)
+        histories.play_step(histories.Leave(place), player)
+        context.fleet.run(8.0)
+        assert not leaving.alive, leaving.name
+    context.fleet.run(10.0)
+
+
+@behave.then("all parts are held by live instances")
+def step_all_live(context):
+    names = {instance.name for instance in context.fleet.alive()}
+    holders = record(context)
+    assert set(holders) <= names and sum(holders.values()) == PARTS, (holders, names)
+
+
+@behave.then("after {seconds:g} seconds all parts are held by live instances")
+def step_all_live_after(context, seconds):
+    context.fleet.run(seconds)
+    step_all_live(context)
+
+
+@behave.when("instance {number:d} crashes")
+def step_crash(context, number):
+    context.fleet.kill(member(context, number))
+
+
+@behave.then("within {seconds:g} seconds its slice is still its own")
+def step_still_own(context, seconds):
+    context.fleet.run(seconds)
+    assert record(context).get(member(context, 1).name, 0) > 0
+
+
+@behave.when("instance {number:d} is cut off from the store and its peers")
+def step_isolate(context, number):
+    name = member(context, number).name
+    for other in [network.STORE, *(item.name for item in context.members)]:
+        if other != name:
+            context.fleet.net.cut(name, other)
+
+
+@behave.when("instance {number:d} is cut off from the store")
+def step_cut_store(context, number):
+    context.fleet.net.cut(member(context, number).name, network.STORE)
+
+
+@behave.when("instances 1 and 2 are cut off from the store")
+def step_cut_two(context):
+    for number in (1, 2):
+        step_cut_store(context, number)
+
+
+@behave.when("instance {number:d} reconnects to the store")
+def step_reconnect(context, number):
+    name = member(context, number).name
+    context.fleet.net.cuts = {pair for pair in context.fleet.net.cuts if name not in pair}
+
+
+@behave.when("the others learn that instance 1 is unreachable")
+def step_unreachable(context):
+    name = member(context, 1).name
+    for other in context.members[1:]:
+        context.fleet.net.cut(name, other.name)
+
+
+@behave.then("after {seconds:g} seconds instance {number:d} may not spend")
+def step_may_not_after(context, seconds, number):
+    context.fleet.run(seconds)
+    assert not may_spend(context, number)
+
+
+@behave.then("instance {number:d} may not spend")
+def step_may_not(context, number):
+    assert not may_spend(context, number)
+
+
+@behave.then("after {seconds:g} seconds instance {number:d} holds nothing in the store")
+def step_nothing(context, seconds, number):
+    context.fleet.run(seconds)
+    assert member(context, number).name not in record(context), record(context)
+
+
+@behave.when("the cuts heal")
+def step_heal(context):
+    context.fleet.net.heal()
+
+
+@behave.then("instance {number:d} may spend again, within the whole")
+def step_again(context, number):
+    assert may_spend(context, number)
+    step_whole(context)
+
+
+@behave.then("for {seconds:g} seconds instances 1 and 2 may spend")
+def step_both_spend(context, seconds):
+    for _ in range(int(seconds / CHECK_S)):
+        context.fleet.run(CHECK_S)
+        assert may_spend(context, 1) and may_spend(context, 2), context.fleet.now
+
+
+@behave.then("for {seconds:g} seconds instance {number:d} may spend")
+def step_spends(context, seconds, number):
+    for _ in range(int(seconds / CHECK_S)):
+        context.fleet.run(CHECK_S)
+        assert may_spend(context, number), context.fleet.now
+
+
+@behave.then("instances 1 and 2 hold their parts in the store")
+def step_hold(context):
+    assert {member(context, 1).name, member(context, 2).name} <= set(record(context))
+
+
+def give_half(context):
+    giver, taker = context.members[:2]
+    held = giver.decisions.limits.holdings["rinks"]
+
+    def give(now):
+        gifts = {taker.name: held.own_parts // 2}
+        giver.decisions.slices._give("rinks", gifts, now)
+
+    context.fleet.do(giver, give)
+
+
+@behave.when(
+    "instance 1 gives half its slice to instance 2 and the write takes {seconds:g} seconds"
+)
+def step_gift_late(context, seconds):
+    giver = context.members[0]
+    late = []
+
+    def keep(instance, command):
+        first = type(command.call) is store.Commit and not late
+        if instance is giver and first and command.call.changes[0].key == "slices/rinks":
+            late.append(command)
+            context.fleet.clock.after(
+                seconds, lambda: context.fleet.store.apply(command.call, context.fleet.now)
+            )
+            reply = store.Failed(sent=True, detail="time-out")
+            message = commands.StoreReply(purpose=command.purpose, reply=reply, sent_at=0.0)
+            context.fleet.clock.after(
+                2.0,
+                lambda: context.fleet.do(giver, lambda now: giver.decisions.on_store(message, now)),
+            )
+            return
+        type(context.fleet).call_store(context.fleet, instance, command)
+
+    context.fleet.store_route = keep
+    give_half(context)
+    read_often(context.fleet, context.members[1])
+
+
+def read_often(fleet, instance):
+    """Let an instance read the record every second."""
+    fleet.do(instance, lambda now: instance.decisions.slices._read("rinks"))
+    fleet.clock.after(1.0, lambda: read_often(fleet, instance))
+
+
+@behave.when("instance 1 is paused for {seconds:g} seconds and gets requests meanwhile")
+def step_pause(context, seconds):
+    context.player = histories.Player(context.fleet, seed=3)
+    context.player.traffic(tokens_per_s=4 * RATE, mean_tokens=20, most=100)
+    context.player.play([histories.Pause(0, seconds), histories.Wait(seconds + 5)])
+
+
+@behave.when("region {region} is cut off from all others")
+def step_cut_region(context, region):
+    for other in {*histories.REGIONS, network.STORE} - {region}:
+        context.fleet.net.cut(region, other)
+    for instance in context.members:
+        instance.decisions.access.horizon_s = DEFAULT_HORIZON_S
+
+
+def ask(context, instance, tokens):
+    now = instance.local(context.fleet.now)
+    body = b'{"used": 1}'
+    request = builders.a_request(
+        prompt_tokens=0, max_tokens=int(tokens), body=body, deadline=now + 20
+    )
+    return context.fleet.request(instance, request)
+
+
+@behave.then("each instance of {region} serves a request")
+def step_serves(context, region):
+    asked = [ask(context, i, 5) for i in context.fleet.alive() if i.region == region]
+    context.fleet.run(2.0)
+    assert asked and all(r.error is None and r.finished_at for r in asked), asked[0].error
+
+
+@behave.when("all instances crash and are replaced")
+def step_crash_all(context):
+    player = histories.Player(context.fleet)
+    for instance in context.members:
+        context.fleet.kill(instance)
+    for instance in context.members:
+        player.replace(instance)
+
+
+@behave.then("a request is refused with {code} and says {run}")
+def step_refused(context, code, run):
+    result = ask(context, context.fleet.alive()[0], 5)
+    context.fleet.run(2.0)
+    assert (result.error.code.wire, result.error.run.value) == (code, run), result.error
+
+
+@behave.when("an operator releases the dead instances")
+def step_release(context):
+    operator = context.fleet.alive()[0]
+    for dead in context.members:
+        context.fleet.do(
+            operator, lambda now, name=dead.name: operator.decisions.reclaim.release(name, "t")
+        )
+
+
+@behave.when("callers ask for {share:g} of the rate, {skew:g} of it at instance 1, for 60 seconds")
+def step_callers(context, share, skew):
+    context.player = histories.Player(context.fleet, seed=5)
+    context.player.traffic(tokens_per_s=share * RATE, mean_tokens=10, most=60, skew=skew)
+    context.player.play([histories.Wait(60.0)])
+
+
+@behave.then("fewer than {bound:g} in a hundred requests are refused that one bucket would admit")
+def step_wrongful(context, bound):
+    results = context.player.results
+    refused = sum(result.error is not None for result in results)
+    asked = [(r.asked_at, float(r.request.max_tokens)) for r in results]
+    due = judges.ideal_refusals(asked, rate=RATE, burst=BURST)
+    context.wrongful = max(0, refused - due)
+    assert context.wrongful * 100 < bound * len(results), (refused, due, len(results))
+
+
+@behave.when("a request for {share:g} of the burst comes to instance 1")
+def step_large(context, share):
+    context.result = ask(context, member(context, 1), share * BURST)
+    context.fleet.run(2.0)
+
+
+@behave.then("the request is admitted")
+def step_admitted(context):
+    assert context.result.error is None and context.result.finished_at, context.result.error
+
+
+@behave.given("a bucket with burst {burst:g} and rate {rate:g}")
+def step_bucket(context, burst, rate):
+    context.bucket = _bucket.Bucket(0.0)
+    context.bucket.level = burst
+    context.accrue = lambda now: context.bucket.accrue(now, rate=rate, burst=burst, parts=PARTS)
+
+
+@behave.when("100 tokens are reserved at 0 s and 50 tokens are reserved at 50 s")
+def step_reserve_two(context):
+    context.bucket.take("first", 100)
+    context.accrue(50.0)
+    # Accrual is a little under the rate, so the second reservation takes what is there.
+    context.bucket.take("second", min(50, context.bucket.level))
+
+
+@behave.when("the first reservation is settled at 51 s with nothing used")
+def step_settle_first(context):
+    context.accrue(51.0)
+    context.bucket.give_back("first", 100)
+
+
+@behave.then("no more than {tokens:g} tokens can be spent at 51 s")
+def step_no_more(context, tokens):
+    assert context.bucket.level <= tokens + 1e-6, context.bucket.level
+
+
+@behave.given("a holding that borrowed 100000 and 200000 parts until 5 s and 50 s")
+def step_borrowed(context):
+    context.held = _holding.Holding(builders.a_rate(tokens_per_s=10, burst_tokens=1e6), 0.0)
+    for name, parts, until in (("a", 100000, 5.0), ("b", 200000, 50.0)):
+        loan = _holding.Borrowed(lender="x", parts=parts, until=until, return_at=until)
+        context.held.borrow(name, loan, 0.0)
+
+
+@behave.when("it is looked at after 40 s")
+def step_look_late(context):
+    context.held.update(40.0)
+
+
+@behave.then("the pool earned what 100000 parts earn in 5 s and 200000 in 40 s, and not more")
+def step_earned(context):
+    most = 10 * (0.1 * 5 + 0.2 * 40)
+    assert 0.999 * most <= context.held.pool.level <= most, context.held.pool.level
+
+
+@behave.given("an instance whose session has been absent for {absent:g} s, with an electorate of 3")
+def step_case(context, absent):
+    context.fleet = builders.a_fleet(
+        7, regions=("muscat-a",), per_region=2, specs=a_site(("muscat-a",))
+    )
+    claimant, voter = context.fleet.alive()
+    context.reclaim = claimant.decisions.reclaim
+    context.now = claimant.local(context.fleet.now)
+    context.reclaim.suspect("dead~1")
+    case = context.reclaim.cases["dead~1"]
+    case.absent_since = context.now - absent
+    case.electorate = ("dead~1", claimant.name, voter.name)
+    case.asked_at = context.now
+    case.attested = {claimant.name}
+    context.voter = voter.name
+    context.reclaim.outbox.clear()
+
+
+@behave.when("another member attests that it vouched for nobody for {quiet:g} s")
+def step_attest(context, quiet):
+    asked = reclaim.AttestAsked("dead~1", context.voter)
+    answer = peers.Attest(instance=context.voter, quiet_s=quiet)
+    context.reclaim.attest_came(asked, answer, context.now)
+
+
+@behave.then("the slice is {taken}")
+def step_taken(context, taken):
+    finds = [type(call.purpose) is reclaim.FindSlices for call in context.reclaim.outbox]
+    assert any(finds) == (taken == "taken over"), context.reclaim.outbox
--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -183,7 +183,7 @@
         loan_id=message.loan_id,
         borrower=message.borrower,
         tokens=message.tokens,
-        demand=message.demand,
+        waited_s=message.waited_s,
     )
 
 
--- a/yuccahitch/controllers/limits.py
+++ b/yuccahitch/controllers/limits.py
@@ -34,17 +34,19 @@
     Attributes:
         request_id: The request.
         tokens: Tokens that it needs.
+        since: When it began to wait, in monotonic seconds.
         until: When it is refused, in monotonic seconds.
         asked: Lenders whose answers are outstanding.
         rounds: Lenders still to be asked, in groups.
         again_at: When they are asked again, as the slices are new, or never.
     """
 
-    __slots__ = ("request_id", "tokens", "until", "asked", "rounds", "again_at")
+    __slots__ = ("request_id", "tokens", "since", "until", "asked", "rounds", "again_at")
 
-    def __init__(self, request_id: str, *, tokens: int, until: float) -> None:
+    def __init__(self, request_id: str, *, tokens: int, since: float, until: float) -> None:
         self.request_id = request_id
         self.tokens = tokens
+        self.since = since
         self.until = until
         self.asked: set[str] = set()
         self.rounds: list[list[peers.Row]] = []
@@ -147,12 +149,10 @@
 
     def gather(self, rate: rates.Rate, name: str, tokens: int, until: float, now: float) -> None:
         """Borrow tokens for a request from the other holders; it is woken when they are there."""
-        waiter = Waiter(name, tokens=tokens, until=min(until, now + self.gather_s))
+        waiter = Waiter(name, tokens=tokens, since=now, until=min(until, now + self.gather_s))
         self.waiting.setdefault(rate.name, {})[name] = waiter
-        if now >= self.pause_until.get(rate.name, 0.0):
-            waiter.rounds = self._rounds(rate.name)
-            self.pause_until[rate.name] = now + GATHER_PAUSE_S
-        self._advance(rate.name, waiter, now)
+        waiter.again_at = max(now, self.pause_until.get(rate.name, 0.0))
+        self._look_after(self.holdings[rate.name], waiter, now)
 
     def holders_came(self, account: str, holders: tuple[str, ...], now: float) -> None:
         """Take in who holds parts of an account's rate; those who waited for that ask them."""
@@ -175,7 +175,7 @@
             return nothing
         held.update(now)
         held.asked[request.borrower] = held.asked.get(request.borrower, 0.0) + request.tokens
-        if self.waiting.get(request.account):
+        if self._needs_more(request, now):
             return nothing
         tokens = min(request.tokens, held.own.level)
         parts = min(held.parts_for(tokens), held.free_parts())
@@ -195,6 +195,14 @@
         self.outbox.append(note)
         return peers.Loan(loan_id=request.loan_id, parts=parts, tokens=tokens, holders=holders)
 
+    def _needs_more(self, request: peers.Borrow, now: float) -> bool:
+        """Return whether a request here has waited for longer than the borrower's."""
+        waiting = self.waiting.get(request.account)
+        if not waiting:
+            return False
+        oldest = now - next(iter(waiting.values())).since
+        return (oldest, self.instance) > (request.waited_s, request.borrower)
+
     def take_back(self, message: peers.ReturnLoan, now: float) -> None:
         """Take back a loan that a peer returns early."""
         held = self.holdings.get(message.account)
@@ -252,6 +260,7 @@
         elif now >= waiter.again_at:
             waiter.again_at = math.inf
             waiter.rounds = self._rounds(held.account)
+            self.pause_until[held.account] = now + GATHER_PAUSE_S
             self._advance(held.account, waiter, now)
 
     def forget_own(self, now: float) -> None:
@@ -332,7 +341,7 @@
             loan_id=loan_id,
             borrower=self.instance,
             tokens=tokens,
-            demand=held.demand_rate(now),
+            waited_s=now - waiter.since,
         )
         purpose = LoanAsked(
             account=held.account,
--- a/yuccahitch/messages/peers.py
+++ b/yuccahitch/messages/peers.py
@@ -223,19 +223,19 @@
         loan_id: Unique id of the loan.
         borrower: Id of the instance that asks.
         tokens: Tokens wanted.
-        demand: Tokens a second that the borrower's callers ask for.
+        waited_s: For how long the request that needs them has waited.
     """
 
-    __slots__ = ("account", "loan_id", "borrower", "tokens", "demand")
+    __slots__ = ("account", "loan_id", "borrower", "tokens", "waited_s")
 
     def __init__(
-        self, *, account: str, loan_id: str, borrower: str, tokens: float, demand: float
+        self, *, account: str, loan_id: str, borrower: str, tokens: float, waited_s: float
     ) -> None:
         self.account = account
         self.loan_id = loan_id
         self.borrower = borrower
         self.tokens = tokens
-        self.demand = demand
+        self.waited_s = waited_s
 
 
 class Loan(records.Record):
