--- a/fakes/runs.py
+++ b/fakes/runs.py
@@ -331,7 +331,7 @@
             outcome = target.decisions.begin(request, hop, now)
             fleet.callers[(target.name, request.id)] = passed
             if outcome is not None:
-                act(target, outcome, passed)
+                fleet.act(target, outcome, passed)
 
         fleet.do(target, begin)
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import sys
+import traceback
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 sys.path.insert(0, str(ROOT))
@@ -66,3 +67,9 @@
 def after_all(context) -> None:
     """Close the event loop."""
     context.loop.close()
+
+
+def after_step(context, step) -> None:
+    """Show where an unexpected error arose; the report leaves that out."""
+    if step.status.name == "error" and step.exception is not None:
+        traceback.print_exception(step.exception)
--- /dev/null
+++ b/tests/features/steps/operations.py
@@ -0,0 +1,280 @@
+"""Steps about idempotency keys."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from fakes import network, services
+from tests import builders, histories
+from yuccahitch import errors
+
+SEEDS = itertools.count(1)
+
+
+def wall_ms(fleet):
+    return int((1_800_000_000.0 + fleet.now) * 1000)
+
+
+@behave.given("an order service behind {count:d} instances in each of {regions:d} regions")
+def step_orders(context, count, regions):
+    context.service = services.Counting()
+    context.fleet = builders.a_fleet(
+        11, regions=histories.REGIONS[:regions], per_region=count, serve=context.service.serve
+    )
+    context.members = context.fleet.alive()
+    context.sent = []
+    context.key = ""
+    context.digest = "order-1"
+
+
+def new_key(context, kind, age=0.0):
+    fleet = context.fleet
+    if kind == "chosen":
+        return builders.uuid7(wall_ms(fleet) - int(age * 1000))
+    if kind == "minted":
+        wall = 1_800_000_000.0 + fleet.now - age
+        return context.members[0].decisions.operations.mint("rinks", wall)
+    return ""
+
+
+def send(context, number, **options):
+    instance = context.members[int(number) - 1]
+    values = {
+        "operation_key": context.key,
+        "digest": context.digest,
+        "deadline": instance.local(context.fleet.now) + 30,
+    }
+    result = context.fleet.request(instance, builders.an_order(**(values | options)))
+    context.sent.append((result, context.fleet.now))
+
+
+@behave.when("an order with a {kind} key is sent to instance {number:d}")
+@behave.when("a new order with a {kind} key is sent to instance {number:d}")
+def step_send(context, kind, number):
+    context.key = new_key(context, kind)
+    context.digest = f"order-{len(context.sent) + 1}"
+    send(context, number)
+
+
+@behave.when("an order without a key is sent to instance {number:d}")
+def step_send_without(context, number):
+    step_send(context, "no", number)
+
+
+@behave.when(
+    "an order with a {kind} key that is {age:g} seconds old is sent to instance {number:d}"
+)
+def step_send_old(context, kind, age, number):
+    context.key = new_key(context, kind, age)
+    send(context, number)
+
+
+@behave.when("an order with a minted key of another account is sent to instance {number:d}")
+def step_send_other(context, number):
+    context.key = context.members[0].decisions.operations.mint("others", 1_800_000_000.0)
+    send(context, number)
+
+
+@behave.when("an order with a minted key whose instance was changed is sent to instance 1")
+def step_send_forged(context):
+    minted = new_key(context, "minted")
+    context.key = minted.replace(context.members[0].name, context.members[1].name)
+    send(context, 1)
+
+
+@behave.when("the same order is sent to instance {number:d}")
+def step_again(context, number):
+    send(context, number)
+
+
+@behave.when("another order with the same key is sent to instance {number:d}")
+def step_other_body(context, number):
+    send(context, number, digest="another")
+
+
+@behave.when("an order with a {kind} key is sent to all instances at once")
+def step_all(context, kind):
+    context.key = new_key(context, kind)
+    for number, _ in enumerate(context.members):
+        send(context, number + 1)
+
+
+@behave.when("a model request is sent to instance {number:d}")
+def step_model(context, number):
+    instance = context.members[number - 1]
+    request = builders.a_request(deadline=instance.local(context.fleet.now) + 30)
+    context.sent.append((context.fleet.request(instance, request), context.fleet.now))
+
+
+@behave.when("{seconds:g} seconds pass there")
+def step_pass(context, seconds):
+    context.fleet.run(seconds)
+
+
+@behave.when("instance {number:d} crashes after {seconds:g} seconds")
+def step_crash(context, number, seconds):
+    context.fleet.run(seconds)
+    context.fleet.kill(context.members[number - 1])
+
+
+@behave.when("instance {number:d} is frozen for {seconds:g} seconds")
+def step_freeze(context, number, seconds):
+    context.fleet.run(0.05)
+    context.fleet.pause(context.members[number - 1], seconds)
+
+
+@behave.when("the store's answers to instance 1 are lost for 1 second")
+def step_lose_answers(context):
+    context.fleet.net.cut(network.STORE, context.members[0].name, both=False)
+    context.fleet.clock.after(1.0, context.fleet.net.heal)
+
+
+@behave.when("the store goes down")
+def step_down(context):
+    context.fleet.net.store_down = True
+
+
+@behave.when("the next attempts meet {faults}")
+def step_faults(context, faults):
+    context.service.faults = faults.split()
+
+
+def runs_of(context):
+    return context.service.runs["order-1"]
+
+
+@behave.then("the order ran at most 1 time")
+def step_at_most(context):
+    assert runs_of(context) <= 1, context.service.runs
+
+
+@behave.then("the order ran {count:d} time")
+@behave.then("the order ran {count:d} times")
+def step_ran(context, count):
+    assert runs_of(context) == count, context.service.runs
+
+
+@behave.then("the last sender got the first answer again")
+def step_replayed(context):
+    result, _ = context.sent[-1]
+    assert result.error is None and result.finished_at, result.error
+    assert context.service.received[result.request.id] == 0
+
+
+@behave.then("the last sender got an answer")
+def step_answer(context):
+    result, _ = context.sent[-1]
+    assert result.error is None and result.finished_at is not None, result.error
+
+
+@behave.then("the last sender is refused with {code}")
+def step_refused(context, code):
+    result, _ = context.sent[-1]
+    assert result.error is not None and result.error.code.wire == code, result.error
+
+
+@behave.then("the refusal says not-run and that earlier requests with the key are unknown")
+def step_unknown(context):
+    result, _ = context.sent[-1]
+    assert result.error.run is errors.Run.NOT_RUN and result.operation == "unknown", (
+        result.error,
+        result.operation,
+    )
+
+
+@behave.then("the last sender is told {told}")
+def step_told(context, told):
+    result, _ = context.sent[-1]
+    if told == "an answer":
+        step_answer(context)
+    else:
+        assert result.error is not None and result.error.run.value == told, result.error
+
+
+@behave.then("the upstream received {count:d} attempts")
+def step_received(context, count):
+    result, _ = context.sent[-1]
+    assert context.service.received[result.request.id] == count, context.service.received
+
+
+def lies(service, sent):
+    """Return the refusals that were not true."""
+    told = [(r, r.error) for r, _ in sent if r.error is not None]
+    not_run = [(r, e) for r, e in told if e.run is errors.Run.NOT_RUN]
+    reached = [(r, str(e)) for r, e in not_run if service.received[r.request.id]]
+    ran_before = [
+        (r, str(e))
+        for r, e in not_run
+        if r.operation == "not-run"
+        and service.times.get(r.request.digest, float("inf")) < r.finished_at
+    ]
+    return reached + ran_before
+
+
+@behave.then("every refusal is true")
+def step_true(context):
+    assert not lies(context.service, context.sent), lies(context.service, context.sent)
+
+
+@behave.when("{count:d} random histories of orders are played")
+def step_random(context, count):
+    context.worst = 0
+    context.lies = []
+    context.total = 0
+
+    @hypothesis.settings(
+        deadline=None,
+        derandomize=True,
+        database=None,
+        max_examples=count,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(histories.histories(), strategies.integers(0, 1000))
+    def play(history, seed):
+        service = services.Counting(seed=seed)
+        service.random_faults = 0.2
+        fleet = builders.a_fleet(seed, regions=histories.REGIONS, serve=service.serve)
+        sent = []
+        rng = random.Random(seed)
+
+        def order(number):
+            key = rng.choice([builders.uuid7(wall_ms(fleet)), mint(fleet, rng)])
+            digest = f"order-{seed}-{number}"
+            for _ in range(rng.randint(1, 4)):
+                fleet.clock.after(rng.random() * 6, lambda: once(key, digest))
+            fleet.clock.after(rng.expovariate(1.5), lambda: order(number + 1))
+
+        def once(key, digest):
+            instance = rng.choice(fleet.alive())
+            request = builders.an_order(key, digest=digest, deadline=instance.local(fleet.now) + 20)
+            sent.append((fleet.request(instance, request), fleet.now))
+
+        order(1)
+        player = histories.Player(fleet, seed=seed)
+        player.play(history)
+        context.worst = max([context.worst, *service.runs.values()])
+        context.lies.extend(lies(service, sent))
+        context.total += len(sent)
+
+    play()
+
+
+def mint(fleet, rng):
+    instance = rng.choice(fleet.alive())
+    return instance.decisions.operations.mint("rinks", 1_800_000_000.0 + fleet.now)
+
+
+@behave.then("no order ran twice")
+def step_no_twice(context):
+    assert context.worst == 1 and context.total > 500, (context.worst, context.total)
+
+
+@behave.then("every refusal was true")
+def step_all_true(context):
+    assert not context.lies, context.lies[:5]
