Give orders to engines, one orderer at a time

Cause: some engines ignore old fencing numbers; two orderers could work on one engine at once. Change: controllers/orders.py: a lock bound to the session, a fencing number by compare-and-swap, a stop well before the lease lapses, and a successor that waits for the longest order; POST /v1/orders and the order command. Bound: an orderer frozen between its last check and the socket for longer than lease and longest order is not stopped.

--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -99,6 +99,7 @@
         "forwards",
         "callers",
         "store_route",
+        "engine",
     )
 
     def __init__(
@@ -128,6 +129,7 @@
         self.forwards: list[tuple[str, str, str]] = []
         self.callers: dict[tuple[str, str], typing.Any] = {}
         self.store_route = self.call_store
+        self.engine: typing.Any = None
 
     @property
     def now(self) -> float:
@@ -401,6 +403,11 @@
     instance.watch = item.prefix if item.active else None
 
 
+@_pass_on.register
+def _(item: commands.SendOrder, fleet: Fleet, instance: Instance) -> None:
+    fleet.engine.order(fleet, instance, item)
+
+
 @_pass_on.register
 def _(item: commands.Note, fleet: Fleet, instance: Instance) -> None:
     fleet.notes.append((fleet.now, instance.name, item))
--- a/fakes/services.py
+++ b/fakes/services.py
@@ -7,7 +7,7 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.messages import actions, answers
+from yuccahitch.messages import actions, answers, commands
 
 if typing.TYPE_CHECKING:
     from fakes import fleet as fleets
@@ -79,3 +79,56 @@
 
 def _error(code: errors.Code, work: actions.Dispatch, run: errors.Run) -> errors.GatewayError:
     return errors.GatewayError(code, step="dispatch", peer=work.upstream, run=run)
+
+
+class OrderedEngine:
+    """An engine that takes orders and works on each for a while.
+
+    Attributes:
+        fencing: Whether it refuses old fencing numbers.
+        order_s: Time that an order takes, in seconds.
+        spans: Begin and end of each order that it worked on.
+        refused: Orders refused for an old number.
+    """
+
+    __slots__ = ("fencing", "order_s", "highest", "spans", "refused", "lose_answers")
+
+    def __init__(self, *, fencing: bool, order_s: float = 3.0) -> None:
+        self.fencing = fencing
+        self.order_s = order_s
+        self.highest = 0
+        self.spans: list[tuple[float, float]] = []
+        self.refused = 0
+        self.lose_answers = False
+
+    def order(
+        self, fleet: fleets.Fleet, instance: fleets.Instance, message: commands.SendOrder
+    ) -> None:
+        """Take an order."""
+        if self.fencing and message.fence < self.highest:
+            self.refused += 1
+            self._answer(fleet, instance, message, 0.01, errors.Run.NOT_RUN)
+            return
+        self.highest = max(self.highest, message.fence)
+        self.spans.append((fleet.now, fleet.now + self.order_s))
+        run = errors.Run.MAY_HAVE_RUN if self.lose_answers else None
+        self._answer(fleet, instance, message, self.order_s, run)
+
+    def _answer(
+        self,
+        fleet: fleets.Fleet,
+        instance: fleets.Instance,
+        message: commands.SendOrder,
+        after_s: float,
+        run: errors.Run | None,
+    ) -> None:
+        problem = None
+        if run is not None:
+            problem = errors.GatewayError(errors.Code.ORDER_REFUSED, step="order", run=run)
+        fleet.clock.after(
+            after_s,
+            lambda: fleet.do(
+                instance,
+                lambda now: instance.decisions.orders.answered(message.order, problem, now),
+            ),
+        )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -223,6 +223,7 @@
     "store": {"url": "http://127.0.0.1:2379", "lease_s": "3", "resync_s": "10"},
     "limits": {"loan_s": "1", "drift_s": "0.1", "horizon_s": "60", "rebalance_s": "2"},
     "callers": {"drain_announce_s": "0.5"},
+    "policy": {"order_limit_s": "4"},
 }
 
 
--- a/tests/judges.py
+++ b/tests/judges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing
 
 from fakes import fleet as fleets
@@ -72,3 +73,9 @@
         parts += sum(loan.parts for loan in live)
         tokens += held.pool.level + held.pool.held_total if live else 0.0
     return parts, tokens
+
+
+def overlaps(spans: typing.Iterable[tuple[float, float]]) -> bool:
+    """Return whether any two spans of time overlap."""
+    ordered = sorted(spans)
+    return any(second[0] < first[1] for first, second in itertools.pairwise(ordered))
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -221,6 +221,7 @@
         ),
         "poison_crashes": _number("Upstreams crashed before refusal.", "upstreams", 2, 1, 16, int),
         "poison_s": _number("Time a crashing request is refused.", "seconds", 600, 1, 86400),
+        "order_limit_s": _number("Longest order to an engine.", "seconds", 60, 0.1, 86400),
         "load_poll_s": _number("Time between load reports of an upstream.", "seconds", 1, 0.05, 60),
     },
 }
--- a/yuccahitch/cli/operate.py
+++ b/yuccahitch/cli/operate.py
@@ -101,7 +101,18 @@
     asyncio.run(_print(_target(url, token_file), "POST", path))
 
 
-COMMANDS = (apply, get, delete, watch, release)
+@click.command()
+@click.argument("upstream")
+@click.argument("file", type=click.Path(path_type=pathlib.Path))
+@_target_options
+def order(upstream: str, file: pathlib.Path, url: str, token_file: pathlib.Path | None) -> None:
+    """Give UPSTREAM the order in FILE, a JSON object, such as loading a model."""
+    path = f"/v1/orders/{upstream}"
+    body = json.loads(file.read_text())
+    asyncio.run(_print(_target(url, token_file), "POST", path, body=body))
+
+
+COMMANDS = (apply, get, delete, watch, release, order)
 
 
 async def _apply(target: Target, items: list[dict[str, typing.Any]], *, dry_run: bool) -> None:
@@ -123,9 +134,9 @@
         sys.exit(FAILED)
 
 
-async def _print(target: Target, method: str, path: str) -> None:
+async def _print(target: Target, method: str, path: str, *, body: typing.Any = None) -> None:
     async with aiohttp.ClientSession(headers=target.headers) as session:
-        async with session.request(method, target.url + path) as response:
+        async with session.request(method, target.url + path, json=body) as response:
             answer = await response.json()
     if response.status != 200:
         click.echo(_reason(answer), err=True)
--- a/yuccahitch/controllers/_inputs.py
+++ b/yuccahitch/controllers/_inputs.py
@@ -10,6 +10,7 @@
     limits,
     membership,
     operations,
+    orders,
     reclaim,
     session,
     slices,
@@ -47,6 +48,7 @@
         (reclaim.Look, reclaim.FindSlices, reclaim.TakeOver, reclaim.Forget, reclaim.Release),
         "reclaim",
     ),
+    **dict.fromkeys((orders.Lock, orders.ReadFence, orders.WriteFence, orders.Close), "orders"),
 }
 
 
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -19,6 +19,7 @@
     limits,
     membership,
     operations,
+    orders,
     placement,
     queue,
     reclaim,
@@ -74,6 +75,7 @@
         "slices",
         "reclaim",
         "operations",
+        "orders",
         "states",
         "queue",
         "placement",
@@ -159,6 +161,12 @@
             lifetime_s=self.settings.callers.operation_lifetime_s,
             new_id=new_id,
         )
+        self.orders = orders.Orders(
+            self.instance,
+            access=self.access,
+            config=self.config,
+            longest_s=self.settings.policy.order_limit_s,
+        )
         self.shutdown = drain.Drain(
             announce_s=self.settings.callers.drain_announce_s,
             limit_s=self.settings.callers.drain_limit_s,
@@ -259,6 +267,7 @@
         self.limits.tick(now)
         self.reclaim.tick(now)
         self.operations.tick(now, self.time.wall())
+        self.orders.tick(now)
         self.suspects.expire(now)
         self.placement.tick(now)
         self._advance_shutdown(now)
@@ -344,6 +353,7 @@
             self.slices,
             self.reclaim,
             self.operations,
+            self.orders,
             self.states,
             self.placement,
             self.suspects,
--- a/yuccahitch/messages/commands.py
+++ b/yuccahitch/messages/commands.py
@@ -120,4 +120,37 @@
         self.active = active
 
 
-Command = StoreCall | PeerCall | Wake | Note | WatchStore
+class SendOrder(records.Record):
+    """Send an order to an engine.
+
+    Attributes:
+        order: The order; the answer comes back with it.
+        address: Base URL of the engine.
+        fence: Its fencing number.
+        body: The order as JSON.
+        timeout_s: Longest time that it takes, in seconds.
+    """
+
+    __slots__ = ("order", "address", "fence", "body", "timeout_s")
+
+    def __init__(
+        self, *, order: typing.Any, address: str, fence: int, body: bytes, timeout_s: float
+    ) -> None:
+        self.order = order
+        self.address = address
+        self.fence = fence
+        self.body = body
+        self.timeout_s = timeout_s
+
+
+class OrderReply(records.Record):
+    """An engine's answer to an order; the error is None when it was carried out."""
+
+    __slots__ = ("order", "error")
+
+    def __init__(self, order: typing.Any, error: errors.GatewayError | None) -> None:
+        self.order = order
+        self.error = error
+
+
+Command = StoreCall | PeerCall | Wake | Note | WatchStore | SendOrder
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -8,11 +8,13 @@
 import typing
 
 from yuccahitch import clock, events, records
-from yuccahitch.controllers import configuration, gateway
+from yuccahitch.controllers import configuration, gateway, orders
 from yuccahitch.messages import commands, exchanges, peers
 from yuccahitch.messages import store as store_messages
 from yuccahitch.tasks import mailbox, metrics
 
+ORDER_WAIT_S = 60.0
+
 
 class Tick(records.Record):
     """Time has passed."""
@@ -101,6 +103,7 @@
         figures: Collects metrics.
         store: Mailbox of the store client.
         peers: Mailbox of the peer client.
+        upstreams: Mailbox of the upstream client.
     """
 
     __slots__ = (
@@ -110,6 +113,7 @@
         "figures",
         "store",
         "peers",
+        "upstreams",
         "inbox",
         "waiting",
         "tickets",
@@ -125,6 +129,7 @@
         figures: metrics.Metrics,
         store: mailbox.Mailbox,
         peers: mailbox.Mailbox,
+        upstreams: mailbox.Mailbox,
     ) -> None:
         self.decisions = decisions
         self.time = time
@@ -132,6 +137,7 @@
         self.figures = figures
         self.store = store
         self.peers = peers
+        self.upstreams = upstreams
         self.inbox = mailbox.Mailbox()
         self.waiting: dict[str, mailbox.Ask] = {}
         self.tickets: dict[str, mailbox.Ask] = {}
@@ -217,6 +223,13 @@
     core.decisions.reclaim.release(message.instance, message.ticket)
 
 
+@_asked.register
+def _(message: orders.Order, ask: mailbox.Ask, core: Core, now: float) -> None:
+    core.tickets[message.ticket] = ask
+    message.until = now + core.decisions.orders.longest_s + ORDER_WAIT_S
+    core.decisions.orders.give(message, now)
+
+
 @functools.singledispatch
 def _told(message: typing.Any, core: Core, now: float) -> None:
     raise TypeError(type(message))
@@ -259,6 +272,11 @@
     core.decisions.on_peer_reply(message, now)
 
 
+@_told.register
+def _(message: commands.OrderReply, core: Core, now: float) -> None:
+    core.decisions.orders.answered(message.order, message.error, now)
+
+
 @_told.register
 def _(message: WatchHeard, core: Core, now: float) -> None:
     _watch(message.event, core, now)
@@ -313,6 +331,11 @@
     core.store.post(item)
 
 
+@_pass_on.register
+def _(item: commands.SendOrder, core: Core) -> None:
+    core.upstreams.post(item)
+
+
 @_pass_on.register
 def _(item: commands.PeerCall, core: Core) -> None:
     core.peers.post(item)
--- a/yuccahitch/tasks/operator_server.py
+++ b/yuccahitch/tasks/operator_server.py
@@ -15,7 +15,7 @@
 from yuccahitch import settings as config_file
 from yuccahitch.codecs import callers
 from yuccahitch.codecs import resources as codec
-from yuccahitch.controllers import configuration
+from yuccahitch.controllers import configuration, orders
 from yuccahitch.resources import entry
 from yuccahitch.tasks import core, mailbox
 
@@ -55,6 +55,7 @@
         app.router.add_get("/v1/resources/{kind}/{name}", self._get)
         app.router.add_put("/v1/resources/{kind}/{name}", self._put)
         app.router.add_delete("/v1/resources/{kind}/{name}", self._delete)
+        app.router.add_post("/v1/orders/{upstream}", self._order)
         app.router.add_get("/v1/watch", self._watch)
         app.router.add_post("/v1/instances/{instance}/release", self._release)
         self.runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
@@ -141,6 +142,14 @@
             raise written.error
         return web.json_response(codec.entry_to_dict(written.item))
 
+    async def _order(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        _json(body)
+        name = request.match_info["upstream"]
+        order = orders.Order(uuid.uuid4().hex, upstream=name, body=body, until=0.0)
+        fence = await _fence(self.decisions, order)
+        return web.json_response({"upstream": name, "fence": fence})
+
     async def _watch(self, request: web.Request) -> web.StreamResponse:
         response = web.StreamResponse(headers={"content-type": "application/jsonl"})
         await response.prepare(request)
@@ -166,6 +175,13 @@
         return web.json_response({"released": instance})
 
 
+async def _fence(decisions: mailbox.Mailbox, order: orders.Order) -> int:
+    given = await decisions.ask(order)
+    if given.error is not None:
+        raise given.error
+    return given.fence
+
+
 def _listed(gateway: typing.Any, kind: str) -> list[entry.Entry]:
     return [
         found
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -66,8 +66,12 @@
         self.figures = metrics.Metrics()
         self.children = mailbox.Children()
         rng = random.Random(os.urandom(16))
+        self.upstreams = upstream_client.UpstreamClient(
+            time=self.time,
+            log=self.log,
+            reply_to=lambda reply: self.core.inbox.post(reply),
+        )
         self.core = self._make_core(rng)
-        self.upstreams = upstream_client.UpstreamClient(time=self.time, log=self.log)
         desks = runner.Desks(
             core=self.core.inbox,
             upstreams=self.upstreams.inbox,
@@ -139,6 +143,7 @@
             figures=self.figures,
             store=self.store.inbox,
             peers=self.peers.inbox,
+            upstreams=self.upstreams.inbox,
         )
 
     def _make_servers(self, desks: runner.Desks) -> None:
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import typing
 
 import aiohttp
 
 from yuccahitch import clock, errors, events, records
 from yuccahitch.codecs import callers, upstreams
-from yuccahitch.messages import actions, answers, requests
+from yuccahitch.messages import actions, answers, commands, requests
 from yuccahitch.tasks import answer_stream, mailbox
 
 STEP = "dispatch"
@@ -34,11 +35,19 @@
     Args:
         time: The clock.
         log: Writes events.
+        reply_to: Takes the answers to orders.
     """
 
-    __slots__ = ("time", "log", "inbox", "children", "pooled", "single")
+    __slots__ = ("time", "log", "reply_to", "inbox", "children", "pooled", "single")
 
-    def __init__(self, *, time: clock.Clock, log: events.Log) -> None:
+    def __init__(
+        self,
+        *,
+        time: clock.Clock,
+        log: events.Log,
+        reply_to: typing.Callable[[commands.OrderReply], None],
+    ) -> None:
+        self.reply_to = reply_to
         self.time = time
         self.log = log
         self.inbox = mailbox.Mailbox()
@@ -53,13 +62,31 @@
             self.single = single
             try:
                 while True:
-                    message = await self.inbox.get()
-                    child = self.children.start(self._attempt(message.work, message.stream))
-                    message.stream.producer = child
+                    _handle(await self.inbox.get(), self)
             finally:
                 await self.children.stop()
 
-    async def _attempt(self, work: actions.Dispatch, stream: answer_stream.AnswerStream) -> None:
+    async def order(self, message: commands.SendOrder) -> None:
+        """Send an order to an engine and report its answer."""
+        headers = {upstreams.FENCING_HEADER: str(message.fence)}
+        timeout = aiohttp.ClientTimeout(total=message.timeout_s, sock_connect=CONNECT_S)
+        problem = None
+        try:
+            async with self.single.post(
+                message.address + "/orders", data=message.body, headers=headers, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    refused = response.status == 409
+                    run = errors.Run.NOT_RUN if refused else errors.Run.MAY_HAVE_RUN
+                    problem = _order_error(message, f"status {response.status}", run)
+        except aiohttp.ClientConnectorError as error:
+            problem = _order_error(message, type(error).__name__, errors.Run.NOT_RUN)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            problem = _order_error(message, type(error).__name__, errors.Run.MAY_HAVE_RUN)
+        self.reply_to(commands.OrderReply(message.order, problem))
+
+    async def attempt(self, work: actions.Dispatch, stream: answer_stream.AnswerStream) -> None:
+        """Send a request to an upstream and bring its answer back."""
         self.log.write(
             events.Event.REQUEST_DISPATCHED,
             request=work.request.id,
@@ -142,6 +169,28 @@
         await stream.put(end)
 
 
+@functools.singledispatch
+def _handle(message: typing.Any, client: UpstreamClient) -> None:
+    raise TypeError(type(message))
+
+
+@_handle.register
+def _(message: Open, client: UpstreamClient) -> None:
+    child = client.children.start(client.attempt(message.work, message.stream))
+    message.stream.producer = child
+
+
+@_handle.register
+def _(message: commands.SendOrder, client: UpstreamClient) -> None:
+    client.children.start(client.order(message))
+
+
+def _order_error(message: commands.SendOrder, detail: str, run: errors.Run) -> errors.GatewayError:
+    return errors.GatewayError(
+        errors.Code.ORDER_REFUSED, step="order", peer=message.address, detail=detail, run=run
+    )
+
+
 def _session(*, force_close: bool) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=force_close)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S, sock_read=SILENCE_S)
