--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -100,6 +100,7 @@
         "callers",
         "store_route",
         "engine",
+        "on_admission",
     )
 
     def __init__(
@@ -130,6 +131,7 @@
         self.callers: dict[tuple[str, str], typing.Any] = {}
         self.store_route = self.call_store
         self.engine: typing.Any = None
+        self.on_admission: typing.Callable[[Instance, str], None] = lambda instance, name: None
 
     @property
     def now(self) -> float:
--- a/fakes/runs.py
+++ b/fakes/runs.py
@@ -71,6 +71,7 @@
 
     def admitted(self) -> None:
         """Note that the request was sent on."""
+        self.fleet.on_admission(self.instance, self.result.request.id)
         if self.result.admitted_at is None:
             self.result.admitted_at = self.fleet.now
 
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -14,7 +14,7 @@
     suspects,
     upstreams,
 )
-from yuccahitch.filters import chain, exchange, poison
+from yuccahitch.filters import chain, exchange, poison, residency
 from yuccahitch.messages import actions, answers, requests
 
 MAX_ATTEMPTS = 3
@@ -52,6 +52,10 @@
 
     def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
         """Send the request on."""
+        # The request may have waited since its regions were found.
+        regions = residency.allowed_regions(item, self.config.catalog)
+        if regions != item.regions:
+            return actions.Rewind(residency.Residency.step)
         if item.attempt == 0:
             self.budget.request()
         item.attempt += 1
--- a/yuccahitch/filters/residency.py
+++ b/yuccahitch/filters/residency.py
@@ -6,6 +6,7 @@
 from yuccahitch.controllers import configuration
 from yuccahitch.filters import chain, exchange
 from yuccahitch.messages import actions
+from yuccahitch.resources import catalog
 
 
 class Residency(chain.Step):
@@ -28,18 +29,7 @@
 
     def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
         """Set the allowed regions; a forwarded request must be in one of them."""
-        client = self.config.catalog.client(item.account.client) if item.account.client else None
-        limits = [
-            frozenset(regions)
-            for regions in (
-                item.account.residency,
-                item.route.regions,
-                (client.home,) if client is not None and client.home else (),
-                item.hop.regions if item.hop is not None else (),
-            )
-            if regions
-        ]
-        item.regions = frozenset.intersection(*limits) if limits else None
+        item.regions = allowed_regions(item, self.config.catalog)
         if item.regions is not None and not item.regions:
             return self._refuse("no region is allowed by client account, route and directory")
         arrived = item.hop is not None and not item.hop.owned
@@ -52,3 +42,21 @@
             errors.Code.RESIDENCY, step=self.step, peer=self.region, detail=detail
         )
         return actions.Refuse(error)
+
+
+def allowed_regions(item: exchange.Exchange, resources: catalog.Catalog) -> frozenset[str] | None:
+    """Return where a request's data may reside as the catalog is now; None means everywhere."""
+    account = resources.account(item.account.name) or item.account
+    route = resources.routes.get(item.request.target) or item.route
+    client = resources.client(account.client) if account.client else None
+    limits = [
+        frozenset(regions)
+        for regions in (
+            account.residency,
+            route.regions,
+            (client.home,) if client is not None and client.home else (),
+            item.hop.regions if item.hop is not None else (),
+        )
+        if regions
+    ]
+    return frozenset.intersection(*limits) if limits else None
