Keep real processes true under faults

Cause: scenarios with real processes showed: a request that crashes engines crashed 4, since peers heard of it by heartbeats only; with all upstreams ejected nothing was tried; the caller was told no-upstream in place of why the last attempt failed; with little traffic the retry budget stayed empty.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import logging
 import signal
 import sys
 import typing
@@ -26,6 +27,8 @@
 
 async def main(arguments: list[str]) -> None:
     """Run the stand-ins that the arguments name until SIGTERM."""
+    # Faults break connections on purpose; aiohttp would print each.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     groups = [
         list(words) for dashes, words in itertools.groupby(arguments, "--".__eq__) if not dashes
     ]
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -49,6 +49,7 @@
 from yuccahitch.messages import actions, commands, exchanges, peers, requests, store
 
 LOADS_PER_MESSAGE = 64
+MAX_WARNED = 64
 
 
 class Gateway:
@@ -291,6 +292,7 @@
     def drain(self, now: float) -> list[commands.Command | exchanges.Outcome]:
         """Return what is to be done since the last call."""
         done: list[commands.Command | exchanges.Outcome] = []
+        self._warn(now)
         while batch := self._collect():
             for item in batch:
                 if type(item) is commands.Wake and item.request_id in self.exchanges:
@@ -375,6 +377,20 @@
             )
             self.outbox.append(call)
 
+    def _warn(self, now: float) -> None:
+        """Tell the peers at once of a request that crashes upstreams."""
+        if not self.suspects.alarm:
+            return
+        self.suspects.alarm = False
+        self.outbox.extend(
+            commands.PeerCall(
+                instance=row.instance,
+                address=self.members.address(row),
+                body=self.gossip(row.instance, now),
+            )
+            for row in self.members.alive()[:MAX_WARNED]
+        )
+
     def _loads(self, now: float) -> list[peers.Load]:
         names = [
             spec.name
--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -242,11 +242,7 @@
         self.serve(now)
 
     def _serve_one(self, service: str, now: float) -> bool:
-        replicas = [
-            item
-            for item in self.config.catalog.replicas.get(service, {}).values()
-            if item.region == self.region and self.states.usable(item, now)
-        ]
+        replicas = self._local(service, now)
         room_long = [item for item in replicas if self._has_room(item, True, now)]
         room = room_long or [item for item in replicas if self._has_room(item, False, now)]
         if not room:
@@ -262,14 +258,17 @@
         return True
 
     def _candidates(self, task: Task, now: float) -> list[upstream.Upstream]:
-        replicas = [
+        replicas = self._local(task.service, now)
+        return [item for item in replicas if item.name not in task.avoid]
+
+    def _local(self, service: str, now: float) -> list[upstream.Upstream]:
+        """Return the upstreams of this region; if all are ejected, all are tried again."""
+        present = [
             item
-            for item in self.config.catalog.replicas.get(task.service, {}).values()
-            if item.region == self.region and self.states.usable(item, now)
+            for item in self.config.catalog.replicas.get(service, {}).values()
+            if item.region == self.region and not self.states.leaving(item, now)
         ]
-        return [item for item in replicas if item.name not in task.avoid] or (
-            replicas if not task.avoid else []
-        )
+        return [item for item in present if not self.states.ejected(item, now)] or present
 
     def _has_room(self, item: upstream.Upstream, long: bool, now: float) -> bool:
         limit = self.states.limit(item, self.window, now)
--- a/yuccahitch/controllers/suspects.py
+++ b/yuccahitch/controllers/suspects.py
@@ -30,14 +30,18 @@
     Args:
         crashes: Distinct upstreams after which a request is refused.
         memory_s: Time for which it is refused, in seconds.
+
+    Attributes:
+        alarm: Whether a request was found to crash upstreams and peers are to hear of it at once.
     """
 
-    __slots__ = ("crashes", "memory_s", "table", "outbox")
+    __slots__ = ("crashes", "memory_s", "table", "alarm", "outbox")
 
     def __init__(self, *, crashes: int = 2, memory_s: float = 600.0) -> None:
         self.crashes = crashes
         self.memory_s = memory_s
         self.table: dict[str, Suspect] = {}
+        self.alarm = False
         self.outbox: list[commands.Command] = []
 
     def seen(self, fingerprint: str, upstream: str, now: float) -> None:
@@ -87,6 +91,7 @@
         found.upstreams.add(upstream)
         found.until = max(found.until, until)
         if len(found.upstreams) == self.crashes:
+            self.alarm = True
             note = commands.Note(
                 events.Event.POISON_FOUND,
                 fingerprint=fingerprint,
--- a/yuccahitch/controllers/upstreams.py
+++ b/yuccahitch/controllers/upstreams.py
@@ -112,10 +112,15 @@
 
     def usable(self, item: upstream.Upstream, now: float) -> bool:
         """Return whether an upstream may get new work."""
-        state = self.state(item.name)
-        if item.leaving or now < state.leaving_until:
-            return False
-        return not self.rules.ejection or now >= state.ejected_until
+        return not self.leaving(item, now) and not self.ejected(item, now)
+
+    def leaving(self, item: upstream.Upstream, now: float) -> bool:
+        """Return whether an upstream gets no new work as it leaves."""
+        return item.leaving or now < self.state(item.name).leaving_until
+
+    def ejected(self, item: upstream.Upstream, now: float) -> bool:
+        """Return whether an upstream gets no work for a while as it failed."""
+        return self.rules.ejection and now < self.state(item.name).ejected_until
 
     def occupancy(self, item: upstream.Upstream, now: float) -> float:
         """Return the requests that an upstream works on or queues, as far as is known."""
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -57,7 +57,7 @@
         if regions != item.regions:
             return actions.Rewind(residency.Residency.step)
         if item.attempt == 0:
-            self.budget.request()
+            self.budget.request(now)
         item.attempt += 1
         if item.upstream:
             return self._to_upstream(item)
@@ -144,12 +144,13 @@
     elif reply.error.code is errors.Code.PEER_UNREACHABLE:
         step.members.call_failed(item.instance)
     item.tried.append(item.upstream or item.instance)
+    if item.reached:
+        reply.error.run = errors.Run.MAY_HAVE_RUN
+    item.last_error = reply.error
     if step.crashes.guilty(poison.fingerprint(item), now) > 0:
         return actions.Refuse(poison.refusal(item, step.crashes, now))
     if _may_retry(reply, step, item, now):
         return actions.Rewind(placement.STEP)
-    if item.reached:
-        reply.error.run = errors.Run.MAY_HAVE_RUN
     return actions.Refuse(reply.error)
 
 
@@ -157,4 +158,4 @@
     """Return whether another attempt is safe, of use and within the budget."""
     safe = item.idempotent or not item.reached
     useful = item.attempt < MAX_ATTEMPTS and now < item.request.deadline
-    return safe and useful and step.budget.retry()
+    return safe and useful and step.budget.retry(now)
--- a/yuccahitch/filters/exchange.py
+++ b/yuccahitch/filters/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from yuccahitch import errors
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import account, route, service
 
@@ -31,6 +32,7 @@
         usage: Tokens used, once they are known.
         succeeded: Whether the whole answer was passed on.
         recorded: The answer, kept for repeats of the idempotency key.
+        last_error: Why its last attempt failed, or None.
         entered: Filters entered, whose ``leave`` is owed.
     """
 
@@ -56,6 +58,7 @@
         "usage",
         "succeeded",
         "recorded",
+        "last_error",
         "entered",
     )
 
@@ -83,6 +86,7 @@
         self.usage = answers.Usage()
         self.succeeded = False
         self.recorded: answers.Recorded | None = None
+        self.last_error: errors.GatewayError | None = None
         self.entered: list[str] = []
 
     @property
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -80,7 +80,8 @@
 
 @_act.register
 def _(choice: placement.Refused, item: exchange.Exchange) -> actions.Action:
-    return actions.Refuse(choice.error)
+    # With no place for another attempt, the caller is told why the last one failed.
+    return actions.Refuse(item.last_error or choice.error)
 
 
 @_act.register
