Keep a retry away from the upstream that failed it; hear every word of leaving

Cause, found by repeating the feature: a retry that waited in the queue was placed on the upstream that had failed it; ejected upstreams were compared before the ones to avoid; an upstream's own report took back the instance list's word that it leaves; peers heard of a shutdown by samples only. Change: another attempt does not wait again and never meets the same upstream; list and report are kept apart; a shutdown is told to all peers at once; tests no longer reuse a mark.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -188,7 +188,10 @@
         request.transport.abort()
         raise ConnectionResetError("fault")
     if engine.faults["refuse_status"]:
-        return web.json_response({"error": "busy"}, status=engine.faults["refuse_status"])
+        echo = {"x-request-id": request.headers.get("x-request-id", "")}
+        return web.json_response(
+            {"error": "busy"}, status=engine.faults["refuse_status"], headers=echo
+        )
     body = json.loads(text)
     await engine.enter(int(request.headers.get("x-priority", "0")))
     try:
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -170,7 +170,7 @@
 
 @behave.when("{count:d} requests are sent to {name}")
 def step_many(context, count, name):
-    context.mark = f"after-leaving-{id(context)}"
+    context.mark = f"after-leaving-{next(MARKS)}"
 
     async def work():
         return await asyncio.gather(
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -249,7 +249,7 @@
     if instance is None or len(player.fleet.alive()) < 2:
         return
     player.replace(instance)
-    player.fleet.do(instance, instance.decisions.shutdown.begin)
+    player.fleet.do(instance, instance.decisions.begin_drain)
     player.fleet.leave(instance)
 
 
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -250,6 +250,13 @@
         self._chain(item).finish(item, now)
         return item
 
+    def begin_drain(self, now: float) -> None:
+        """Begin a graceful shutdown, and let the peers know at once."""
+        self.shutdown.begin(now)
+        self.members.own.leaving = True
+        self.members.own.beat += 1
+        self._tell_all(now)
+
     def tick(self, now: float) -> None:
         """Do what is due."""
         self._beat(now)
@@ -379,9 +386,12 @@
 
     def _warn(self, now: float) -> None:
         """Tell the peers at once of a request that crashes upstreams."""
-        if not self.suspects.alarm:
-            return
-        self.suspects.alarm = False
+        if self.suspects.alarm:
+            self.suspects.alarm = False
+            self._tell_all(now)
+
+    def _tell_all(self, now: float) -> None:
+        """Send a heartbeat to all peers, in large fleets to some, out of turn."""
         self.outbox.extend(
             commands.PeerCall(
                 instance=row.instance,
--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -209,6 +209,9 @@
         free = [item for item in candidates if self._has_room(item, task.long, now)]
         nobody_waits = self.waiting.waiting_cost(task.service) <= 0
         best = self._choose(free, task, now) if free and nobody_waits else None
+        if task.avoid and best is None:
+            # Another attempt does not wait again: the budget for retries keeps these few.
+            best = self._choose(candidates, task, now)
         here_s = self._local_estimate(best, candidates, task, now)
         if remote is not None and self._spills(here_s, remote[0], remote[2]):
             return ToInstance(remote[1])
@@ -251,22 +254,24 @@
         if item is None:
             return False
         task = self.tasks.pop(item.request_id)
-        fresh = [r for r in room if r.name not in task.avoid] or room
-        chosen = self._choose(fresh, task, now)
+        chosen = self._choose(room, task, now)
         self._take(chosen.name, task)
         self.outbox.append(commands.Wake(item.request_id, ToUpstream(chosen)))
         return True
 
     def _candidates(self, task: Task, now: float) -> list[upstream.Upstream]:
-        replicas = self._local(task.service, now)
-        return [item for item in replicas if item.name not in task.avoid]
+        return self._local(task.service, now, avoid=task.avoid)
 
-    def _local(self, service: str, now: float) -> list[upstream.Upstream]:
+    def _local(
+        self, service: str, now: float, *, avoid: tuple[str, ...] = ()
+    ) -> list[upstream.Upstream]:
         """Return the upstreams of this region; if all are ejected, all are tried again."""
         present = [
             item
             for item in self.config.catalog.replicas.get(service, {}).values()
-            if item.region == self.region and not self.states.leaving(item, now)
+            if item.region == self.region
+            and item.name not in avoid
+            and not self.states.leaving(item, now)
         ]
         return [item for item in present if not self.states.ejected(item, now)] or present
 
--- a/yuccahitch/controllers/upstreams.py
+++ b/yuccahitch/controllers/upstreams.py
@@ -50,7 +50,7 @@
         ejections: Times it was ejected since it last succeeded.
         ejected_until: When it gets work again, in monotonic seconds.
         returned_at: When it last got work again.
-        leaving_until: Until when a report or the instance list says that it leaves.
+        leaving_until: Until when the instance list's word that it leaves holds.
         service_s: Mean time of a request there, in seconds.
         token_s: Mean time for each token of a request there, in seconds.
     """
@@ -116,7 +116,9 @@
 
     def leaving(self, item: upstream.Upstream, now: float) -> bool:
         """Return whether an upstream gets no new work as it leaves."""
-        return item.leaving or now < self.state(item.name).leaving_until
+        state = self.state(item.name)
+        reported = state.report is not None and state.report.load.leaving
+        return item.leaving or reported or now < state.leaving_until
 
     def ejected(self, item: upstream.Upstream, now: float) -> bool:
         """Return whether an upstream gets no work for a while as it failed."""
@@ -178,19 +180,22 @@
         self.outbox.append(note)
 
     def hear(self, load: peers.Load, now: float) -> bool:
-        """Take in a load report; return whether it was news."""
+        """Take in a load report; return whether it was news.
+
+        A report with sequence 0 is the instance list's word that the upstream leaves; reports of
+        the upstream itself don't take that back.
+        """
         state = self.state(load.upstream)
-        if load.leaving and now >= state.leaving_until:
-            note = commands.Note(events.Event.UPSTREAM_LEAVING, upstream=load.upstream)
-            self.outbox.append(note)
-        if load.leaving:
-            state.leaving_until = now + LEAVING_LIFETIME_S
         old = state.report
-        if load.sequence == 0 or (old is not None and load.sequence <= old.load.sequence):
+        if load.sequence == 0:
+            state.leaving_until = now + LEAVING_LIFETIME_S
+            return False
+        if old is not None and load.sequence <= old.load.sequence:
             return False
         state.report = Report(load, now - load.age_ms / 1000)
-        if not load.leaving:
-            state.leaving_until = min(state.leaving_until, now)
+        if load.leaving and not (old is not None and old.load.leaving):
+            note = commands.Note(events.Event.UPSTREAM_LEAVING, upstream=load.upstream)
+            self.outbox.append(note)
         return True
 
     def reports(self, now: float, names: typing.Iterable[str]) -> list[peers.Load]:
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -248,7 +248,7 @@
 @_told.register
 def _(message: BeginDrain, core: Core, now: float) -> None:
     core.log.write(events.Event.DRAIN_BEGAN, open_requests=len(core.decisions.exchanges))
-    core.decisions.shutdown.begin(now)
+    core.decisions.begin_drain(now)
 
 
 @_told.register
