--- a/yuccahitch/controllers/rules.py
+++ b/yuccahitch/controllers/rules.py
@@ -10,6 +10,7 @@
 
     Attributes:
         affinity: Prefer the replica that holds the prompt's prefix in its cache.
+        reports: Count what load reports say, not only the own requests.
         load_aware: Choose by estimated time to the first token rather than in turn.
         spill: Send requests to another region when the gain justifies the link and the cost.
         fair_queue: Queue by client account rather than first come first served.
@@ -22,6 +23,7 @@
 
     __slots__ = (
         "affinity",
+        "reports",
         "load_aware",
         "spill",
         "fair_queue",
--- a/yuccahitch/controllers/upstreams.py
+++ b/yuccahitch/controllers/upstreams.py
@@ -128,7 +128,8 @@
         """Return the requests that an upstream works on or queues, as far as is known."""
         state = self.state(item.name)
         report = state.report
-        if report is None or now - report.taken_at > REPORT_LIFETIME_S:
+        old = report is None or now - report.taken_at > REPORT_LIFETIME_S
+        if old or not self.rules.reports:
             return float(state.outstanding)
         reported = report.load.running + report.load.waiting + report.sent_since
         return float(max(state.outstanding, reported))
