--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -124,6 +124,27 @@
         self.until = until
 
 
+class Remote(records.Record):
+    """What another region offers a request.
+
+    Attributes:
+        estimate_s: Estimated time to the first token there, the link included, in seconds.
+        row: The instance that would take it.
+        cost: Cost of the cheapest replica.
+        upstream: The replica with the shortest estimate.
+    """
+
+    __slots__ = ("estimate_s", "row", "cost", "upstream")
+
+    def __init__(
+        self, estimate_s: float, row: peers.Row, cost: float, item: upstream.Upstream
+    ) -> None:
+        self.estimate_s = estimate_s
+        self.row = row
+        self.cost = cost
+        self.upstream = item
+
+
 class Refused(records.Record):
     """The request can't be placed."""
 
@@ -203,7 +224,11 @@
         """Choose for a request that has just come to this step."""
         local_allowed = task.regions is None or self.region in task.regions
         candidates = self._candidates(task, now) if local_allowed else []
-        remote = None if task.local_only else self._best_remote(task, now)
+        remote = None
+        if not task.local_only:
+            remote = self._best_remote(task, now, has_local=bool(candidates))
+        if not candidates and remote is None and local_allowed:
+            candidates = self._local(task.service, now, avoid=task.avoid)
         if not candidates:
             return self._without_local(task, remote, local_allowed)
         free = [item for item in candidates if self._has_room(item, task.long, now)]
@@ -213,8 +238,8 @@
             # Another attempt does not wait again: the budget for retries keeps these few.
             best = self._choose(candidates, task, now)
         here_s = self._local_estimate(best, candidates, task, now)
-        if remote is not None and self._spills(here_s, remote[0], remote[2]):
-            return ToInstance(remote[1])
+        if remote is not None and self._spills(here_s, remote.estimate_s):
+            return self._forward(remote)
         if best is not None:
             self._take(best.name, task)
             return ToUpstream(best)
@@ -260,20 +285,24 @@
         return True
 
     def _candidates(self, task: Task, now: float) -> list[upstream.Upstream]:
-        return self._local(task.service, now, avoid=task.avoid)
+        present = self._present(task.service, now, task.avoid)
+        return [item for item in present if not self.states.ejected(item, now)]
 
     def _local(
         self, service: str, now: float, *, avoid: tuple[str, ...] = ()
     ) -> list[upstream.Upstream]:
         """Return the upstreams of this region; if all are ejected, all are tried again."""
-        present = [
+        present = self._present(service, now, avoid)
+        return [item for item in present if not self.states.ejected(item, now)] or present
+
+    def _present(self, service: str, now: float, avoid: tuple[str, ...]) -> list[upstream.Upstream]:
+        return [
             item
             for item in self.config.catalog.replicas.get(service, {}).values()
             if item.region == self.region
             and item.name not in avoid
             and not self.states.leaving(item, now)
         ]
-        return [item for item in present if not self.states.ejected(item, now)] or present
 
     def _has_room(self, item: upstream.Upstream, long: bool, now: float) -> bool:
         limit = self.states.limit(item, self.window, now)
@@ -328,8 +357,12 @@
         queue_s = ahead * pace / slots
         return queue_s + min(self._estimate(item, affine, task, now) for item in candidates)
 
-    def _best_remote(self, task: Task, now: float) -> tuple[float, peers.Row, float] | None:
-        """Return estimate, instance and cost of the best other region."""
+    def _best_remote(self, task: Task, now: float, *, has_local: bool) -> Remote | None:
+        """Return estimate, instance and cost of the best other region.
+
+        A full region is of use only to a request that can't be served here: its instances have
+        queues of their own, of which nothing is known here.
+        """
         options = []
         for region, items in self._remote_replicas(task, now).items():
             rows = [
@@ -338,13 +371,15 @@
             if not rows:
                 continue
             row = rendezvous.ranked(task.request_id, [r.instance for r in rows])[0]
-            estimate = min(self._estimate(item, "", task, now) for item in items)
+            nearest = min(items, key=lambda item: self._estimate(item, "", task, now))
+            estimate = self._estimate(nearest, "", task, now)
             full = all(not self._has_room(item, task.long, now) for item in items)
+            if full and has_local:
+                continue
             link = 2 * self.link_delay_s + task.body_bytes / self.link_bytes_per_s
             cost = min(item.cost for item in items)
-            busy = 1.0 if full else 0.0
-            options.append((estimate + link + busy, self.members.find(row), cost))
-        return min(options, key=lambda option: (option[0], option[2]), default=None)
+            options.append(Remote(estimate + link, self.members.find(row), cost, nearest))
+        return min(options, key=lambda option: (option.estimate_s, option.cost), default=None)
 
     def _remote_replicas(self, task: Task, now: float) -> dict[str, list[upstream.Upstream]]:
         found: dict[str, list[upstream.Upstream]] = {}
@@ -354,14 +389,17 @@
                 found.setdefault(item.region, []).append(item)
         return found
 
-    def _spills(self, here_s: float, there_s: float, cost: float) -> bool:
+    def _forward(self, remote: Remote) -> Choice:
+        # Reports of the other region come late: what is sent there counts at once.
+        self.states.forwarded(remote.upstream.name)
+        return ToInstance(remote.row)
+
+    def _spills(self, here_s: float, there_s: float) -> bool:
         return self.rules.spill and here_s > there_s + self.spill_gain_s
 
-    def _without_local(
-        self, task: Task, remote: tuple[float, peers.Row, float] | None, local_allowed: bool
-    ) -> Choice:
+    def _without_local(self, task: Task, remote: Remote | None, local_allowed: bool) -> Choice:
         if remote is not None:
-            return ToInstance(remote[1])
+            return self._forward(remote)
         if task.regions is not None and not local_allowed and not task.local_only:
             allowed = ", ".join(sorted(task.regions))
             detail = f"the data may only reside in {allowed}, where nothing is reachable"
--- a/yuccahitch/controllers/upstreams.py
+++ b/yuccahitch/controllers/upstreams.py
@@ -151,6 +151,12 @@
         if state.report is not None:
             state.report.sent_since += 1
 
+    def forwarded(self, name: str) -> None:
+        """Count a request sent to the region of an upstream until its next load report."""
+        report = self.state(name).report
+        if report is not None:
+            report.sent_since += 1
+
     def returned(self, name: str, *, long: bool) -> None:
         """Count a request that is over."""
         state = self.state(name)
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -18,6 +18,9 @@
 from yuccahitch.messages import actions, answers, requests
 
 MAX_ATTEMPTS = 3
+DECLINES = frozenset(
+    (errors.Code.OVERLOADED, errors.Code.NO_UPSTREAM, errors.Code.DRAINING, errors.Code.NOT_READY)
+)
 PRIORITY_SHORT = 0
 PRIORITY_LONG = 1
 
@@ -136,6 +139,11 @@
     reply: answers.Failure, step: Dispatch, item: exchange.Exchange, now: float
 ) -> actions.Action:
     reached = reply.error.run is errors.Run.MAY_HAVE_RUN
+    if item.instance and not reached and reply.error.code in DECLINES and not item.declined:
+        # Nothing was tried yet: the request goes back to its own region's queue.
+        item.declined = True
+        item.last_error = reply.error
+        return actions.Rewind(placement.STEP)
     item.reached = item.reached or reached
     if reply.crashed:
         step.crashes.seen(poison.fingerprint(item), reply.error.peer, now)
--- a/yuccahitch/filters/exchange.py
+++ b/yuccahitch/filters/exchange.py
@@ -33,6 +33,7 @@
         succeeded: Whether the whole answer was passed on.
         recorded: The answer, kept for repeats of the idempotency key.
         last_error: Why its last attempt failed, or None.
+        declined: Whether an instance of another region had no place for it.
         entered: Filters entered, whose ``leave`` is owed.
     """
 
@@ -59,6 +60,7 @@
         "succeeded",
         "recorded",
         "last_error",
+        "declined",
         "entered",
     )
 
@@ -87,6 +89,7 @@
         self.succeeded = False
         self.recorded: answers.Recorded | None = None
         self.last_error: errors.GatewayError | None = None
+        self.declined = False
         self.entered: list[str] = []
 
     @property
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -52,7 +52,7 @@
         body_bytes=len(request.body),
         deadline=request.deadline,
         avoid=tuple(item.tried),
-        local_only=item.hop is not None,
+        local_only=item.hop is not None or item.declined,
     )
 
 
