Judge a request's wait by its place in the fair order

Cause: early refusal compared the deadline with the whole queue; an account that asks little was refused for the backlog of one that asks five times. Change: the work ahead of a request counts other accounts only up to their fair share.

--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -353,7 +353,7 @@
             return self._estimate(best, affine, task, now)
         slots = sum(item.slots for item in candidates)
         pace = sum(self.states.state(item.name).token_s for item in candidates) / len(candidates)
-        ahead = self.waiting.waiting_cost(task.service)
+        ahead = self.waiting.ahead(task.service, task.account, weight=task.weight, cost=task.cost)
         queue_s = ahead * pace / slots
         return queue_s + min(self._estimate(item, affine, task, now) for item in candidates)
 
--- a/yuccahitch/controllers/queue.py
+++ b/yuccahitch/controllers/queue.py
@@ -51,15 +51,26 @@
 
 
 class Lane:
-    """One account's requests for one service."""
+    """One account's requests for one service.
 
-    __slots__ = ("short", "long", "start", "turns")
+    Attributes:
+        short: Its short requests.
+        long: Its long ones.
+        start: Its place in the fair order.
+        turns: Requests taken so far.
+        cost: Work that waits, in tokens.
+        weight: Weight of the account.
+    """
+
+    __slots__ = ("short", "long", "start", "turns", "cost", "weight")
 
     def __init__(self) -> None:
         self.short: collections.deque[Waiting] = collections.deque()
         self.long: collections.deque[Waiting] = collections.deque()
         self.start = 0.0
         self.turns = 0
+        self.cost = 0.0
+        self.weight = 1.0
 
 
 class Queue:
@@ -89,6 +100,8 @@
         if not lane.short and not lane.long:
             lane.start = max(lane.start, self.clock.get(item.service, 0.0))
         self._line(lane, item).append(item)
+        lane.cost += item.cost
+        lane.weight = item.weight
         self.size += 1
         self.costs[item.service] = self.costs.get(item.service, 0.0) + item.cost
         return True
@@ -127,6 +140,19 @@
         """Return the work that waits for a service, in tokens."""
         return self.costs.get(service, 0.0)
 
+    def ahead(self, service: str, account: str, *, weight: float, cost: float) -> float:
+        """Return the work that is done before a new request of an account, in tokens.
+
+        In the fair order other accounts go first only as far as their share goes.
+        """
+        lanes = self.lanes.get(service, {})
+        owner = account if self.rules.fair_queue else ""
+        own = lanes[owner].cost if owner in lanes else 0.0
+        mine = (own + cost) / weight
+        return own + sum(
+            min(lane.cost, mine * lane.weight) for name, lane in lanes.items() if name != owner
+        )
+
     def services(self) -> list[str]:
         """Return the services that requests wait for."""
         return [
@@ -166,5 +192,9 @@
             del self.lanes[service][owner]
 
     def _gone(self, item: Waiting) -> None:
+        owner = item.account if self.rules.fair_queue else ""
+        lane = self.lanes[item.service].get(owner)
+        if lane is not None:
+            lane.cost -= item.cost
         self.size -= 1
         self.costs[item.service] -= item.cost
