Ask a full region when the wait here is long

Cause: one region has half the replicas of the others; its callers were refused while the others served the account that asks five times. Change: with a wait over 2 s a full region is asked as well; it declines unless its own wait is shorter, which the request carries along.

--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -291,6 +291,7 @@
         owned=message.owned,
         charged=message.charged,
         granted_tokens=message.granted_tokens,
+        better_than_s=message.better_than_s,
     )
     return request, hop, message.attempt
 
--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -18,6 +18,7 @@
 
 STEP = "place"
 LONG_TOKENS = 600
+ASK_FULL_S = 2.0
 SHORT_RESERVE = 0.25
 PROMPT_WEIGHT = 0.1
 CACHED_SHARE = 0.9
@@ -40,6 +41,7 @@
         deadline: When its answer must begin, in monotonic seconds.
         avoid: Upstreams and instances that failed it.
         local_only: Whether it may not be forwarded.
+        better_than_s: First-token time elsewhere; a longer wait here is declined. 0 means none.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "deadline",
         "avoid",
         "local_only",
+        "better_than_s",
     )
 
     def __init__(
@@ -72,6 +75,7 @@
         deadline: float,
         avoid: tuple[str, ...],
         local_only: bool,
+        better_than_s: float = 0.0,
     ) -> None:
         self.request_id = request_id
         self.account = account
@@ -85,6 +89,7 @@
         self.deadline = deadline
         self.avoid = avoid
         self.local_only = local_only
+        self.better_than_s = better_than_s
 
     @property
     def long(self) -> bool:
@@ -107,12 +112,18 @@
 
 
 class ToInstance(records.Record):
-    """Forward the request to an instance of another region."""
+    """Forward the request to an instance of another region.
 
-    __slots__ = ("row",)
+    Attributes:
+        row: The instance.
+        better_than_s: First-token time here, in seconds; 0 if it can't be served here.
+    """
 
-    def __init__(self, row: peers.Row) -> None:
+    __slots__ = ("row", "better_than_s")
+
+    def __init__(self, row: peers.Row, *, better_than_s: float = 0.0) -> None:
         self.row = row
+        self.better_than_s = better_than_s
 
 
 class Wait(records.Record):
@@ -224,27 +235,38 @@
         """Choose for a request that has just come to this step."""
         local_allowed = task.regions is None or self.region in task.regions
         candidates = self._candidates(task, now) if local_allowed else []
+        best = self._best_local(candidates, task, now)
+        here_s = self._local_estimate(best, candidates, task, now) if candidates else 0.0
         remote = None
         if not task.local_only:
-            remote = self._best_remote(task, now, has_local=bool(candidates))
+            remote = self._best_remote(task, now, has_local=bool(candidates), here_s=here_s)
         if not candidates and remote is None and local_allowed:
+            # All are ejected and there is nowhere else to go.
             candidates = self._local(task.service, now, avoid=task.avoid)
+            best = self._best_local(candidates, task, now)
         if not candidates:
             return self._without_local(task, remote, local_allowed)
-        free = [item for item in candidates if self._has_room(item, task.long, now)]
-        nobody_waits = self.waiting.waiting_cost(task.service) <= 0
-        best = self._choose(free, task, now) if free and nobody_waits else None
-        if task.avoid and best is None:
-            # Another attempt does not wait again: the budget for retries keeps these few.
-            best = self._choose(candidates, task, now)
-        here_s = self._local_estimate(best, candidates, task, now)
         if remote is not None and self._spills(here_s, remote.estimate_s):
-            return self._forward(remote)
+            return self._forward(remote, better_than_s=here_s)
         if best is not None:
             self._take(best.name, task)
             return ToUpstream(best)
+        if 0 < task.better_than_s < here_s:
+            return Refused(_refusal(errors.Code.OVERLOADED, "the wait here is longer"))
         return self._enqueue(task, here_s, now)
 
+    def _best_local(
+        self, candidates: list[upstream.Upstream], task: Task, now: float
+    ) -> upstream.Upstream | None:
+        """Return the upstream that can take a request at once, or None."""
+        if not candidates:
+            return None
+        free = [item for item in candidates if self._has_room(item, task.long, now)]
+        if free and self.waiting.waiting_cost(task.service) <= 0:
+            return self._choose(free, task, now)
+        # Another attempt does not wait again: the budget for retries keeps these few.
+        return self._choose(candidates, task, now) if task.avoid else None
+
     def release(self, request_id: str, now: float) -> None:
         """Free the place of a request that is over, and let the next one in."""
         name, long = self.places.pop(request_id, ("", False))
@@ -357,11 +379,13 @@
         queue_s = ahead * pace / slots
         return queue_s + min(self._estimate(item, affine, task, now) for item in candidates)
 
-    def _best_remote(self, task: Task, now: float, *, has_local: bool) -> Remote | None:
+    def _best_remote(
+        self, task: Task, now: float, *, has_local: bool, here_s: float
+    ) -> Remote | None:
         """Return estimate, instance and cost of the best other region.
 
-        A full region is of use only to a request that can't be served here: its instances have
-        queues of their own, of which nothing is known here.
+        A full region's queue is not known here; it is asked only when the wait here is long, and
+        declines when its own is longer.
         """
         options = []
         for region, items in self._remote_replicas(task, now).items():
@@ -374,7 +398,7 @@
             nearest = min(items, key=lambda item: self._estimate(item, "", task, now))
             estimate = self._estimate(nearest, "", task, now)
             full = all(not self._has_room(item, task.long, now) for item in items)
-            if full and has_local:
+            if full and has_local and here_s < ASK_FULL_S:
                 continue
             link = 2 * self.link_delay_s + task.body_bytes / self.link_bytes_per_s
             cost = min(item.cost for item in items)
@@ -389,10 +413,10 @@
                 found.setdefault(item.region, []).append(item)
         return found
 
-    def _forward(self, remote: Remote) -> Choice:
+    def _forward(self, remote: Remote, *, better_than_s: float = 0.0) -> Choice:
         # Reports of the other region come late: what is sent there counts at once.
         self.states.forwarded(remote.upstream.name)
-        return ToInstance(remote.row)
+        return ToInstance(remote.row, better_than_s=better_than_s)
 
     def _spills(self, here_s: float, there_s: float) -> bool:
         return self.rules.spill and here_s > there_s + self.spill_gain_s
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -108,6 +108,7 @@
             owned=False,
             charged=True,
             granted_tokens=item.output_limit,
+            better_than_s=item.better_than_s,
         )
         work = actions.Forward(
             instance=row.instance,
--- a/yuccahitch/filters/exchange.py
+++ b/yuccahitch/filters/exchange.py
@@ -34,6 +34,7 @@
         recorded: The answer, kept for repeats of the idempotency key.
         last_error: Why its last attempt failed, or None.
         declined: Whether an instance of another region had no place for it.
+        better_than_s: First-token time here when it was forwarded, in seconds.
         entered: Filters entered, whose ``leave`` is owed.
     """
 
@@ -61,6 +62,7 @@
         "recorded",
         "last_error",
         "declined",
+        "better_than_s",
         "entered",
     )
 
@@ -90,6 +92,7 @@
         self.recorded: answers.Recorded | None = None
         self.last_error: errors.GatewayError | None = None
         self.declined = False
+        self.better_than_s = 0.0
         self.entered: list[str] = []
 
     @property
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -53,6 +53,7 @@
         deadline=request.deadline,
         avoid=tuple(item.tried),
         local_only=item.hop is not None or item.declined,
+        better_than_s=item.hop.better_than_s if item.hop is not None else 0.0,
     )
 
 
@@ -70,6 +71,7 @@
 @_act.register
 def _(choice: placement.ToInstance, item: exchange.Exchange) -> actions.Action:
     item.instance = choice.row.instance
+    item.better_than_s = choice.better_than_s
     return actions.Proceed()
 
 
--- a/yuccahitch/messages/requests.py
+++ b/yuccahitch/messages/requests.py
@@ -96,6 +96,8 @@
         owned: Whether the receiver minted the operation key and runs the whole chain.
         charged: Whether the sender took the tokens from the client account's rate.
         granted_tokens: Limit of the answer that the sender reserved, in tokens.
+        better_than_s: First-token time at the sender; the receiver declines if it takes longer
+            there. 0 means that the sender can't serve the request.
     """
 
     __slots__ = (
@@ -108,6 +110,7 @@
         "owned",
         "charged",
         "granted_tokens",
+        "better_than_s",
     )
 
     def __init__(
@@ -122,6 +125,7 @@
         owned: bool,
         charged: bool,
         granted_tokens: int,
+        better_than_s: float = 0.0,
     ) -> None:
         self.sender = sender
         self.account = account
@@ -132,3 +136,4 @@
         self.owned = owned
         self.charged = charged
         self.granted_tokens = granted_tokens
+        self.better_than_s = better_than_s
