Bound the asking of full regions, by account

Cause: at overload every request was offered to other regions first. Change: after a decline, an account does not ask that region for a second.

--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -19,6 +19,7 @@
 STEP = "place"
 LONG_TOKENS = 600
 ASK_FULL_S = 2.0
+ASK_PAUSE_S = 1.0
 SHORT_RESERVE = 0.25
 PROMPT_WEIGHT = 0.1
 CACHED_SHARE = 0.9
@@ -194,6 +195,7 @@
         "link_delay_s",
         "spill_gain_s",
         "turns",
+        "ask_again_at",
         "places",
         "tasks",
         "outbox",
@@ -222,6 +224,7 @@
         self.link_delay_s = link_delay_s
         self.spill_gain_s = spill_gain_s
         self.turns = 0
+        self.ask_again_at: dict[tuple[str, str], float] = {}
         self.places: dict[str, tuple[str, bool]] = {}
         self.tasks: dict[str, Task] = {}
         self.outbox: list[commands.Command] = []
@@ -255,6 +258,12 @@
             return Refused(_refusal(errors.Code.OVERLOADED, "the wait here is longer"))
         return self._enqueue(task, here_s, now)
 
+    def declined(self, instance: str, account: str, now: float) -> None:
+        """Note that an instance had no place: the account does not ask its region for a moment."""
+        row = self.members.find(instance)
+        if row is not None:
+            self.ask_again_at[(row.region, account)] = now + ASK_PAUSE_S
+
     def _best_local(
         self, candidates: list[upstream.Upstream], task: Task, now: float
     ) -> upstream.Upstream | None:
@@ -398,7 +407,8 @@
             nearest = min(items, key=lambda item: self._estimate(item, "", task, now))
             estimate = self._estimate(nearest, "", task, now)
             full = all(not self._has_room(item, task.long, now) for item in items)
-            if full and has_local and here_s < ASK_FULL_S:
+            asked = now < self.ask_again_at.get((region, task.account), 0.0)
+            if full and has_local and (asked or here_s < ASK_FULL_S):
                 continue
             link = 2 * self.link_delay_s + task.body_bytes / self.link_bytes_per_s
             cost = min(item.cost for item in items)
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -25,6 +25,8 @@
 
     def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
         """Choose an upstream or an instance, wait, or refuse."""
+        if item.declined and item.instance:
+            self.policy.declined(item.instance, item.account.name, now)
         item.upstream = ""
         item.instance = ""
         return _act(self.policy.place(_task(item), now), item)
