Count what others have at an upstream apart from the own requests

Change: a report is split into the own requests at that time and the others; occupancy is the others plus the own ones now.

--- a/yuccahitch/controllers/upstreams.py
+++ b/yuccahitch/controllers/upstreams.py
@@ -28,15 +28,17 @@
     Attributes:
         load: The report.
         taken_at: When it was taken, in monotonic seconds.
-        sent_since: Requests that this instance sent since.
+        others: Requests in it that are not this instance's.
+        forwarded: Requests that this instance forwarded to its region since.
     """
 
-    __slots__ = ("load", "taken_at", "sent_since")
+    __slots__ = ("load", "taken_at", "others", "forwarded")
 
-    def __init__(self, load: peers.Load, taken_at: float) -> None:
+    def __init__(self, load: peers.Load, taken_at: float, *, own: int) -> None:
         self.load = load
         self.taken_at = taken_at
-        self.sent_since = 0
+        self.others = max(0, load.running + load.waiting - own)
+        self.forwarded = 0
 
 
 class Replica:
@@ -131,8 +133,7 @@
         old = report is None or now - report.taken_at > REPORT_LIFETIME_S
         if old or not self.rules.reports:
             return float(state.outstanding)
-        reported = report.load.running + report.load.waiting + report.sent_since
-        return float(max(state.outstanding, reported))
+        return float(state.outstanding + report.others + report.forwarded)
 
     def limit(self, item: upstream.Upstream, window: float, now: float) -> float:
         """Return how many requests an upstream may have before new ones wait here."""
@@ -148,14 +149,12 @@
         state = self.state(name)
         state.outstanding += 1
         state.long_outstanding += long
-        if state.report is not None:
-            state.report.sent_since += 1
 
     def forwarded(self, name: str) -> None:
         """Count a request sent to the region of an upstream until its next load report."""
         report = self.state(name).report
         if report is not None:
-            report.sent_since += 1
+            report.forwarded += 1
 
     def returned(self, name: str, *, long: bool) -> None:
         """Count a request that is over."""
@@ -199,7 +198,7 @@
             return False
         if old is not None and load.sequence <= old.load.sequence:
             return False
-        state.report = Report(load, now - load.age_ms / 1000)
+        state.report = Report(load, now - load.age_ms / 1000, own=state.outstanding)
         if load.leaving and not (old is not None and old.load.leaving):
             note = commands.Note(events.Event.UPSTREAM_LEAVING, upstream=load.upstream)
             self.outbox.append(note)
--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -52,6 +52,8 @@
         "inbox",
         "children",
         "channels",
+        "messages",
+        "bytes",
     )
 
     def __init__(
@@ -76,6 +78,8 @@
         self.inbox = mailbox.Mailbox()
         self.children = mailbox.Children()
         self.channels: dict[str, client.Channel] = {}
+        self.messages = 0
+        self.bytes = 0
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -112,6 +116,8 @@
                 envelope, timeout=self.timeout_s, metadata=self.metadata
             )
             self.log.stamp.observe(reply.stamp)
+            self.messages += 1
+            self.bytes += envelope.ByteSize() + reply.ByteSize()
             body = codec.from_envelope(reply)
         except FAULTS as error:
             problem = _error(call.address, error, errors.Code.PEER_UNREACHABLE)
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -175,6 +175,8 @@
             resources=lambda: len(decisions.config.catalog.entries),
             may_spend=lambda: float(decisions.access.may_spend(now())),
             store_calls=lambda: self.store.calls,
+            peer_messages=lambda: self.peers.messages,
+            peer_bytes=lambda: self.peers.bytes,
             retries=lambda: decisions.budget.spent,
         )
 
