Send an upstream 1.25 requests a slot before others wait

Cause: with rules off one at a time, choosing in turn beat our estimate at peaks (p99 3.9 against 6.6 s): a window of 1.5 a slot let requests wait in an engine behind long ones. Change: window 1.5 to 1.25.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -85,7 +85,7 @@
     def __init__(self, case: Case) -> None:
         self.case = case
         site = case.site
-        window = UNBOUNDED_WINDOW if case.policy in ("round robin", "least outstanding") else 1.5
+        window = UNBOUNDED_WINDOW if case.policy in ("round robin", "least outstanding") else 1.25
 
         def settings_of(name: str, region: str, zone: str) -> config_file.Settings:
             return _settings(name, region, zone, site=site, window=window)
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -55,7 +55,7 @@
 
 def a_gateway(number: int = 1) -> gateway.Gateway:
     """Return the decisions of one instance."""
-    settings = policy._settings(f"i{number}", "r1", "z1", site=workload.ICE_WORKS, window=1.5)
+    settings = policy._settings(f"i{number}", "r1", "z1", site=workload.ICE_WORKS, window=1.25)
     fleet = fleets.Fleet(1, settings_of=lambda *_: settings)
     return fleet.add(f"i{number}", "r1", "z1").decisions
 
@@ -304,7 +304,7 @@
         fleet = fleets.Fleet(
             5,
             settings_of=lambda name, region, zone: policy._settings(
-                name, region, zone, site=workload.ICE_WORKS, window=1.5
+                name, region, zone, site=workload.ICE_WORKS, window=1.25
             ),
         )
         fleet.net.store_region = "r1"
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -209,7 +209,7 @@
         "gather_s": _number("Longest wait for tokens from peers.", "seconds", 0.5, 0.05, 30),
     },
     "policy": {
-        "window": _number("Requests sent to an upstream per slot.", "requests", 1.5, 0.1, 64),
+        "window": _number("Requests sent to an upstream per slot.", "requests", 1.25, 0.1, 64),
         "queue_requests": _number("Most requests waiting.", "requests", 512, 1, 65536, int),
         "retry_share": _number("Retries as a share of requests.", "parts", 0.1, 0, 1),
         "link_bytes_per_s": _number(
--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -209,7 +209,7 @@
         states: upstreams.Upstreams,
         waiting: queue.Queue,
         rules: policy.Rules | None = None,
-        window: float = 1.5,
+        window: float = 1.25,
         link_bytes_per_s: float = 8_750_000.0,
         link_delay_s: float = 0.055,
         spill_gain_s: float = 0.5,
