--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -141,3 +141,10 @@
       | 2.1    | 9     | kept       |
       | 2.3    | 2.1   | kept       |
       | 2.3    | 2.3   | taken over |
+
+  Scenario: Losing several instances at once is one change of the electorate
+    Given a settled fleet with 7 for each of 1 regions
+    When instances 5, 6 and 7 crash 0.6 seconds apart
+    And 10 seconds pass
+    Then each of the other instances wrote its electorate once
+    And each electorate holds the instances that are left
--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import behave
 import hypothesis
 from hypothesis import strategies
@@ -449,3 +451,27 @@
 def step_taken(context, taken):
     finds = [type(call.purpose) is reclaim.FindSlices for call in context.reclaim.outbox]
     assert any(finds) == (taken == "taken over"), context.reclaim.outbox
+
+
+@behave.when("instances 5, 6 and 7 crash 0.6 seconds apart")
+def step_three_crash(context):
+    context.pins = collections.Counter()
+    context.fleet.store.listeners.append(
+        lambda key, item, revision: context.pins.update([key] if key.startswith("pins/") else [])
+    )
+    for number in (5, 6, 7):
+        context.fleet.kill(member(context, number))
+        context.fleet.run(0.6)
+
+
+@behave.then("each of the other instances wrote its electorate once")
+def step_one_pin(context):
+    written = [context.pins[f"pins/{i.name}"] for i in context.fleet.alive()]
+    assert written == [1, 1, 1, 1], context.pins
+
+
+@behave.then("each electorate holds the instances that are left")
+def step_electorates(context):
+    left = tuple(sorted(i.name for i in context.fleet.alive()))
+    found = {i.decisions.access.electorate for i in context.fleet.alive()}
+    assert found == {left}, found
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -270,7 +270,7 @@
         for row in self.members.expire(now):
             self.reclaim.suspect(row.instance, row.region)
         near = [row for row in rows if row.region == self.members.own.region and row.ready]
-        self.access.want(row.instance for row in near if not row.leaving)
+        self.access.want([row.instance for row in near if not row.leaving], now)
         self.access.tick(now, {row.instance: self.members.address(row) for row in near})
         self.slices.tick(now)
         self.limits.tick(now)
--- a/yuccahitch/controllers/session.py
+++ b/yuccahitch/controllers/session.py
@@ -21,6 +21,7 @@
 LEFT_PREFIX = "left/"
 RENEWALS_PER_LEASE = 5
 TOUCH_RENEWALS = 2
+SETTLE_RENEWALS = 2
 VOUCHES_PER_TERM = 3
 
 
@@ -91,6 +92,7 @@
         "vouched_at",
         "electorate",
         "wanted",
+        "wanted_since",
         "unsettled",
         "pin_revision",
         "pin_waiting",
@@ -126,6 +128,7 @@
         self.vouched_at = -math.inf
         self.electorate: tuple[str, ...] = ()
         self.wanted: tuple[str, ...] = (instance,)
+        self.wanted_since = -math.inf
         self.unsettled: tuple[str, ...] | None = None
         self.pin_revision = 0
         self.pin_waiting = False
@@ -164,9 +167,16 @@
         """Note that the store answered a call sent at a time."""
         self.touched_at = max(self.touched_at, sent_at)
 
-    def want(self, electorate: typing.Iterable[str]) -> None:
-        """Set who is to be in the electorate; it counts once the store holds it."""
-        self.wanted = tuple(sorted({self.instance, *electorate}))
+    def want(self, electorate: typing.Iterable[str], now: float) -> None:
+        """Set who is to be in the electorate; it counts once the store holds it.
+
+        It is written when it has not changed for a while: a zone that is lost or replaced is one
+        change, not one for each of its instances.
+        """
+        wanted = tuple(sorted({self.instance, *electorate}))
+        if wanted != self.wanted:
+            self.wanted = wanted
+            self.wanted_since = now
 
     def tick(self, now: float, addresses: dict[str, str]) -> None:
         """Renew the lease and ask for vouches when it is time.
@@ -235,7 +245,8 @@
         self.outbox.append(commands.StoreCall(commit, purpose))
 
     def _pin_due(self, now: float) -> bool:
-        changed = self.unsettled is not None or self.wanted != self.electorate
+        settled = now - self.wanted_since >= SETTLE_RENEWALS * self.renew_s
+        changed = self.unsettled is not None or (settled and self.wanted != self.electorate)
         return self.registered and changed and not self.pin_waiting and now >= self.pin_due_at
 
     def _pin(self) -> None:
--- a/yuccahitch/tasks/pollers.py
+++ b/yuccahitch/tasks/pollers.py
@@ -29,19 +29,37 @@
     Attributes:
         upstreams: Names and addresses of the upstreams.
         platform: Whether it reads the instance list and the directory.
+        names: Instances among which the upstreams were shared out.
+        arrivals: Arrivals in the catalog at that time.
     """
 
-    __slots__ = ("upstreams", "platform")
+    __slots__ = ("upstreams", "platform", "names", "arrivals")
 
-    def __init__(self, upstreams: list[tuple[str, str]], *, platform: bool) -> None:
+    def __init__(
+        self,
+        upstreams: list[tuple[str, str]],
+        *,
+        platform: bool,
+        names: frozenset[str] = frozenset(),
+        arrivals: int = 0,
+    ) -> None:
         self.upstreams = upstreams
         self.platform = platform
+        self.names = names
+        self.arrivals = arrivals
 
 
-def duty_of(decisions: gateway.Gateway) -> Duty:
-    """Return what an instance is to poll, as the live instances say."""
+def duty_of(decisions: gateway.Gateway, last: Duty) -> Duty:
+    """Return what an instance is to poll, as the live instances say.
+
+    Upstreams are shared out again only when instances or resources have changed.
+    """
     members, own = decisions.members, decisions.members.own
-    names = [row.instance for row in members.alive(region=own.region)] + [own.instance]
+    names = frozenset([row.instance for row in members.alive(region=own.region)] + [own.instance])
+    arrivals = decisions.config.catalog.arrivals
+    if (names, arrivals) == (last.names, last.arrivals):
+        last.platform = decisions.config.watching
+        return last
     mine = [
         (item.name, item.address)
         for replicas in decisions.config.catalog.replicas.values()
@@ -50,7 +68,7 @@
         and "load" in item.abilities
         and rendezvous.first(item.name, names) == own.instance
     ]
-    return Duty(mine, platform=decisions.config.watching)
+    return Duty(mine, platform=decisions.config.watching, names=names, arrivals=arrivals)
 
 
 class Pollers:
@@ -84,7 +102,10 @@
                 self.session = session
                 while True:
                     number = await self.ticks.get()
-                    self.duty = await self.decisions.ask(core.Query(duty_of))
+                    last = self.duty
+                    self.duty = await self.decisions.ask(
+                        core.Query(lambda gateway, last=last: duty_of(gateway, last))
+                    )
                     self._start(number % rounds == 0)
         finally:
             subscription.dispose()
