Build a forward in one place, and share what stood twice

Cause: duplicates: a forward was built in two filters, error responses in two servers, the kind of a resource worked out in four places, one hypothesis profile in three. The forward to a key's owner left out the regions that the entry allows, so that an owner with an older view could serve outside them.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -62,7 +62,7 @@
 
 def an_entry(spec: entry.Spec, version: int = 1) -> entry.Entry:
     """Return a resource as an entry."""
-    kind = next(kind for kind, its in entry.KINDS.items() if type(spec) is its)
+    kind = entry.kind_of(spec)
     return entry.Entry(kind=kind, name=spec.name, version=version, write_id="s", spec=spec)
 
 
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -114,9 +114,10 @@
         specs.append(account.Account(name=name))
         specs.append(key.Key(name=name, account=name, digest=key.digest_of(name)))
         specs.append(rate.Rate(name=name, tokens_per_s=1e6, burst_tokens=1e7))
-    kinds = {its: kind for kind, its in entry.KINDS.items()}
     return [
-        entry.Entry(kind=kinds[type(spec)], name=spec.name, version=1, write_id="bench", spec=spec)
+        entry.Entry(
+            kind=entry.kind_of(spec), name=spec.name, version=1, write_id="bench", spec=spec
+        )
         for spec in specs
     ]
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -50,7 +50,7 @@
 
 def an_entry(spec: entry.Spec, *, version: int = 1, write_id: str = "w") -> entry.Entry:
     """Return a resource as a versioned entry."""
-    kind = next(kind for kind, its in entry.KINDS.items() if type(spec) is its)
+    kind = entry.kind_of(spec)
     return entry.Entry(kind=kind, name=spec.name, version=version, write_id=write_id, spec=spec)
 
 
--- a/tests/features/steps/configuration.py
+++ b/tests/features/steps/configuration.py
@@ -71,7 +71,7 @@
 
 def write(context, number, item_spec, *, expected=None):
     instance = context.members[int(number) - 1]
-    kind = next(k for k, its in entry.KINDS.items() if type(item_spec) is its)
+    kind = entry.kind_of(item_spec)
     ticket = f"ticket-{next(NUMBERS)}"
     item = configuration.new_entry(kind, item_spec.name, write_id=ticket, spec=item_spec)
     change = configuration.Write(ticket, item, expected=expected)
--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -19,13 +19,6 @@
 PARTS = _bucket.PARTS
 CHECK_S = 0.1
 DEFAULT_HORIZON_S = 5400.0
-PROFILE = hypothesis.settings(
-    deadline=None,
-    derandomize=True,
-    database=None,
-    phases=[hypothesis.Phase.generate],
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
 
 
 class Watcher:
@@ -62,7 +55,7 @@
     context.excess = []
     context.watchers = []
 
-    @hypothesis.settings(PROFILE, max_examples=count)
+    @hypothesis.settings(histories.PROFILE, max_examples=count)
     @hypothesis.given(
         histories.histories(),
         strategies.integers(0, 1000),
--- a/tests/features/steps/operations.py
+++ b/tests/features/steps/operations.py
@@ -227,14 +227,7 @@
     context.lies = []
     context.total = 0
 
-    @hypothesis.settings(
-        deadline=None,
-        derandomize=True,
-        database=None,
-        max_examples=count,
-        phases=[hypothesis.Phase.generate],
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
+    @hypothesis.settings(histories.PROFILE, max_examples=count)
     @hypothesis.given(histories.histories(), strategies.integers(0, 1000))
     def play(history, seed):
         service = services.Counting(seed=seed)
--- a/tests/features/steps/residency.py
+++ b/tests/features/steps/residency.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 
 from fakes import runs
-from tests import builders
+from tests import builders, histories
 from yuccahitch import errors
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import client, upstream
@@ -37,14 +37,7 @@
     context.results = []
     context.served = 0
 
-    @hypothesis.settings(
-        deadline=None,
-        derandomize=True,
-        database=None,
-        max_examples=count,
-        phases=[hypothesis.Phase.generate],
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
+    @hypothesis.settings(histories.PROFILE, max_examples=count)
     @hypothesis.given(strategies.integers(0, 10000))
     def play(seed):
         rng = random.Random(seed)
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -8,6 +8,7 @@
 import random
 import typing
 
+import hypothesis
 from hypothesis import strategies
 
 from fakes import fleet as fleets
@@ -16,7 +17,13 @@
 from yuccahitch import records
 from yuccahitch.messages import actions, answers
 
-MAX_DRIFT = 1e-4
+PROFILE = hypothesis.settings(
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
 REGIONS = ("muscat-a", "sohar-a")
 
 
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -14,8 +14,8 @@
     suspects,
     upstreams,
 )
-from yuccahitch.filters import chain, exchange, poison, residency
-from yuccahitch.messages import actions, answers, requests
+from yuccahitch.filters import _forwarding, chain, exchange, poison, residency
+from yuccahitch.messages import actions, answers
 
 MAX_ATTEMPTS = 3
 DECLINES = frozenset(
@@ -97,27 +97,7 @@
         row = self.members.find(item.instance)
         if row is None:
             return actions.Rewind(placement.STEP)
-        own = self.members.own.instance
-        hop = requests.Hop(
-            sender=own,
-            account=item.account.name,
-            key_name=item.key_name,
-            regions=tuple(sorted(item.regions)) if item.regions is not None else (),
-            hops=1,
-            visited=(own,),
-            owned=False,
-            charged=True,
-            granted_tokens=item.output_limit,
-            better_than_s=item.better_than_s,
-        )
-        work = actions.Forward(
-            instance=row.instance,
-            address=self.members.address(row),
-            attempt=item.attempt,
-            request=item.request,
-            hop=hop,
-            deadline_in=max(0.0, item.request.deadline - now),
-        )
+        work = _forwarding.forward(item, row, members=self.members, now=now, owned=False)
         return actions.Perform(work)
 
 
--- a/yuccahitch/filters/idempotency.py
+++ b/yuccahitch/filters/idempotency.py
@@ -11,8 +11,8 @@
 
 from yuccahitch import clock, errors
 from yuccahitch.controllers import membership, operations
-from yuccahitch.filters import chain, exchange
-from yuccahitch.messages import actions, answers, commands, requests
+from yuccahitch.filters import _forwarding, chain, exchange
+from yuccahitch.messages import actions, answers, commands
 
 ANOTHER_REQUEST = "the key came with another request before"
 
@@ -141,25 +141,7 @@
             )
         item.instance = row.instance
         item.attempt += 1
-        hop = requests.Hop(
-            sender=self.table.instance,
-            account=item.account.name,
-            key_name=item.key_name,
-            regions=(),
-            hops=1,
-            visited=(self.table.instance,),
-            owned=True,
-            charged=False,
-            granted_tokens=0,
-        )
-        work = actions.Forward(
-            instance=row.instance,
-            address=self.members.address(row),
-            attempt=item.attempt,
-            request=item.request,
-            hop=hop,
-            deadline_in=max(0.0, item.request.deadline - now),
-        )
+        work = _forwarding.forward(item, row, members=self.members, now=now, owned=True)
         return actions.Perform(work)
 
 
--- a/yuccahitch/resources/entry.py
+++ b/yuccahitch/resources/entry.py
@@ -29,6 +29,11 @@
 OPERATOR_KINDS = tuple(kind for kind in KINDS if kind != "client")
 
 
+def kind_of(spec: Spec) -> str:
+    """Return the kind of a resource."""
+    return next(kind for kind, its in KINDS.items() if type(spec) is its)
+
+
 class Entry(records.Record):
     """One version of a resource.
 
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -14,7 +14,7 @@
 from yuccahitch.codecs import callers
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import service as services
-from yuccahitch.tasks import core, mailbox, metrics, runner
+from yuccahitch.tasks import _http_errors, core, mailbox, metrics, runner
 
 MAX_WHOLE_BYTES = 1_048_576
 MAX_MINTED = 16
@@ -168,11 +168,11 @@
             self._check_headers(request)
             return await handler(request)
         except errors.GatewayError as error:
-            return _refusal(error)
+            return _http_errors.response(error)
         except web.HTTPRequestEntityTooLarge:
-            return _refusal(_error(errors.Code.BODY_TOO_LARGE, self._body_limit()))
+            return _http_errors.response(_error(errors.Code.BODY_TOO_LARGE, self._body_limit()))
         except web.HTTPNotFound:
-            return _refusal(_error(errors.Code.ROUTE_UNKNOWN, "there is no such path"))
+            return _http_errors.response(_error(errors.Code.ROUTE_UNKNOWN, "there is no such path"))
 
     def _body_limit(self) -> str:
         return f"the limit is {self.settings.callers.max_body_bytes} bytes"
@@ -294,11 +294,3 @@
 
 def _error(code: errors.Code, detail: str) -> errors.GatewayError:
     return errors.GatewayError(code, step="callers", detail=detail)
-
-
-def _refusal(error: errors.GatewayError) -> web.Response:
-    return web.Response(
-        status=error.code.status,
-        body=callers.error_body(error, request_id=""),
-        headers=callers.error_headers(error, request_id=""),
-    )
--- a/yuccahitch/tasks/operator_server.py
+++ b/yuccahitch/tasks/operator_server.py
@@ -13,11 +13,10 @@
 
 from yuccahitch import errors
 from yuccahitch import settings as config_file
-from yuccahitch.codecs import callers
 from yuccahitch.codecs import resources as codec
 from yuccahitch.controllers import configuration, orders
 from yuccahitch.resources import entry
-from yuccahitch.tasks import core, mailbox
+from yuccahitch.tasks import _http_errors, core, mailbox
 
 STEP = "operators"
 WRITE_TIMEOUT_S = 30.0
@@ -77,10 +76,12 @@
             self._authenticate(request)
             return await handler(request)
         except errors.GatewayError as error:
-            return _refusal(error)
+            return _http_errors.response(error)
         except web.HTTPRequestEntityTooLarge:
             limit = self.settings.operators.max_resource_bytes
-            return _refusal(_error(errors.Code.BODY_TOO_LARGE, f"at most {limit} bytes"))
+            return _http_errors.response(
+                _error(errors.Code.BODY_TOO_LARGE, f"at most {limit} bytes")
+            )
 
     def _authenticate(self, request: web.Request) -> None:
         shown = request.headers.get("authorization", "").partition(" ")[2]
@@ -222,14 +223,6 @@
     return errors.GatewayError(code, step=STEP, detail=detail)
 
 
-def _refusal(error: errors.GatewayError) -> web.Response:
-    return web.Response(
-        status=error.code.status,
-        body=callers.error_body(error, request_id=""),
-        headers=callers.error_headers(error, request_id=""),
-    )
-
-
 def changes_of(listeners: list[typing.Callable[[entry.Entry], None]]) -> subject.Subject:
     """Return an observable of every entry that the listeners' owner takes in."""
     changes: subject.Subject = subject.Subject()
