--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: all setup demo test lint binary bench bench-full bench-process slopes clean
+.PHONY: all setup demo test lint binary bench bench-full bench-limits bench-process slopes clean
 
 all: lint test
 
@@ -37,6 +37,9 @@
 bench-full: setup
 	$(RUN) -m benchmarks.policy --full
 
+bench-limits: setup
+	$(RUN) -m benchmarks.limits
+
 bench-process: setup
 	$(RUN) -m benchmarks.process
 
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -160,9 +160,11 @@
 
     Attributes:
         results: What became of each request.
+        first: Place of the instance that a skew favours.
+        skew: Share of the requests that go there.
     """
 
-    __slots__ = ("fleet", "results", "replacements", "rng", "busy")
+    __slots__ = ("fleet", "results", "replacements", "rng", "busy", "first", "skew")
 
     def __init__(self, fleet: fleets.Fleet, *, seed: int = 0) -> None:
         self.fleet = fleet
@@ -170,6 +172,8 @@
         self.replacements = 0
         self.rng = random.Random(seed)
         self.busy = False
+        self.first = 0
+        self.skew = 0.0
 
     def traffic(
         self, *, tokens_per_s: float, mean_tokens: float, most: int, skew: float = 0.0
@@ -180,15 +184,16 @@
             tokens_per_s: Tokens that they ask for in a second, all together.
             mean_tokens: Mean tokens of a request.
             most: Most tokens of a request.
-            skew: Share of the requests that go to the first instance.
+            skew: Share of the requests that go to the instance ``first``.
         """
         self.busy = True
+        self.skew = skew
 
         def ask() -> None:
             if not self.busy:
                 return
             tokens = max(1, min(most, int(self.rng.expovariate(1 / mean_tokens))))
-            place = 0 if self.rng.random() < skew else self.rng.randrange(1000)
+            place = self.first if self.rng.random() < self.skew else self.rng.randrange(1000)
             play_step(Spend(place, tokens, self.rng.randint(0, tokens)), self)
             pause = self.rng.expovariate(tokens_per_s / mean_tokens)
             self.fleet.clock.after(pause, ask)
