--- a/tests/builders.py
+++ b/tests/builders.py
@@ -109,7 +109,7 @@
         for region in regions
         for number in range(replicas)
     ]
-    desks = [
+    mailboxes = [
         an_upstream(f"desk-{region}", region=region, service="rink-desk") for region in regions
     ]
     return [
@@ -121,7 +121,7 @@
         a_route(),
         a_route("rink-desk", idempotent=False),
         *models,
-        *desks,
+        *mailboxes,
     ]
 
 
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -62,14 +62,14 @@
     Then instance 1 may not spend
     And the parts and tokens that could be spent never exceeded the whole
 
-  Scenario: A gift whose answer is lost is never used by both
+  Scenario: A transfer whose answer is lost is never used by both
     Given a settled fleet with 2 for each of 1 regions
     When instance 1 gives half its slice to instance 2 and the write takes 0 seconds
     And 8 seconds pass
     Then the parts and tokens that could be spent never exceeded the whole
     And all parts are held by live instances
 
-  Scenario: A gift that arrives late in the store is never used by both
+  Scenario: A transfer that arrives late in the store is never used by both
     Given a settled fleet with 2 for each of 1 regions
     When instance 1 gives half its slice to instance 2 and the write takes 20 seconds
     And 30 seconds pass
--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -246,8 +246,8 @@
     held = giver.decisions.limits.holdings["rinks"]
 
     def give(now):
-        gifts = {taker.name: held.own_parts // 2}
-        giver.decisions.slices._give("rinks", gifts, now)
+        shares = {taker.name: held.own_parts // 2}
+        giver.decisions.slices._transfer("rinks", shares, now)
 
     context.fleet.do(giver, give)
 
--- /dev/null
+++ b/tests/features/steps/settings.py
@@ -0,0 +1,71 @@
+"""Steps about settings."""
+
+from __future__ import annotations
+
+import configparser
+import pathlib
+import tempfile
+
+import behave
+from click import testing
+
+from tests import builders
+from yuccahitch import cli
+
+
+def write(context, raw):
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_dict(raw)
+    context.folder = tempfile.TemporaryDirectory()
+    context.path = pathlib.Path(context.folder.name) / "instance.ini"
+    with context.path.open("w") as file:
+        parser.write(file)
+
+
+@behave.given("settings whose {section} has {option} set to {value}")
+def step_bad(context, section, option, value):
+    write(context, builders.raw_settings(**{section: {option: value}}))
+
+
+@behave.given(
+    "settings with a missing name, a wrong port, an unknown option and an unknown section"
+)
+def step_many(context):
+    raw = builders.raw_settings(
+        instance={"peer_port": "-1"}, policy={"windov": "2"}, nowhere={"a": "b"}
+    )
+    del raw["instance"]["name"]
+    write(context, raw)
+
+
+@behave.given("good settings")
+def step_good(context):
+    write(context, builders.raw_settings())
+
+
+@behave.when("they are checked")
+def step_check(context):
+    context.result = testing.CliRunner().invoke(cli.main, ["check", str(context.path)])
+    context.folder.cleanup()
+
+
+@behave.then("the exit code is {code:d}")
+def step_code(context, code):
+    assert context.result.exit_code == code, context.result.output
+
+
+@behave.then('the report names {section}, {option}, {value} and "{expected}"')
+def step_report(context, section, option, value, expected):
+    lines = context.result.output.splitlines()
+    wanted = (f"[{section}]", f"{option} = '{value}'", expected)
+    assert any(all(part in line for part in wanted) for line in lines), lines
+
+
+@behave.then("the report has {count:d} lines")
+def step_lines(context, count):
+    assert len(context.result.output.splitlines()) == count, context.result.output
+
+
+@behave.then("the secret is not shown")
+def step_secret(context):
+    assert builders.SECRET not in context.result.output
--- a/yuccahitch/controllers/_inputs.py
+++ b/yuccahitch/controllers/_inputs.py
@@ -42,7 +42,8 @@
     ),
     **dict.fromkeys((session.Grant, session.Renew, session.Register, session.Pin), "access"),
     **dict.fromkeys(
-        (slices.ReadOne, slices.ReadAll, slices.Create, slices.Gift, slices.GiftRead), "slices"
+        (slices.ReadOne, slices.ReadAll, slices.Create, slices.WriteTransfer, slices.ReadTransfer),
+        "slices",
     ),
     **dict.fromkeys(
         (reclaim.Look, reclaim.FindSlices, reclaim.TakeOver, reclaim.Forget, reclaim.Release),
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -346,10 +346,10 @@
         )
 
     def answer(self, gossip: peers.Gossip, now: float) -> peers.Gossip:
-        """Take in a heartbeat and return the answer; to a stranger it tells everything."""
-        stranger = self.members.find(gossip.sender.instance) is None
+        """Take in a heartbeat and return the answer; to a unknown_peer it tells everything."""
+        unknown_peer = self.members.find(gossip.sender.instance) is None
         rows = self.hear(gossip, now)
-        if stranger:
+        if unknown_peer:
             full = self.gossip(gossip.sender.instance, now)
             full.rows.extend(rows)
             return full
@@ -406,8 +406,8 @@
 
     def _warn(self, now: float) -> None:
         """Tell the peers at once of a request that crashes upstreams."""
-        if self.suspects.alarm:
-            self.suspects.alarm = False
+        if self.suspects.announce:
+            self.suspects.announce = False
             self._tell_all(now)
 
     def tell_rows(self, receiver: peers.Row, rows: list[peers.Row], now: float) -> None:
--- a/yuccahitch/controllers/limits.py
+++ b/yuccahitch/controllers/limits.py
@@ -310,8 +310,8 @@
             return
         held = self.holdings[account]
         if not waiter.rounds:
-            hopeful = any(other.asked for other in self.waiting[account].values())
-            if not hopeful and account in self.holders:
+            others_wait = any(other.asked for other in self.waiting[account].values())
+            if not others_wait and account in self.holders:
                 self._deny_or_ask_again(held, waiter, now)
             return
         usable = self.access.may_spend(now)
--- a/yuccahitch/controllers/membership.py
+++ b/yuccahitch/controllers/membership.py
@@ -138,10 +138,10 @@
         far = [row for row in self.alive() if row.zone != self.own.zone]
         chosen = [(self.rng.choice(rows).instance) for rows in (near, far) if rows]
         known = {a for row in self.alive() for a in (row.address, row.wan_address)}
-        strangers = [seed for seed in self.seeds if seed not in known]
+        unknown_peers = [seed for seed in self.seeds if seed not in known]
         targets = [(name, self.address(self.members[name].row)) for name in chosen]
-        if strangers and (not far or not near or self.rng.random() < 0.2):
-            targets.append(("", self.rng.choice(strangers)))
+        if unknown_peers and (not far or not near or self.rng.random() < 0.2):
+            targets.append(("", self.rng.choice(unknown_peers)))
         return targets
 
     def summary(self, receiver: str, now: float) -> tuple[list[peers.Row], list[peers.Beat]]:
--- a/yuccahitch/controllers/slices.py
+++ b/yuccahitch/controllers/slices.py
@@ -61,14 +61,14 @@
         self.record = record
 
 
-class Give(records.Record):
-    """Purpose: parts of the own slice are given to peers; they are not used meanwhile."""
+class Transfer(records.Record):
+    """Parts of the own slice on their way to peers; they are not used meanwhile."""
 
-    __slots__ = ("record", "gifts")
+    __slots__ = ("record", "shares")
 
-    def __init__(self, record: slice_record.Record, gifts: dict[str, int]) -> None:
+    def __init__(self, record: slice_record.Record, shares: dict[str, int]) -> None:
         self.record = record
-        self.gifts = gifts
+        self.shares = shares
 
 
 class Slices:
@@ -94,7 +94,7 @@
         "rebalance_s",
         "known",
         "read_at",
-        "giving",
+        "transfers",
         "generation",
         "rebalance_at",
         "created",
@@ -125,7 +125,7 @@
         self.rebalance_s = rebalance_s
         self.known: dict[str, slice_record.Record] = {}
         self.read_at: dict[str, float] = {}
-        self.giving: dict[str, Give] = {}
+        self.transfers: dict[str, Transfer] = {}
         self.generation = 0
         self.rebalance_at = 0.0
         self.created: set[str] = set()
@@ -176,19 +176,19 @@
             self._rebalance(now)
 
     def leave(self, now: float) -> bool:
-        """Give all free parts away; return whether no more can be done.
+        """Transfer all free parts away; return whether no more can be done.
 
-        Parts that are lent are waited for. With nobody to give them to, they stay recorded.
+        Parts that are lent are waited for. With nobody to transfer them to, they stay recorded.
         """
         self.leaving = True
         left_over = False
         for account, held in self.rates.holdings.items():
             held.update(now)
-            heirs = self._heirs(account)
-            if heirs and held.free_parts() > 0 and account not in self.giving:
-                self._give(account, {heirs[0]: held.free_parts()}, now)
-            left_over = left_over or bool(held.lent) or (bool(heirs) and held.own_parts > 0)
-        return not self.giving and not left_over
+            successors = self._successors(account)
+            if successors and held.free_parts() > 0 and account not in self.transfers:
+                self._transfer(account, {successors[0]: held.free_parts()}, now)
+            left_over = left_over or bool(held.lent) or (bool(successors) and held.own_parts > 0)
+        return not self.transfers and not left_over
 
     def ensure(self, account: str, now: float) -> None:
         """Create an account's record if there is none and this instance is to do it."""
@@ -226,8 +226,8 @@
         rate = self.config.catalog.rate(account)
         if rate is None or self.generation != self.access.generation:
             return
-        gift = self.giving.get(account)
-        pending = sum(gift.gifts.values()) if gift is not None else 0
+        transfer = self.transfers.get(account)
+        pending = sum(transfer.shares.values()) if transfer is not None else 0
         parts = max(0, record.holders.get(self.instance, 0) - pending)
         full = record.unused and account not in self.filled and parts > 0
         if parts > 0:
@@ -258,7 +258,7 @@
         share, rest = divmod(PARTS, len(names))
         return {name: share + (rest if name == names[0] else 0) for name in names}
 
-    def _heirs(self, account: str) -> list[str]:
+    def _successors(self, account: str) -> list[str]:
         rows = [row for row in self.members.serving() if row.instance != self.instance]
         near = [row.instance for row in rows if row.region == self.members.own.region]
         far = [row.instance for row in rows if row.region != self.members.own.region]
@@ -268,13 +268,13 @@
         for account, held in self.rates.holdings.items():
             held.update(now)
             asked, held.asked = held.asked, {}
-            if account in self.giving or held.free_parts() <= FLOOR_PARTS:
+            if account in self.transfers or held.free_parts() <= FLOOR_PARTS:
                 continue
-            gifts = self._gifts_for_demand(held, asked, now) or self._gifts_for_regions(held)
-            if gifts:
-                self._give(account, gifts, now)
+            shares = self._shares_for_demand(held, asked, now) or self._shares_for_regions(held)
+            if shares:
+                self._transfer(account, shares, now)
 
-    def _gifts_for_demand(
+    def _shares_for_demand(
         self, held: _holding.Holding, asked: dict[str, float], now: float
     ) -> dict[str, int]:
         live = {name: n for name, n in asked.items() if self.members.find(name) is not None}
@@ -284,10 +284,10 @@
             return {}
         spare = held.free_parts() - FLOOR_PARTS
         parts = int(spare * MOVE_SHARE * borrowed / (borrowed + own))
-        gifts = {name: int(parts * tokens / borrowed) for name, tokens in live.items()}
-        return {name: n for name, n in gifts.items() if n >= MIN_MOVE_PARTS}
+        shares = {name: int(parts * tokens / borrowed) for name, tokens in live.items()}
+        return {name: n for name, n in shares.items() if n >= MIN_MOVE_PARTS}
 
-    def _gifts_for_regions(self, held: _holding.Holding) -> dict[str, int]:
+    def _shares_for_regions(self, held: _holding.Holding) -> dict[str, int]:
         """Return a part for each region that would have none if it were cut off."""
         record = self.known.get(held.account)
         if record is None or max(record.holders, key=_parts_in(record)) != self.instance:
@@ -305,32 +305,32 @@
             if share >= MIN_MOVE_PARTS
         }
 
-    def _give(self, account: str, gifts: dict[str, int], now: float) -> None:
+    def _transfer(self, account: str, shares: dict[str, int], now: float) -> None:
         known = self.known.get(account)
         held = self.rates.holdings.get(account)
         if known is None or held is None:
             return
-        held.set_own_parts(held.own_parts - sum(gifts.values()), now)
-        give = Give(known, gifts)
-        self.giving[account] = give
-        self._write_gift(give)
-
-    def _write_gift(self, give: Give) -> None:
-        holders = dict(give.record.holders)
-        holders[self.instance] = holders.get(self.instance, 0) - sum(give.gifts.values())
-        for name, parts in give.gifts.items():
+        held.set_own_parts(held.own_parts - sum(shares.values()), now)
+        transfer = Transfer(known, shares)
+        self.transfers[account] = transfer
+        self._write_transfer(transfer)
+
+    def _write_transfer(self, transfer: Transfer) -> None:
+        holders = dict(transfer.record.holders)
+        holders[self.instance] = holders.get(self.instance, 0) - sum(transfer.shares.values())
+        for name, parts in transfer.shares.items():
             holders[name] = holders.get(name, 0) + parts
         record = slice_record.Record(
-            account=give.record.account,
+            account=transfer.record.account,
             holders={name: parts for name, parts in holders.items() if parts > 0},
             write_id=self.new_id(),
-            revision=give.record.revision,
+            revision=transfer.record.revision,
         )
         commit = store.Commit(
             expects=[store.Expect(PREFIX + record.account, record.revision)],
             changes=[store.Put(PREFIX + record.account, record.to_bytes())],
         )
-        self.outbox.append(commands.StoreCall(commit, Gift(give, record)))
+        self.outbox.append(commands.StoreCall(commit, WriteTransfer(transfer, record)))
 
     def _tell(self, account: str, names: typing.Iterable[str]) -> None:
         for name in names:
@@ -343,13 +343,13 @@
                 self.outbox.append(call)
 
 
-class Gift(records.Record):
-    """Purpose: the write of a gift, with the record that it would leave."""
+class WriteTransfer(records.Record):
+    """Purpose: the write of a transfer, with the record that it would leave."""
 
-    __slots__ = ("give", "record")
+    __slots__ = ("transfer", "record")
 
-    def __init__(self, give: Give, record: slice_record.Record) -> None:
-        self.give = give
+    def __init__(self, transfer: Transfer, record: slice_record.Record) -> None:
+        self.transfer = transfer
         self.record = record
 
 
@@ -408,68 +408,74 @@
 
 
 @_on_store.register
-def _(purpose: Gift, slices: Slices, reply: store.Reply, sent_at: float, now: float) -> None:
-    give = purpose.give
-    account = give.record.account
-    if slices.giving.get(account) is not give:
+def _(
+    purpose: WriteTransfer, slices: Slices, reply: store.Reply, sent_at: float, now: float
+) -> None:
+    transfer = purpose.transfer
+    account = transfer.record.account
+    if slices.transfers.get(account) is not transfer:
         return
     if type(reply) is store.Failed:
         # The write may still take effect: the parts stay given until a later write is decided.
         call = store.Range(PREFIX + account)
-        slices.outbox.append(commands.StoreCall(call, GiftRead(give, purpose.record)))
+        slices.outbox.append(commands.StoreCall(call, ReadTransfer(transfer, purpose.record)))
         return
     if reply.applied:
-        del slices.giving[account]
+        del slices.transfers[account]
         purpose.record.revision = reply.revision
         slices.adopt(purpose.record, now)
-        note = commands.Note(events.Event.SLICE_MOVED, account=account, gifts=give.gifts)
+        note = commands.Note(events.Event.SLICE_MOVED, account=account, shares=transfer.shares)
         slices.outbox.append(note)
-        slices._tell(account, give.gifts)
+        slices._tell(account, transfer.shares)
         return
     for item in reply.items:
-        _settle_gift(slices, give, purpose.record, slice_record.from_item(item), now)
+        _settle_transfer(slices, transfer, purpose.record, slice_record.from_item(item), now)
 
 
-class GiftRead(records.Record):
-    """Purpose: read back a record after the answer to a gift was lost."""
+class ReadTransfer(records.Record):
+    """Purpose: read back a record after the answer to a transfer was lost."""
 
-    __slots__ = ("give", "record")
+    __slots__ = ("transfer", "record")
 
-    def __init__(self, give: Give, record: slice_record.Record) -> None:
-        self.give = give
+    def __init__(self, transfer: Transfer, record: slice_record.Record) -> None:
+        self.transfer = transfer
         self.record = record
 
 
 @_on_store.register
-def _(purpose: GiftRead, slices: Slices, reply: store.Reply, sent_at: float, now: float) -> None:
-    account = purpose.give.record.account
-    if slices.giving.get(account) is not purpose.give:
+def _(
+    purpose: ReadTransfer, slices: Slices, reply: store.Reply, sent_at: float, now: float
+) -> None:
+    account = purpose.transfer.record.account
+    if slices.transfers.get(account) is not purpose.transfer:
         return
     if type(reply) is not store.Items or not reply.items:
         call = store.Range(PREFIX + account)
         slices.outbox.append(commands.StoreCall(call, purpose))
         return
-    _settle_gift(slices, purpose.give, purpose.record, slice_record.from_item(reply.items[0]), now)
+    _settle_transfer(
+        slices, purpose.transfer, purpose.record, slice_record.from_item(reply.items[0]), now
+    )
 
 
-def _settle_gift(
+def _settle_transfer(
     slices: Slices,
-    give: Give,
+    transfer: Transfer,
     written: slice_record.Record,
     stored: slice_record.Record,
     now: float,
 ) -> None:
-    """Decide a gift whose write was lost or did not apply, by the record that is stored."""
+    """Decide a transfer whose write was lost or did not apply, by the record that is stored."""
     account = stored.account
     if stored.write_id == written.write_id:
-        del slices.giving[account]
+        del slices.transfers[account]
         slices.adopt(stored, now)
-        slices._tell(account, give.gifts)
+        slices._tell(account, transfer.shares)
         return
-    give.record = stored
-    if stored.holders.get(slices.instance, 0) < sum(give.gifts.values()):
-        del slices.giving[account]
+    transfer.record = stored
+    if stored.holders.get(slices.instance, 0) < sum(transfer.shares.values()):
+        del slices.transfers[account]
         slices.adopt(stored, now)
         return
     slices.adopt(stored, now)
-    slices._write_gift(give)
+    slices._write_transfer(transfer)
--- a/yuccahitch/controllers/suspects.py
+++ b/yuccahitch/controllers/suspects.py
@@ -32,23 +32,23 @@
         memory_s: Time for which it is refused, in seconds.
 
     Attributes:
-        alarm: Whether a request was found to crash upstreams and peers are to hear of it at once.
+        announce: Whether peers are to hear at once of a request that crashes upstreams.
     """
 
-    __slots__ = ("crashes", "memory_s", "table", "alarm", "outbox")
+    __slots__ = ("crashes", "memory_s", "table", "announce", "outbox")
 
     def __init__(self, *, crashes: int = 2, memory_s: float = 600.0) -> None:
         self.crashes = crashes
         self.memory_s = memory_s
         self.table: dict[str, Suspect] = {}
-        self.alarm = False
+        self.announce = False
         self.outbox: list[commands.Command] = []
 
     def seen(self, fingerprint: str, upstream: str, now: float) -> None:
         """Note that an upstream crashed while it worked on a request."""
         self._add(fingerprint, upstream, now + self.memory_s)
 
-    def guilty(self, fingerprint: str, now: float) -> float:
+    def refused_for(self, fingerprint: str, now: float) -> float:
         """Return for how many seconds a request is still refused; 0 if it may run."""
         found = self.table.get(fingerprint)
         if found is None or now >= found.until:
@@ -91,7 +91,7 @@
         found.upstreams.add(upstream)
         found.until = max(found.until, until)
         if len(found.upstreams) == self.crashes:
-            self.alarm = True
+            self.announce = True
             note = commands.Note(
                 events.Event.POISON_FOUND,
                 fingerprint=fingerprint,
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -136,7 +136,7 @@
     if item.reached:
         reply.error.run = errors.Run.MAY_HAVE_RUN
     item.last_error = reply.error
-    if step.crashes.guilty(poison.fingerprint(item), now) > 0:
+    if step.crashes.refused_for(poison.fingerprint(item), now) > 0:
         return actions.Refuse(poison.refusal(item, step.crashes, now))
     if _may_retry(reply, step, item, now):
         return actions.Rewind(placement.STEP)
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -106,25 +106,25 @@
     Args:
         settings: Settings of the instance.
         decisions: Mailbox of the core.
-        desks: Mailboxes for running requests.
+        mailboxes: Mailboxes for running requests.
         figures: Metrics to show.
         time: The clock.
     """
 
-    __slots__ = ("settings", "decisions", "desks", "figures", "time", "children", "runner")
+    __slots__ = ("settings", "decisions", "mailboxes", "figures", "time", "children", "runner")
 
     def __init__(
         self,
         settings: config_file.Settings,
         *,
         decisions: mailbox.Mailbox,
-        desks: runner.Desks,
+        mailboxes: runner.Mailboxes,
         figures: metrics.Metrics,
         time: clock.Clock,
     ) -> None:
         self.settings = settings
         self.decisions = decisions
-        self.desks = desks
+        self.mailboxes = mailboxes
         self.figures = figures
         self.time = time
         self.children = mailbox.Children()
@@ -207,7 +207,7 @@
 
     async def _run(self, request: web.Request, parsed: requests.Request) -> web.StreamResponse:
         sink = HttpSink(request, request_id=parsed.id, streams=parsed.stream)
-        job = runner.Runner(self.desks, parsed, sink, now=self.time.now)
+        job = runner.Runner(self.mailboxes, parsed, sink, now=self.time.now)
         work = self.children.start(job.run())
         try:
             await asyncio.shield(work)
--- a/yuccahitch/tasks/peer_server.py
+++ b/yuccahitch/tasks/peer_server.py
@@ -83,25 +83,25 @@
     Args:
         secret: Secret of the fleet.
         decisions: Mailbox of the core.
-        desks: Mailboxes for running requests.
+        mailboxes: Mailboxes for running requests.
         time: The clock.
         log: Writes events.
     """
 
-    __slots__ = ("secret", "decisions", "desks", "time", "log", "server")
+    __slots__ = ("secret", "decisions", "mailboxes", "time", "log", "server")
 
     def __init__(
         self,
         *,
         secret: str,
         decisions: mailbox.Mailbox,
-        desks: runner.Desks,
+        mailboxes: runner.Mailboxes,
         time: clock.Clock,
         log: events.Log,
     ) -> None:
         self.secret = secret
         self.decisions = decisions
-        self.desks = desks
+        self.mailboxes = mailboxes
         self.time = time
         self.log = log
         self.server: server.Server | None = None
@@ -139,7 +139,7 @@
             raise self._garbage(sender, error) from error
         self.log.stamp.observe(message.stamp)
         sink = PartSink(stream, request_id=request.id, attempt=attempt, stamp=self.log.stamp)
-        await runner.Runner(self.desks, request, sink, now=self.time.now).run(hop)
+        await runner.Runner(self.mailboxes, request, sink, now=self.time.now).run(hop)
 
     def _sender(self, stream: server.Stream[typing.Any, typing.Any]) -> str:
         metadata = stream.metadata or {}
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -72,14 +72,14 @@
             reply_to=lambda reply: self.core.inbox.post(reply),
         )
         self.core = self._make_core(rng)
-        desks = runner.Desks(
+        mailboxes = runner.Mailboxes(
             core=self.core.inbox,
             upstreams=self.upstreams.inbox,
             peers=self.peers.inbox,
             capacity=settings.callers.answer_buffer_chunks,
             write_timeout_s=settings.callers.write_timeout_s,
         )
-        self._make_servers(desks)
+        self._make_servers(mailboxes)
 
     async def run(self) -> None:
         """Serve until a graceful shutdown is done."""
@@ -146,11 +146,15 @@
             upstreams=self.upstreams.inbox,
         )
 
-    def _make_servers(self, desks: runner.Desks) -> None:
+    def _make_servers(self, mailboxes: runner.Mailboxes) -> None:
         inbox, decisions = self.core.inbox, self.core.decisions
         self.pollers = pollers.Pollers(self.settings, decisions=inbox)
         self.callers = caller_server.CallerServer(
-            self.settings, decisions=inbox, desks=desks, figures=self.figures, time=self.time
+            self.settings,
+            decisions=inbox,
+            mailboxes=mailboxes,
+            figures=self.figures,
+            time=self.time,
         )
         changes = operator_server.changes_of(decisions.config.listeners)
         self.operators = operator_server.OperatorServer(
@@ -159,7 +163,7 @@
         self.peer_server = peer_server.PeerServer(
             secret=self.settings.peers.secret,
             decisions=inbox,
-            desks=desks,
+            mailboxes=mailboxes,
             time=self.time,
             log=self.log,
         )
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -34,7 +34,7 @@
         """Send a recorded answer."""
 
 
-class Desks:
+class Mailboxes:
     """The mailboxes that a runner needs.
 
     Args:
@@ -71,7 +71,7 @@
     """
 
     __slots__ = (
-        "desks",
+        "mailboxes",
         "request",
         "sink",
         "now",
@@ -89,13 +89,13 @@
 
     def __init__(
         self,
-        desks: Desks,
+        mailboxes: Mailboxes,
         request: requests.Request,
         sink: Sink,
         *,
         now: typing.Callable[[], float],
     ) -> None:
-        self.desks = desks
+        self.mailboxes = mailboxes
         self.request = request
         self.sink = sink
         self.now = now
@@ -113,7 +113,7 @@
     async def run(self, hop: requests.Hop | None = None) -> None:
         """Run the request to its end; what it holds is settled however it ends."""
         try:
-            outcome = await self.desks.core.ask(exchanges.Begin(self.request, hop))
+            outcome = await self.mailboxes.core.ask(exchanges.Begin(self.request, hop))
             while outcome is not None:
                 outcome = await _act(outcome.action, outcome, self)
         except (ConnectionError, TimeoutError):
@@ -121,7 +121,7 @@
         finally:
             if self.stream is not None:
                 self.stream.close()
-            self.desks.core.post(self._finished())
+            self.mailboxes.core.post(self._finished())
 
     async def attempt(self, stream: answer_stream.AnswerStream) -> exchanges.Outcome:
         """Wait for an attempt's first part and ask what to do with it."""
@@ -129,11 +129,13 @@
             self.stream.close()
         self.stream = stream
         part = await stream.get()
-        return await self.desks.core.ask(exchanges.Resume(self.request.id, part))
+        return await self.mailboxes.core.ask(exchanges.Resume(self.request.id, part))
 
     def open_stream(self, attempt: int) -> answer_stream.AnswerStream:
         """Return a stream for an attempt."""
-        return answer_stream.AnswerStream(self.request.id, attempt, capacity=self.desks.capacity)
+        return answer_stream.AnswerStream(
+            self.request.id, attempt, capacity=self.mailboxes.capacity
+        )
 
     async def relay(self, head: answers.Head) -> None:
         """Pass an answer on until it ends.
@@ -155,7 +157,7 @@
             work.close()
             return
         try:
-            async with asyncio.timeout(self.desks.write_timeout_s):
+            async with asyncio.timeout(self.mailboxes.write_timeout_s):
                 await work
         except (ConnectionError, TimeoutError):
             self.listening = False
@@ -239,14 +241,14 @@
 @_perform.register
 async def _(work: actions.Dispatch, runner: Runner) -> exchanges.Outcome:
     stream = runner.open_stream(work.attempt)
-    runner.desks.upstreams.post(upstream_client.Open(work, stream))
+    runner.mailboxes.upstreams.post(upstream_client.Open(work, stream))
     return await runner.attempt(stream)
 
 
 @_perform.register
 async def _(work: actions.Forward, runner: Runner) -> exchanges.Outcome:
     stream = runner.open_stream(work.attempt)
-    runner.desks.peers.post(peer_client.OpenForward(work, stream))
+    runner.mailboxes.peers.post(peer_client.OpenForward(work, stream))
     return await runner.attempt(stream)
 
 
