--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -336,7 +336,7 @@
         ]
 
     def _has_room(self, item: upstream.Upstream, long: bool, now: float) -> bool:
-        limit = self.states.limit(item, self.window, now)
+        limit = item.slots * self.window
         if self.states.occupancy(item, now) >= limit:
             return False
         if not long or not self.rules.short_lane:
--- a/yuccahitch/controllers/rules.py
+++ b/yuccahitch/controllers/rules.py
@@ -18,7 +18,6 @@
         early_refusal: Refuse at once what can't begin before its deadline.
         retry_budget: Bound retries to a share of the traffic.
         ejection: Give no work to upstreams that fail.
-        slow_start: Give returned upstreams their full share only after a while.
     """
 
     __slots__ = (
@@ -31,7 +30,6 @@
         "early_refusal",
         "retry_budget",
         "ejection",
-        "slow_start",
     )
 
     def __init__(self, **switched: bool) -> None:
--- a/yuccahitch/controllers/upstreams.py
+++ b/yuccahitch/controllers/upstreams.py
@@ -13,8 +13,6 @@
 FAILURES_TO_EJECT = 3
 EJECT_S = 5.0
 MAX_EJECT_S = 60.0
-SLOW_START_S = 10.0
-SLOW_START_SHARE = 0.25
 REPORT_LIFETIME_S = 10.0
 LEAVING_LIFETIME_S = 30.0
 PREFILL_TOKENS_PER_S = 8000.0
@@ -51,7 +49,6 @@
         failures: Failures in a row.
         ejections: Times it was ejected since it last succeeded.
         ejected_until: When it gets work again, in monotonic seconds.
-        returned_at: When it last got work again.
         leaving_until: Until when the instance list's word that it leaves holds.
         service_s: Mean time of a request there, in seconds.
         token_s: Mean time for each token of a request there, in seconds.
@@ -64,7 +61,6 @@
         "failures",
         "ejections",
         "ejected_until",
-        "returned_at",
         "leaving_until",
         "service_s",
         "token_s",
@@ -77,7 +73,6 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until = -math.inf
-        self.returned_at = -math.inf
         self.leaving_until = -math.inf
         self.service_s = 1.0
         self.token_s = TOKEN_S
@@ -135,15 +130,6 @@
             return float(state.outstanding)
         return float(state.outstanding + report.others + report.forwarded)
 
-    def limit(self, item: upstream.Upstream, window: float, now: float) -> float:
-        """Return how many requests an upstream may have before new ones wait here."""
-        state = self.state(item.name)
-        full = item.slots * window
-        if not self.rules.slow_start or now - state.returned_at >= SLOW_START_S:
-            return full
-        share = SLOW_START_SHARE + (now - state.returned_at) / SLOW_START_S
-        return max(1.0, full * min(1.0, share))
-
     def sent(self, name: str, *, long: bool) -> None:
         """Count a request sent to an upstream."""
         state = self.state(name)
@@ -181,7 +167,6 @@
         state.ejections += 1
         state.failures = 0
         state.ejected_until = now + pause
-        state.returned_at = now + pause
         note = commands.Note(events.Event.UPSTREAM_EJECTED, upstream=name, seconds=pause)
         self.outbox.append(note)
 
