Split a long function of the gateway in two

Cause: one function built seven controllers in 64 lines. Change: those of the limits have a function of their own; behaviour as is.

--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -112,7 +112,7 @@
         self.chains = self._make_chains()
 
     def _make_state(self, new_id: typing.Callable[[], str]) -> None:
-        options, limiting = self.settings.instance, self.settings.limits
+        options = self.settings.instance
         own = peers.Row(
             instance=self.instance,
             region=options.region,
@@ -132,6 +132,27 @@
         self.config = configuration.Configuration(
             self.instance, region=options.region, resync_s=self.settings.store.resync_s
         )
+        self._make_limits(new_id)
+        self.operations = operations.Operations(
+            self.instance,
+            secret=self.settings.peers.secret,
+            lifetime_s=self.settings.callers.operation_lifetime_s,
+            new_id=new_id,
+        )
+        self.orders = orders.Orders(
+            self.instance,
+            access=self.access,
+            config=self.config,
+            longest_s=self.settings.policy.order_limit_s,
+        )
+        self.shutdown = drain.Drain(
+            announce_s=self.settings.callers.drain_announce_s,
+            limit_s=self.settings.callers.drain_limit_s,
+        )
+        self.config.listeners.append(self._rate_changed)
+
+    def _make_limits(self, new_id: typing.Callable[[], str]) -> None:
+        limiting = self.settings.limits
         self.access = session.Session(
             self.instance,
             lease_s=self.settings.store.lease_s,
@@ -157,23 +178,6 @@
             rebalance_s=limiting.rebalance_s,
         )
         self.reclaim = reclaim.Reclaim(members=self.members, access=self.access, slices=self.slices)
-        self.operations = operations.Operations(
-            self.instance,
-            secret=self.settings.peers.secret,
-            lifetime_s=self.settings.callers.operation_lifetime_s,
-            new_id=new_id,
-        )
-        self.orders = orders.Orders(
-            self.instance,
-            access=self.access,
-            config=self.config,
-            longest_s=self.settings.policy.order_limit_s,
-        )
-        self.shutdown = drain.Drain(
-            announce_s=self.settings.callers.drain_announce_s,
-            limit_s=self.settings.callers.drain_limit_s,
-        )
-        self.config.listeners.append(self._rate_changed)
 
     def _make_policy(self, rules: policy.Rules) -> None:
         options = self.settings.policy
