Make calls to peers in one place and drop what nothing uses

Cause: a last read of the whole change: six places built the same call to a peer; the policy bench wrote again the raw settings that the test builders have; four constants, two builders and a catalog method were unused; a list of missed rows was kept for each sender, empty or not. Change: Membership.call; benchmarks/policy.py uses builders.settings; the unused pieces are gone. Behaviour as is.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -20,12 +20,12 @@
 
 from benchmarks import engines, report, workload
 from fakes import fleet as fleets
+from tests import builders
 from yuccahitch import records
 from yuccahitch import settings as config_file
 from yuccahitch.controllers import rules as policy
 
 HERE = pathlib.Path(__file__).parent
-SECRET_VARIABLE = "YUCCAHITCH_BENCH_SECRET"
 WARM_UP_S = 30.0
 RUN_S = 120.0
 TAIL_S = 30.0
@@ -88,7 +88,7 @@
         window = UNBOUNDED_WINDOW if case.policy in ("round robin", "least outstanding") else 1.25
 
         def settings_of(name: str, region: str, zone: str) -> config_file.Settings:
-            return _settings(name, region, zone, site=site, window=window)
+            return settings_for(name, region, zone, site=site, window=window)
 
         rules = policy.Rules(**case.rules)
         self.fleet = fleets.Fleet(case.seed, settings_of=settings_of, serve=self.serve, rules=rules)
@@ -204,34 +204,18 @@
         }
 
 
-def _settings(
+def settings_for(
     name: str, region: str, zone: str, *, site: workload.Site, window: float
 ) -> config_file.Settings:
-    os.environ.setdefault(SECRET_VARIABLE, "benchmark-secret-0001")
-    raw = {
-        "instance": {
-            "name": name,
-            "region": region,
-            "zone": zone,
-            "listen": "127.0.0.1",
-            "caller_port": "1",
-            "operator_port": "2",
-            "peer_port": "3",
-        },
-        "peers": {"secret": f"env:{SECRET_VARIABLE}"},
-        "store": {"url": "http://127.0.0.1:1"},
-        "platform": {
-            "directory_url": "http://127.0.0.1:1",
-            "instances_url": "http://127.0.0.1:1",
-        },
-        "operators": {"token": f"env:{SECRET_VARIABLE}"},
-        "policy": {
-            "window": str(window),
-            "link_bytes_per_s": str(site.link_bytes_per_s),
-            "queue_requests": "2048",
-        },
+    """Return the settings of an instance of a site."""
+    os.environ.setdefault(builders.SECRET_VARIABLE, builders.SECRET)
+    options = {
+        "window": str(window),
+        "link_bytes_per_s": str(site.link_bytes_per_s),
+        "queue_requests": "2048",
     }
-    return config_file.check(raw)
+    place = {"name": name, "region": region, "zone": zone}
+    return builders.settings(instance=place, policy=options)
 
 
 def _latencies(
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -55,7 +55,7 @@
 
 def a_gateway(number: int = 1) -> gateway.Gateway:
     """Return the decisions of one instance."""
-    settings = policy._settings(f"i{number}", "r1", "z1", site=workload.ICE_WORKS, window=1.25)
+    settings = policy.settings_for(f"i{number}", "r1", "z1", site=workload.ICE_WORKS, window=1.25)
     fleet = fleets.Fleet(1, settings_of=lambda *_: settings)
     return fleet.add(f"i{number}", "r1", "z1").decisions
 
@@ -303,7 +303,7 @@
     for count in sizes:
         fleet = fleets.Fleet(
             5,
-            settings_of=lambda name, region, zone: policy._settings(
+            settings_of=lambda name, region, zone: policy.settings_for(
                 name, region, zone, site=workload.ICE_WORKS, window=1.25
             ),
         )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,8 +9,7 @@
 
 from fakes import fleet as fleets
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import configuration
-from yuccahitch.messages import peers, requests
+from yuccahitch.messages import requests
 from yuccahitch.resources import account, entry, key, rate, route, service, upstream
 
 SECRET_VARIABLE = "YUCCAHITCH_TEST_SECRET"
@@ -176,30 +175,6 @@
     return requests.Hop(**(values | options))
 
 
-def a_row(instance: str = "sohar-a-1~1", **options: typing.Any) -> peers.Row:
-    """Return the row of a live instance."""
-    name = instance.partition("~")[0]
-    region = options.pop("region", name.rpartition("-")[0])
-    return peers.Row(
-        instance=instance,
-        region=region,
-        zone=options.pop("zone", f"{region}1"),
-        host="127.0.0.1",
-        caller_port=7001,
-        peer_port=7003,
-        wan_address="127.0.0.1:7003",
-        beat=options.pop("beat", 1),
-        ready=options.pop("ready", True),
-        **options,
-    )
-
-
-def a_write(spec: entry.Spec, *, expected: int | None = None) -> configuration.Write:
-    """Return an operator's write of a resource."""
-    item = an_entry(spec, version=0, write_id=f"w-{next(_numbers)}")
-    return configuration.Write(item.write_id, item, expected=expected)
-
-
 def uuid7(milliseconds: int | None = None) -> str:
     """Return a UUID of version 7 made at a time, or now."""
     made_at = milliseconds if milliseconds is not None else int(time.time() * 1000)
--- a/tests/features/steps/operations.py
+++ b/tests/features/steps/operations.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import random
 
 import behave
@@ -13,8 +12,6 @@
 from tests import builders, histories
 from yuccahitch import errors
 
-SEEDS = itertools.count(1)
-
 
 def wall_ms(fleet):
     return int((1_800_000_000.0 + fleet.now) * 1000)
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -418,19 +418,13 @@
         """Send a peer the rows that it asked for."""
         body = self.gossip(receiver.instance, now)
         body.rows.extend(rows)
-        call = commands.PeerCall(
-            instance=receiver.instance, address=self.members.address(receiver), body=body
-        )
+        call = self.members.call(receiver, body)
         self.outbox.append(call)
 
     def _tell_all(self, now: float) -> None:
         """Send a heartbeat to all peers, in large fleets to some, out of turn."""
         self.outbox.extend(
-            commands.PeerCall(
-                instance=row.instance,
-                address=self.members.address(row),
-                body=self.gossip(row.instance, now),
-            )
+            self.members.call(row, self.gossip(row.instance, now))
             for row in self.members.alive()[:MAX_WARNED]
         )
 
@@ -454,7 +448,11 @@
 
     def hear(self, body: peers.Gossip, now: float) -> list[peers.Row]:
         """Take in a heartbeat and return the rows that the sender asked for."""
-        self.wanted_rows[body.sender.instance] = self.members.hear(body, now)
+        missed = self.members.hear(body, now)
+        if missed:
+            self.wanted_rows[body.sender.instance] = missed
+        else:
+            self.wanted_rows.pop(body.sender.instance, None)
         self.config.compare(body, now=now)
         for load in body.loads:
             self.states.hear(load, now)
--- a/yuccahitch/controllers/limits.py
+++ b/yuccahitch/controllers/limits.py
@@ -349,9 +349,7 @@
             request_id=waiter.request_id,
             lender=row.instance,
         )
-        call = commands.PeerCall(
-            instance=row.instance, address=self.members.address(row), body=body, purpose=purpose
-        )
+        call = self.members.call(row, body, purpose=purpose)
         self.outbox.append(call)
 
     def _serve(self, held: _holding.Holding, now: float) -> None:
@@ -388,9 +386,7 @@
         if row is None:
             return
         body = peers.ReturnLoan(account=held.account, loan_id=loan_id, tokens=tokens)
-        call = commands.PeerCall(
-            instance=row.instance, address=self.members.address(row), body=body
-        )
+        call = self.members.call(row, body)
         self.outbox.append(call)
 
 
--- a/yuccahitch/controllers/membership.py
+++ b/yuccahitch/controllers/membership.py
@@ -126,6 +126,14 @@
         """Return where this instance reaches another."""
         return row.address_from(self.own.region)
 
+    def call(
+        self, row: peers.Row, body: peers.Body, *, purpose: typing.Any = None
+    ) -> commands.PeerCall:
+        """Return the call that takes a message to an instance."""
+        return commands.PeerCall(
+            instance=row.instance, address=self.address(row), body=body, purpose=purpose
+        )
+
     def due(self, now: float) -> bool:
         """Return whether a heartbeat is to be sent."""
         return now >= self.next_beat_at
--- a/yuccahitch/controllers/reclaim.py
+++ b/yuccahitch/controllers/reclaim.py
@@ -226,11 +226,8 @@
             row = self.members.find(name)
             if row is None or name in (own, case.instance):
                 continue
-            call = commands.PeerCall(
-                instance=name,
-                address=self.members.address(row),
-                body=peers.AskAttest(),
-                purpose=AttestAsked(case.instance, name),
+            call = self.members.call(
+                row, peers.AskAttest(), purpose=AttestAsked(case.instance, name)
             )
             self.outbox.append(call)
         self._claim_if_free(case, now)
--- a/yuccahitch/controllers/slices.py
+++ b/yuccahitch/controllers/slices.py
@@ -31,7 +31,6 @@
 MIN_MOVE_PARTS = 10_000
 BORROWED_SHARE = 0.1
 REREAD_S = 10.0
-CHANGES_PER_CALL = 32
 
 
 class ReadOne(records.Record):
@@ -337,9 +336,7 @@
             row = self.members.find(name)
             if row is not None and name != self.instance:
                 body = peers.SlicesChanged((account,))
-                call = commands.PeerCall(
-                    instance=name, address=self.members.address(row), body=body
-                )
+                call = self.members.call(row, body)
                 self.outbox.append(call)
 
 
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -22,7 +22,6 @@
     (errors.Code.OVERLOADED, errors.Code.NO_UPSTREAM, errors.Code.DRAINING, errors.Code.NOT_READY)
 )
 PRIORITY_SHORT = 0
-PRIORITY_LONG = 1
 
 
 class Dispatch(chain.Step):
--- a/yuccahitch/resources/catalog.py
+++ b/yuccahitch/resources/catalog.py
@@ -66,14 +66,6 @@
         found = self.entries.get((kind, name))
         return found.spec if found is not None else None
 
-    def all_of(self, kind: str) -> list[entry.Spec]:
-        """Return the resources of a kind that are not deleted, by name."""
-        return [
-            found.spec
-            for (its_kind, _), found in sorted(self.entries.items())
-            if its_kind == kind and found.spec is not None
-        ]
-
     def account(self, name: str) -> account.Account | None:
         """Return a client account, or None."""
         return typing.cast("account.Account | None", self.find("account", name))
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -18,7 +18,6 @@
 
 MAX_WHOLE_BYTES = 1_048_576
 MAX_MINTED = 16
-EVENT_STREAM = "text/event-stream"
 
 
 class HttpSink:
