--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -227,24 +227,100 @@
 }
 
 
-def option_names(section: str) -> tuple[str, ...]:
-    """Return the options of a section."""
-    return tuple(SCHEMA[section])
+def _zones(field: str, value: dict[str, str], error: typing.Callable[[str, str], None]) -> None:
+    if not value or not all(value) or not all(value.values()):
+        error(field, "not a list of zones")
+
+
+def _zone_table(text: str) -> dict[str, str]:
+    pairs = (word.partition("=") for word in _words(text))
+    return {zone.strip(): region.strip() for zone, _, region in pairs}
+
+
+def _listen(meaning: str, *, default: str | None = None) -> dict[str, typing.Any]:
+    return _option(
+        meaning,
+        "IP:PORT" if default is None else "IP:PORT or nothing",
+        default=default,
+        type="string",
+        check_with=_endpoint if default is None else _optional_endpoint,
+    )
+
+
+# Settings of an instance on the users' platform.
+EDGE_SCHEMA: dict[str, dict[str, dict[str, typing.Any]]] = {
+    "instance": {
+        "name": _option(
+            "Name of this machine.",
+            "a name of at most 120 characters",
+            type="string",
+            minlength=1,
+            maxlength=120,
+        ),
+        "region": _option("Region of this instance.", "a name", type="string", minlength=1),
+        "zone": _option(
+            "Availability zone of this instance.", "a name", type="string", minlength=1
+        ),
+        "zones": _option(
+            "Region of each availability zone.",
+            "ZONE=REGION, separated by commas",
+            type="dict",
+            coerce=_zone_table,
+            check_with=_zones,
+        ),
+        "callers": _listen("Address for callers."),
+        "readiness": _listen("Address for questions whether the instance is ready."),
+        "directory": _listen("Address for callers that ask which instances to use.", default=""),
+        "peers": _listen("Address for other instances, TCP and UDP."),
+        "metrics": _listen("Address for metrics.", default=""),
+    },
+    "store": {
+        "address": _listen("The platform's store."),
+        "timeout_s": _number("Time-out of one call.", "seconds", 1.0, 0.05, 60),
+        "lease_s": _number("Time to live of the instance's entry.", "seconds", 15.0, 1, 600),
+        "watch_s": _number("Longest wait of a call for changes.", "seconds", 3.0, 0.5, 30),
+    },
+    "bounds": {
+        "drain_ms": _number(
+            "Time after which a leaving upstream gets nothing.", "ms", 3000, 0, 600000
+        ),
+        "grace_s": _number("Time between SIGTERM and SIGKILL.", "seconds", 8, 1, 86400),
+        "retry_ratio": _number("Repeats as a share of requests.", "parts", 0.2, 0, 1),
+        "retry_window_s": _number("Window of the repeats.", "seconds", 10, 0.1, 3600),
+        "retry_extra": _number("Repeats in a window beside that.", "requests", 0, 0, 1e6),
+    },
+    "callers": {
+        "list_ttl_s": _number("Time to live of the directory's answers.", "seconds", 2.0, 0.5, 60),
+        "answer_buffer_chunks": SCHEMA["callers"]["answer_buffer_chunks"],
+        "write_timeout_s": SCHEMA["callers"]["write_timeout_s"],
+    },
+    "policy": {
+        "link_bytes_per_s": SCHEMA["policy"]["link_bytes_per_s"],
+        "link_delay_s": SCHEMA["policy"]["link_delay_s"],
+        "spill_gain_s": _number(
+            "Gain in first-token time that justifies another region.", "seconds", 0.1, 0, 60
+        ),
+    },
+    "log": SCHEMA["log"],
+}
+
 
+Schema = dict[str, dict[str, dict[str, typing.Any]]]
 
-def rules(section: str) -> dict[str, typing.Any]:
-    """Return the rules of a section for the validator."""
-    return SCHEMA[section]
+
+def option_names(section: str, schema: Schema = SCHEMA) -> tuple[str, ...]:
+    """Return the options of a section."""
+    return tuple(schema[section])
 
 
-def expectation(section: str, option: str) -> str:
+def expectation(section: str, option: str, schema: Schema = SCHEMA) -> str:
     """Return what an option may hold, in words."""
-    known = SCHEMA[section].get(option)
+    known = schema[section].get(option)
     if known is None:
-        return f"one of the options {', '.join(SCHEMA[section])}"
+        return f"one of the options {', '.join(schema[section])}"
     return known["meta"]["expected"]
 
 
-def secret_names(section: str) -> list[str]:
+def secret_names(section: str, schema: Schema = SCHEMA) -> list[str]:
     """Return the options that name where a secret is kept."""
-    return [name for name in ("secret", "token") if name in SCHEMA[section]]
+    return [name for name in ("secret", "token") if name in schema[section]]
--- a/yuccahitch/cli/__init__.py
+++ b/yuccahitch/cli/__init__.py
@@ -14,5 +14,5 @@
     """Run and operate yuccahitch, a multi-region inference gateway."""
 
 
-for command in (run.serve, run.check, *operate.COMMANDS, show.timeline):
+for command in (run.serve, run.check, run.edge, *operate.COMMANDS, show.timeline):
     main.add_command(command)
--- a/yuccahitch/cli/run.py
+++ b/yuccahitch/cli/run.py
@@ -4,11 +4,12 @@
 
 import pathlib
 import sys
+import typing
 
 import click
 
 from yuccahitch import settings as config_file
-from yuccahitch.tasks import process
+from yuccahitch.tasks import edge_process, process
 
 BAD_SETTINGS = 2
 
@@ -28,9 +29,27 @@
     click.echo(f"{settings}: no mistakes; instance {loaded.instance.name}")
 
 
-def _load(path: pathlib.Path) -> config_file.Settings:
+@click.command()
+@click.argument(
+    "settings",
+    envvar="YUCCAHITCH_SETTINGS",
+    type=click.Path(path_type=pathlib.Path),
+)
+@click.option("--check", "only_check", is_flag=True, help="Check the settings only.")
+def edge(settings: pathlib.Path, only_check: bool) -> None:
+    """Run one instance on the users' platform with the SETTINGS file until SIGTERM."""
+    loaded = _load(settings, config_file.load_edge)
+    if only_check:
+        click.echo(f"{settings}: no mistakes; instance {loaded.instance.name}")
+        return
+    edge_process.serve(loaded, settings)
+
+
+def _load(
+    path: pathlib.Path, read: typing.Callable[[pathlib.Path], typing.Any] = config_file.load
+) -> typing.Any:
     try:
-        return config_file.load(path)
+        return read(path)
     except config_file.SettingsError as error:
         for mistake in error.mistakes:
             click.echo(str(mistake), err=True)
--- a/yuccahitch/codecs/etcd.py
+++ b/yuccahitch/codecs/etcd.py
@@ -8,6 +8,7 @@
 
 import base64
 import functools
+import json
 import typing
 
 from yuccahitch import records
@@ -15,15 +16,35 @@
 
 Json = dict[str, typing.Any]
 
+# A watch is a stream of lines, not a call that waits for the next changes.
+POLLING = False
+OK = 200
 
-class Post(records.Record):
-    """A path and the body to post to it."""
-
-    __slots__ = ("path", "body")
 
-    def __init__(self, path: str, body: Json) -> None:
+class Post(records.Record):
+    """An HTTP request to the store.
+
+    Attributes:
+        path: Its path.
+        body: Its body, sent as JSON, or None.
+        method: Its method.
+        query: Its query.
+    """
+
+    __slots__ = ("path", "body", "method", "query")
+
+    def __init__(
+        self,
+        path: str,
+        body: Json | None,
+        *,
+        method: str = "POST",
+        query: dict[str, str] | None = None,
+    ) -> None:
         self.path = path
         self.body = body
+        self.method = method
+        self.query = query
 
 
 def encode_text(text: str) -> str:
@@ -74,32 +95,38 @@
     return Post("/v3/lease/revoke", {"ID": str(call.lease)})
 
 
-@functools.singledispatch
-def decode(call: store.Call, body: Json) -> store.Reply:
+def decode(call: store.Call, status: int, raw: bytes) -> store.Reply:
     """Read the reply to a call."""
+    if status != OK:
+        return store.Failed(sent=True, detail=f"status {status}")
+    return _decode(call, json.loads(raw))
+
+
+@functools.singledispatch
+def _decode(call: store.Call, body: Json) -> store.Reply:
     raise TypeError(type(call))
 
 
-@decode.register
+@_decode.register
 def _(call: store.Range, body: Json) -> store.Reply:
     return store.Items(items(body), revision=revision(body))
 
 
-@decode.register
+@_decode.register
 def _(call: store.Commit, body: Json) -> store.Reply:
     return _committed(body)
 
 
-@decode.register
+@_decode.register
 def _(call: store.CommitMany, body: Json) -> store.Reply:
     replies = body.get("responses", [])
     outer = revision(body)
     return store.CommittedMany([_committed(reply["response_txn"], outer) for reply in replies])
 
 
-@decode.register(store.GrantLease)
-@decode.register(store.KeepAlive)
-@decode.register(store.RevokeLease)
+@_decode.register(store.GrantLease)
+@_decode.register(store.KeepAlive)
+@_decode.register(store.RevokeLease)
 def _(call: store.Call, body: Json) -> store.Reply:
     result = body.get("result", body)
     return store.Leased(lease=int(result.get("ID", 0)), ttl_s=float(result.get("TTL", 0)))
--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -13,6 +13,7 @@
 
 STEP = "peer-codec"
 MAX_DETAIL_CHARACTERS = 500
+KINDS = frozenset((requests.CHAT, requests.CALL, requests.PROXY))
 
 
 def to_envelope(body: peers.Body, *, stamp: int) -> pb.Envelope:
@@ -252,6 +253,8 @@
         operation_key=request.operation_key,
         deadline_in=work.deadline_in,
         attempt=work.attempt,
+        parts=[pb.PromptPart(id=name, tokens=tokens) for name, tokens in request.parts],
+        resume_after=request.resume_after,
         **hop.as_dict(),
     )
 
@@ -260,7 +263,8 @@
     message: pb.Forwarded, *, now: float
 ) -> tuple[requests.Request, requests.Hop, int]:
     """Read a forwarded request, its hop and its attempt."""
-    if not message.id or not message.account or message.kind not in (requests.CHAT, requests.CALL):
+    anonymous = not message.account and message.kind != requests.PROXY
+    if not message.id or anonymous or message.kind not in KINDS:
         raise errors.GatewayError(
             errors.Code.PEER_INVALID, step=STEP, detail="the forwarded request is not complete"
         )
@@ -280,6 +284,8 @@
         key_digest="",
         operation_key=message.operation_key,
         deadline=now + message.deadline_in,
+        parts=tuple((part.id, part.tokens) for part in message.parts),
+        resume_after=message.resume_after,
     )
     hop = requests.Hop(
         sender=message.sender,
@@ -292,6 +298,9 @@
         charged=message.charged,
         granted_tokens=message.granted_tokens,
         better_than_s=message.better_than_s,
+        service=message.service,
+        priority=message.priority,
+        avoid=tuple(message.avoid),
     )
     return request, hop, message.attempt
 
@@ -314,7 +323,7 @@
 
 @to_part.register
 def _(part: answers.Chunk, *, stamp: int) -> pb.Part:
-    chunk = pb.Chunk(data=part.data)
+    chunk = pb.Chunk(data=part.data, event_id=part.event_id)
     return pb.Part(stamp=stamp, request_id=part.request_id, attempt=part.attempt, chunk=chunk)
 
 
@@ -375,7 +384,9 @@
 
 @_read_part.register
 def _(message: pb.Chunk, request_id: str, attempt: int) -> answers.Part:
-    return answers.Chunk(request_id=request_id, attempt=attempt, data=message.data)
+    return answers.Chunk(
+        request_id=request_id, attempt=attempt, data=message.data, event_id=message.event_id
+    )
 
 
 @_read_part.register
--- a/yuccahitch/controllers/_inputs.py
+++ b/yuccahitch/controllers/_inputs.py
@@ -5,6 +5,7 @@
 import functools
 import typing
 
+from yuccahitch import events
 from yuccahitch.controllers import (
     configuration,
     limits,
@@ -15,7 +16,7 @@
     session,
     slices,
 )
-from yuccahitch.messages import commands, peers
+from yuccahitch.messages import commands, peers, store
 
 if typing.TYPE_CHECKING:
     from yuccahitch.controllers import gateway as gateways
@@ -163,3 +164,21 @@
 ) -> None:
     if type(reply.body) is peers.Attest:
         gateway.reclaim.attest_came(purpose, reply.body, now)
+
+
+@functools.singledispatch
+def on_watch(event: typing.Any, gateway: gateways.Gateway, now: float) -> None:
+    """Take in what the watch on the store saw."""
+    raise TypeError(type(event))
+
+
+@on_watch.register(store.Changed)
+def _(event: store.Changed, gateway: gateways.Gateway, now: float) -> None:
+    gateway.config.changed(event, now)
+
+
+@on_watch.register(store.WatchLost)
+def _(event: store.WatchLost, gateway: gateways.Gateway, now: float) -> None:
+    note = commands.Note(events.Event.WATCH_BROKEN, detail=event.detail)
+    gateway.outbox.append(note)
+    gateway.config.watch_lost()
--- /dev/null
+++ b/yuccahitch/controllers/edge.py
@@ -0,0 +1,402 @@
+"""All controllers and chains of one instance on the users' platform, put together without I/O.
+
+It offers the core task the same interface as ``gateway.Gateway``: configuration, upstreams and
+instances come from the platform's store, and peers tell each other the rest in pulses.
+"""
+
+from __future__ import annotations
+
+import functools
+import itertools
+import random
+import typing
+
+from yuccahitch import errors, events
+from yuccahitch import settings as config_file
+from yuccahitch.controllers import (
+    allowance,
+    balance,
+    drain,
+    feed,
+    fleet,
+    published,
+    replicas,
+    shares,
+    suspects,
+)
+from yuccahitch.filters import (
+    admit,
+    assign,
+    chain,
+    credentials,
+    exchange,
+    handed_over,
+    homes,
+    poison,
+    quota,
+    routing,
+    send,
+)
+from yuccahitch.messages import actions, commands, exchanges, peers, pulses, requests, store
+
+POISON_CRASHES = 3
+POISON_S = 120.0
+DRAIN_MARGIN_S = 2.0
+DRAIN_RESERVE_S = 1.0
+
+
+class Keyspace(typing.Protocol):
+    """Where the platform keeps things, and how they are read."""
+
+    OPERATOR_PREFIX: str
+    UPSTREAM_PREFIX: str
+    PUBLICATION_KEY: str
+    EVACUATION_PREFIX: str
+
+
+class Edge:
+    """The decisions of one instance.
+
+    Args:
+        settings: Settings of the instance.
+        instance: Its id.
+        keyspace: Names of the platform's keys.
+        read_publication: Reads a configuration.
+        read_upstream: Reads the entry of an upstream.
+        rng: Seeded source of random numbers.
+        now: Monotonic seconds.
+    """
+
+    __slots__ = (
+        "settings",
+        "instance",
+        "rng",
+        "members",
+        "config",
+        "found",
+        "feed",
+        "meters",
+        "policy",
+        "suspects",
+        "budget",
+        "shutdown",
+        "chains",
+        "exchanges",
+        "outbox",
+    )
+
+    def __init__(
+        self,
+        settings: config_file.EdgeSettings,
+        *,
+        instance: str,
+        keyspace: Keyspace,
+        read_publication: typing.Callable[..., typing.Any],
+        read_upstream: typing.Callable[..., typing.Any],
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.settings = settings
+        self.instance = instance
+        self.rng = rng
+        self.exchanges: dict[str, exchange.Exchange] = {}
+        self.outbox: list[commands.Command | exchanges.Outcome] = []
+        self._make_state(keyspace, read_publication, read_upstream)
+        self._make_policy(now)
+        self.chains = self._make_chains()
+
+    def _make_state(
+        self,
+        keyspace: Keyspace,
+        read_publication: typing.Callable[..., typing.Any],
+        read_upstream: typing.Callable[..., typing.Any],
+    ) -> None:
+        options = self.settings.instance
+        self.members = fleet.Fleet(
+            own_row(self.settings, self.instance),
+            name=options.name,
+            lease_s=self.settings.store.lease_s,
+            rng=self.rng,
+        )
+        self.config = published.Published(
+            decode=read_publication,
+            key=keyspace.PUBLICATION_KEY,
+            evacuation_prefix=keyspace.EVACUATION_PREFIX,
+        )
+        self.found = replicas.Replicas(
+            decode=functools.partial(read_upstream, regions=options.zones),
+            region=options.region,
+            instance=self.instance,
+            config=self.config,
+            rng=self.rng,
+            gone_after_s=min(2.0, self.settings.bounds.drain_ms / 1000 - 1.0),
+        )
+        self.feed = feed.Feed(
+            {
+                keyspace.OPERATOR_PREFIX: self.config,
+                keyspace.UPSTREAM_PREFIX: self.found,
+                fleet.PREFIX: self.members,
+            }
+        )
+        grace_s = self.settings.bounds.grace_s
+        self.shutdown = drain.Drain(
+            announce_s=grace_s / 2 - DRAIN_RESERVE_S, limit_s=grace_s - DRAIN_RESERVE_S
+        )
+
+    def _make_policy(self, now: float) -> None:
+        bounds, options = self.settings.bounds, self.settings.policy
+        self.meters = shares.Shares(self.members, began=now)
+        self.policy = balance.Balance(
+            members=self.members,
+            found=self.found,
+            rng=self.rng,
+            link_bytes_per_s=options.link_bytes_per_s,
+            link_delay_s=options.link_delay_s,
+            spill_gain_s=options.spill_gain_s,
+        )
+        self.budget = allowance.Allowance(
+            self.members,
+            ratio=bounds.retry_ratio,
+            window_s=bounds.retry_window_s,
+            extra=bounds.retry_extra,
+        )
+        self.suspects = suspects.Suspects(crashes=POISON_CRASHES, memory_s=POISON_S)
+
+    def _make_chains(self) -> dict[str, chain.Chain]:
+        first = admit.Admit(self.config, self.shutdown, instance=self.instance)
+        rest = [
+            poison.Poison(self.suspects),
+            quota.Quota(self.config, self.meters),
+            assign.Assign(self.policy),
+            send.Send(
+                members=self.members,
+                found=self.found,
+                policy=self.policy,
+                budget=self.budget,
+                crashes=self.suspects,
+            ),
+        ]
+        entry = [routing.Routing(self.config), credentials.Credentials(self.config), homes.Homes()]
+        arrival = [handed_over.HandedOver(self.config, region=self.settings.instance.region)]
+        return {
+            "entry": chain.Chain([first, *entry, *rest]),
+            "arrival": chain.Chain([first, *arrival, rest[0], *rest[2:]]),
+        }
+
+    @property
+    def closed(self) -> bool:
+        """Return whether a graceful shutdown is done."""
+        return self.shutdown.phase is drain.Phase.DONE
+
+    def begin(
+        self, request: requests.Request, hop: requests.Hop | None, now: float
+    ) -> exchanges.Outcome | None:
+        """Take a new request."""
+        item = exchange.Exchange(request, began=now, hop=hop)
+        if request.id in self.exchanges:
+            error = errors.GatewayError(
+                errors.Code.OVERLOADED, step="core", detail="the request id is in use"
+            )
+            return exchanges.Outcome(request.id, actions.Refuse(error))
+        self.exchanges[request.id] = item
+        return exchanges.Outcome(item.id, self._chain(item).begin(item, now))
+
+    def resume(self, request_id: str, reply: typing.Any, now: float) -> exchanges.Outcome | None:
+        """Go on with a request that waited for a reply."""
+        item = self.exchanges.get(request_id)
+        if item is None:
+            return None
+        return exchanges.Outcome(item.id, self._chain(item).resume(item, reply, now))
+
+    def expire(self, request_id: str, now: float) -> exchanges.Outcome:
+        """Return the final answer of a request whose time is up."""
+        item = self.exchanges.get(request_id)
+        sent = item is not None and item.sends > 0
+        if sent and item.upstream:
+            self.found.outcome(item.upstream, good=False, now=now)
+        error = errors.GatewayError(
+            errors.Code.DEADLINE,
+            step="core",
+            peer=(item.upstream or item.instance) if item is not None else "",
+            run=errors.Run.MAY_HAVE_RUN if sent else errors.Run.NOT_RUN,
+        )
+        if item is not None:
+            item.runs += sent
+        return exchanges.Outcome(request_id, actions.Refuse(error))
+
+    def finish(self, message: exchanges.Finished, now: float) -> exchange.Exchange | None:
+        """Settle a request that is over; return its state."""
+        item = self.exchanges.pop(message.request_id, None)
+        if item is None:
+            return None
+        item.succeeded = message.succeeded
+        item.usage = message.usage
+        self._chain(item).finish(item, now)
+        return item
+
+    def begin_drain(self, now: float) -> None:
+        """Begin a graceful shutdown, and let the peers know at once."""
+        self.shutdown.begin(now)
+        self.members.own.leaving = True
+        self._tell(self.members.everyone(), now)
+        if self.members.lease:
+            call = store.RevokeLease(self.members.lease)
+            self.outbox.append(commands.StoreCall(call, LeaseEnded()))
+            self.members.lease = 0
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        self.members.own.ready = self.config.ready() and self.feed.complete()
+        self.feed.tick(now)
+        if not self.shutdown.leaving:
+            self.members.register(now)
+        self.members.expire(now)
+        self.found.expire(now)
+        self.suspects.expire(now)
+        self._tell(self.members.targets(now), now)
+        self.shutdown.advance(now, open_requests=len(self.exchanges), handed_over=True)
+
+    def on_watch(self, event: store.Changed | store.WatchLost, now: float) -> None:
+        """Take in what a watch on the store saw."""
+        _on_watch(event, self, now)
+
+    def on_store(self, reply: commands.StoreReply, now: float) -> None:
+        """Take in a reply of the store."""
+        _on_store(reply.purpose, self, reply.reply, now)
+
+    def on_pulse(self, pulse: pulses.Pulse, now: float) -> None:
+        """Take in what another instance tells."""
+        self.members.hear(pulse, now)
+        self.suspects.hear(pulse.suspects, now)
+
+    def on_peer(self, body: peers.Body, sender: str, now: float) -> peers.Body:
+        """Answer a message of the project's own gossip, which no one sends here."""
+        return peers.Ack()
+
+    def drain(self, now: float) -> list[commands.Command | exchanges.Outcome]:
+        """Return what is to be done since the last call."""
+        if self.suspects.announce:
+            self.suspects.announce = False
+            self._tell(self.members.everyone(), now)
+        sources = (
+            self,
+            self.members,
+            self.config,
+            self.found,
+            self.feed,
+            self.suspects,
+        )
+        batch = list(itertools.chain.from_iterable(source.outbox for source in sources))
+        for source in sources:
+            source.outbox.clear()
+        return batch
+
+    def serving(self) -> bool:
+        """Return whether callers are to send requests here."""
+        return self.members.own.ready and not self.shutdown.leaving
+
+    def directions(self, region: str, now: float) -> list[str]:
+        """Return the addresses that callers of a region are to use."""
+        rows = self.members.serving(now, region=region)
+        if not rows:
+            regions = {member.row.region for member in self.members.alive(now)}
+            regions.add(self.members.own.region)
+            others = (self.members.serving(now, region=name) for name in sorted(regions))
+            rows = list(itertools.chain.from_iterable(others))
+        return [f"{row.host}:{row.caller_port}" for row in rows]
+
+    def _chain(self, item: exchange.Exchange) -> chain.Chain:
+        return self.chains["entry" if item.hop is None else "arrival"]
+
+    def _tell(self, addresses: list[str], now: float) -> None:
+        if not addresses:
+            return
+        self.members.number += 1
+        services = self.config.current.services.values() if self.config.ready() else ()
+        own = self.members.own
+        pulse = pulses.Pulse(
+            instance=self.instance,
+            region=own.region,
+            number=self.members.number,
+            leaving=own.leaving,
+            ready=own.ready,
+            uses=[
+                pulses.Use(name, running=r.running, prompt_tokens=r.prompt_tokens)
+                for name, r in self.found.table.items()
+                if r.running
+            ],
+            demands=self.meters.demands(now),
+            rooms=self.policy.rooms(services, now),
+            heard=self.members.ages(now),
+            suspects=self.suspects.news(now),
+            version=self.config.current.version if self.config.ready() else 0,
+        )
+        self.outbox.append(pulses.SendPulse(addresses, pulse))
+
+
+class LeaseEnded:
+    """Purpose of the call that ends the instance's lease."""
+
+    __slots__ = ()
+
+
+def own_row(settings: config_file.EdgeSettings, instance: str) -> peers.Row:
+    """Return the entry of an instance."""
+    options = settings.instance
+    host, _, caller_port = options.callers.rpartition(":")
+    peer_host, _, peer_port = options.peers.rpartition(":")
+    return peers.Row(
+        instance=instance,
+        region=options.region,
+        zone=options.zone,
+        host=host,
+        caller_port=int(caller_port),
+        peer_port=int(peer_port),
+        wan_address=f"{peer_host}:{peer_port}",
+    )
+
+
+@functools.singledispatch
+def _on_store(purpose: typing.Any, edge: Edge, reply: store.Reply, now: float) -> None:
+    raise TypeError(type(purpose))
+
+
+@_on_store.register
+def _(purpose: feed.Listed, edge: Edge, reply: store.Reply, now: float) -> None:
+    edge.feed.listed(purpose, reply, now)
+
+
+@_on_store.register
+def _(purpose: fleet.LeaseAsked, edge: Edge, reply: store.Reply, now: float) -> None:
+    edge.members.leased(reply, now)
+
+
+@_on_store.register
+def _(purpose: fleet.LeaseKept, edge: Edge, reply: store.Reply, now: float) -> None:
+    edge.members.kept(reply, now)
+
+
+@_on_store.register
+def _(purpose: fleet.Registered, edge: Edge, reply: store.Reply, now: float) -> None:
+    edge.members.registered(reply, now)
+
+
+@_on_store.register
+def _(purpose: LeaseEnded, edge: Edge, reply: store.Reply, now: float) -> None:
+    if type(reply) is store.Failed:
+        edge.outbox.append(commands.Note(events.Event.STORE_LOST, detail=reply.detail))
+
+
+@functools.singledispatch
+def _on_watch(event: typing.Any, edge: Edge, now: float) -> None:
+    raise TypeError(type(event))
+
+
+@_on_watch.register
+def _(event: store.Changed, edge: Edge, now: float) -> None:
+    edge.feed.changed(event, now)
+
+
+@_on_watch.register
+def _(event: store.WatchLost, edge: Edge, now: float) -> None:
+    edge.feed.lost(event, now)
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -9,7 +9,7 @@
 import random
 import typing
 
-from yuccahitch import clock, errors, events
+from yuccahitch import clock, errors
 from yuccahitch import settings as config_file
 from yuccahitch.controllers import (
     _inputs,
@@ -220,6 +220,11 @@
             "arrival": chain.Chain([first, arrived, *rest]),
         }
 
+    @property
+    def closed(self) -> bool:
+        """Return whether a graceful shutdown is done."""
+        return self.access.closed
+
     def begin(
         self, request: requests.Request, hop: requests.Hop | None, now: float
     ) -> exchanges.Outcome | None:
@@ -285,6 +290,10 @@
         self.placement.tick(now)
         self._advance_shutdown(now)
 
+    def on_watch(self, event: store.Changed | store.WatchLost, now: float) -> None:
+        """Take in what the watch on the store saw."""
+        _inputs.on_watch(event, self, now)
+
     def on_store(self, reply: commands.StoreReply, now: float) -> None:
         """Take in a reply of the store."""
         if type(reply.reply) is not store.Failed:
@@ -476,23 +485,3 @@
 
 
 EXTERNAL = frozenset((actions.Dispatch, actions.Forward))
-
-
-def note_of(message: exchanges.Finished, item: exchange.Exchange) -> commands.Note:
-    """Return the event of a request that is over."""
-    fields: dict[str, typing.Any] = {
-        "request": item.id,
-        "account": item.account.name if item.account is not None else "",
-        "upstream": item.upstream,
-        "instance_used": item.instance,
-        "output_tokens": message.usage.output,
-    }
-    if message.error is not None:
-        error = message.error
-        fields.update(code=error.code.wire, step=error.step, run=error.run.value)
-    event = events.Event.REQUEST_ENDED
-    if message.abandoned:
-        event = events.Event.REQUEST_ABANDONED
-    elif not message.succeeded:
-        event = events.Event.REQUEST_REFUSED if item.head is None else events.Event.REQUEST_CUT
-    return commands.Note(event, **fields)
--- /dev/null
+++ b/yuccahitch/controllers/shares.py
@@ -0,0 +1,101 @@
+"""Each instance's share of the client accounts' rates, by where the demand is.
+
+No call is made: instances tell their demand in pulses, and each takes the part of rate and burst
+that matches its part of the demand. What a silent instance last asked for counts for a while, so
+that the shares of a partitioned fleet don't add up to more than the whole.
+"""
+
+from __future__ import annotations
+
+import math
+
+from yuccahitch import records
+from yuccahitch.controllers import fleet
+from yuccahitch.resources import rate
+
+DEMAND_MEMORY_S = 2.0
+EVEN_SHARE = 0.1
+RETRY_MAX_S = 2.0
+
+
+class Meter(records.Record):
+    """What one account asks for and may use here.
+
+    Attributes:
+        tokens: Tokens that may be used now.
+        demand: Tokens a second asked for, smoothed.
+        share: Part of rate and burst that is this instance's.
+        updated_at: When the others were brought up to date, in monotonic seconds.
+    """
+
+    __slots__ = ("tokens", "demand", "share", "updated_at")
+
+    def __init__(self, now: float) -> None:
+        self.tokens = 0.0
+        self.demand = 0.0
+        self.share = 0.0
+        self.updated_at = now
+
+
+class Shares:
+    """Decides whether an account may use tokens here.
+
+    Args:
+        members: The fleet.
+        began: Start of this instance, in monotonic seconds.
+    """
+
+    __slots__ = ("members", "began", "meters")
+
+    def __init__(self, members: fleet.Fleet, *, began: float) -> None:
+        self.members = members
+        self.began = began
+        self.meters: dict[str, Meter] = {}
+
+    def spend(self, limit: rate.Rate, tokens: float, now: float) -> float:
+        """Take tokens.
+
+        Returns:
+            0 when they were there, else the seconds after which they may be.
+        """
+        meter = self._meter(limit, now)
+        meter.demand += tokens / DEMAND_MEMORY_S
+        if meter.tokens >= tokens:
+            meter.tokens -= tokens
+            return 0.0
+        pace = max(1e-9, limit.tokens_per_s * meter.share)
+        return min(RETRY_MAX_S, max(0.05, (tokens - meter.tokens) / pace))
+
+    def refund(self, limit: rate.Rate, tokens: float, now: float) -> None:
+        """Give back the tokens of a request that has not run."""
+        meter = self._meter(limit, now)
+        meter.tokens = min(meter.tokens + tokens, limit.burst_tokens * meter.share)
+
+    def demands(self, now: float) -> dict[str, float]:
+        """Return the tokens a second that each account asks for here."""
+        faded = {
+            name: meter.demand * math.exp(-(now - meter.updated_at) / DEMAND_MEMORY_S)
+            for name, meter in self.meters.items()
+        }
+        return {name: demand for name, demand in faded.items() if demand > 1.0}
+
+    def _meter(self, limit: rate.Rate, now: float) -> Meter:
+        meter = self.meters.get(limit.name)
+        if meter is None:
+            # A new instance can't know what was used before it: it earns from its start on.
+            meter = self.meters[limit.name] = Meter(self.began)
+        passed = max(0.0, now - meter.updated_at)
+        meter.demand *= math.exp(-passed / DEMAND_MEMORY_S)
+        meter.share = self._share(limit.name, meter, now)
+        earned = passed * limit.tokens_per_s * meter.share
+        meter.tokens = min(meter.tokens + earned, limit.burst_tokens * meter.share)
+        meter.updated_at = now
+        return meter
+
+    def _share(self, account: str, meter: Meter, now: float) -> float:
+        others = self.members.demands(account, now)
+        even = 1.0 / self.members.count(now)
+        total = others + meter.demand
+        if total <= 0:
+            return even
+        return EVEN_SHARE * even + (1 - EVEN_SHARE) * meter.demand / total
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -38,6 +38,8 @@
     DEADLINE = ("deadline", 504, "The deadline passed before the answer began.")
     UPSTREAM_FAILED = ("upstream-failed", 502, "The upstream failed or sent a broken answer.")
     UPSTREAM_REFUSED = ("upstream-refused", 502, "The upstream can't be connected to.")
+    UPSTREAM_SHED = ("upstream-shed", 503, "The upstream is full and did not run the request.")
+    UPSTREAM_MOVED = ("upstream-moved", 503, "Another upstream answers at the address.")
     ANSWER_CUT = ("answer-cut", 502, "The answer ended before it was whole.")
     PEER_FAILED = ("peer-failed", 502, "The instance in the other region failed.")
     PEER_UNREACHABLE = ("peer-unreachable", 503, "No instance in an allowed region is reachable.")
--- a/yuccahitch/filters/exchange.py
+++ b/yuccahitch/filters/exchange.py
@@ -35,6 +35,10 @@
         last_error: Why its last attempt failed, or None.
         declined: Whether an instance of another region had no place for it.
         better_than_s: First-token time here when it was forwarded, in seconds.
+        give_up_at: When the caller or the route gives it up, in monotonic seconds.
+        runs: Upstreams that may have run it.
+        sends: Times that it was sent on.
+        last_event: Id of the last event that was passed on, or empty.
         entered: Filters entered, whose ``leave`` is owed.
     """
 
@@ -63,6 +67,10 @@
         "last_error",
         "declined",
         "better_than_s",
+        "give_up_at",
+        "runs",
+        "sends",
+        "last_event",
         "entered",
     )
 
@@ -93,6 +101,10 @@
         self.last_error: errors.GatewayError | None = None
         self.declined = False
         self.better_than_s = 0.0
+        self.give_up_at = request.deadline
+        self.runs = 0
+        self.sends = 0
+        self.last_event = ""
         self.entered: list[str] = []
 
     @property
--- /dev/null
+++ b/yuccahitch/filters/homes.py
@@ -0,0 +1,31 @@
+"""Finds the regions where route and client account allow a request's data."""
+
+from __future__ import annotations
+
+from yuccahitch import errors
+from yuccahitch.filters import chain, exchange
+from yuccahitch.messages import actions
+
+
+class Homes(chain.Step):
+    """Sets the allowed regions; both the route's and the account's bind."""
+
+    __slots__ = ()
+    step = "homes"
+
+    def enter(self, item: exchange.Exchange, now: float) -> actions.Action:
+        """Set the regions, or refuse when none is left."""
+        bounds = [
+            frozenset(regions)
+            for regions in (item.route.regions, item.account.residency)
+            if regions
+        ]
+        item.regions = frozenset.intersection(*bounds) if bounds else None
+        if item.regions is not None and not item.regions:
+            error = errors.GatewayError(
+                errors.Code.NO_UPSTREAM,
+                step=self.step,
+                detail="route and client account allow no common region",
+            )
+            return actions.Refuse(error)
+        return actions.Proceed()
--- a/yuccahitch/messages/actions.py
+++ b/yuccahitch/messages/actions.py
@@ -68,9 +68,21 @@
         max_tokens: Limit that the upstream is given, in tokens; 0 for plain services.
         priority: Priority for engines that honour one.
         echo: Whether the upstream returns the request id, which is then checked.
+        account: Client account that the upstream is told, or empty.
+        give_up_at: When the attempt ends, in monotonic seconds, or None.
     """
 
-    __slots__ = ("upstream", "address", "attempt", "request", "max_tokens", "priority", "echo")
+    __slots__ = (
+        "upstream",
+        "address",
+        "attempt",
+        "request",
+        "max_tokens",
+        "priority",
+        "echo",
+        "account",
+        "give_up_at",
+    )
 
     def __init__(
         self,
@@ -82,6 +94,8 @@
         max_tokens: int,
         priority: int,
         echo: bool,
+        account: str = "",
+        give_up_at: float | None = None,
     ) -> None:
         self.upstream = upstream
         self.address = address
@@ -90,6 +104,8 @@
         self.max_tokens = max_tokens
         self.priority = priority
         self.echo = echo
+        self.account = account
+        self.give_up_at = give_up_at
 
 
 class Forward(records.Record):
--- a/yuccahitch/messages/answers.py
+++ b/yuccahitch/messages/answers.py
@@ -50,14 +50,22 @@
 
 
 class Chunk(records.Record):
-    """Bytes of an answer's body."""
+    """Bytes of an answer's body.
 
-    __slots__ = ("request_id", "attempt", "data")
+    Attributes:
+        request_id: Request that it answers.
+        attempt: Attempt that it answers.
+        data: The bytes; of a stream, whole events.
+        event_id: Id of the last event in them, or empty.
+    """
+
+    __slots__ = ("request_id", "attempt", "data", "event_id")
 
-    def __init__(self, *, request_id: str, attempt: int, data: bytes) -> None:
+    def __init__(self, *, request_id: str, attempt: int, data: bytes, event_id: str = "") -> None:
         self.request_id = request_id
         self.attempt = attempt
         self.data = data
+        self.event_id = event_id
 
 
 class End(records.Record):
@@ -80,9 +88,10 @@
         error: Why, and whether an upstream can have run it.
         crashed: Whether the upstream's connection broke while it worked on the request.
         usage: Tokens used before the failure.
+        last_event: Id of the last event that was passed on, or empty.
     """
 
-    __slots__ = ("request_id", "attempt", "error", "crashed", "usage")
+    __slots__ = ("request_id", "attempt", "error", "crashed", "usage", "last_event")
 
     def __init__(
         self,
@@ -92,10 +101,12 @@
         error: errors.GatewayError,
         crashed: bool = False,
         usage: Usage | None = None,
+        last_event: str = "",
     ) -> None:
         self.request_id = request_id
         self.attempt = attempt
         self.error = error
+        self.last_event = last_event
         self.crashed = crashed
         self.usage = usage or Usage()
 
--- a/yuccahitch/messages/exchanges.py
+++ b/yuccahitch/messages/exchanges.py
@@ -26,6 +26,15 @@
         self.part = part
 
 
+class Expired(records.Record):
+    """The time of a request is up and its answer has not begun; the reply is the refusal."""
+
+    __slots__ = ("request_id",)
+
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
+
+
 class Finished(records.Record):
     """A request is over.
 
--- a/yuccahitch/messages/requests.py
+++ b/yuccahitch/messages/requests.py
@@ -6,6 +6,7 @@
 
 CHAT = "chat"
 CALL = "call"
+PROXY = "proxy"
 
 
 class Request(records.Record):
@@ -13,8 +14,9 @@
 
     Attributes:
         id: Unique id, in every log line and message about it.
-        kind: ``chat`` for a model, ``call`` for a plain service.
-        target: Model or service that the caller names.
+        kind: ``chat`` for a model, ``call`` for a plain service, ``proxy`` for a route by host
+            and path, whose requests pass unchanged.
+        target: Model, service or host that the caller names.
         method: HTTP method towards the upstream.
         path: Path and query towards the upstream.
         headers: Headers that are passed on.
@@ -27,6 +29,8 @@
         key_digest: Digest of the caller's key, or empty.
         operation_key: Idempotency key, or empty.
         deadline: Time by which the answer must begin, in monotonic seconds.
+        parts: Parts of the prompt in their order, each an id and its tokens.
+        resume_after: Id of the last event that the caller has, or empty.
     """
 
     __slots__ = (
@@ -45,6 +49,8 @@
         "key_digest",
         "operation_key",
         "deadline",
+        "parts",
+        "resume_after",
     )
 
     def __init__(
@@ -65,6 +71,8 @@
         key_digest: str,
         operation_key: str,
         deadline: float,
+        parts: tuple[tuple[str, int], ...] = (),
+        resume_after: str = "",
     ) -> None:
         self.id = id
         self.kind = kind
@@ -81,6 +89,8 @@
         self.key_digest = key_digest
         self.operation_key = operation_key
         self.deadline = deadline
+        self.parts = tuple(parts)
+        self.resume_after = resume_after
 
 
 class Hop(records.Record):
@@ -98,6 +108,9 @@
         granted_tokens: Limit of the answer that the sender reserved, in tokens.
         better_than_s: First-token time at the sender; the receiver declines if it takes longer
             there. 0 means that the sender can't serve the request.
+        service: Service that the sender chose, on a route by host and path.
+        priority: Priority of the request there.
+        avoid: Upstreams that failed the request.
     """
 
     __slots__ = (
@@ -111,6 +124,9 @@
         "charged",
         "granted_tokens",
         "better_than_s",
+        "service",
+        "priority",
+        "avoid",
     )
 
     def __init__(
@@ -126,6 +142,9 @@
         charged: bool,
         granted_tokens: int,
         better_than_s: float = 0.0,
+        service: str = "",
+        priority: int = 0,
+        avoid: tuple[str, ...] = (),
     ) -> None:
         self.sender = sender
         self.account = account
@@ -137,3 +156,6 @@
         self.charged = charged
         self.granted_tokens = granted_tokens
         self.better_than_s = better_than_s
+        self.service = service
+        self.priority = priority
+        self.avoid = tuple(avoid)
--- a/yuccahitch/messages/store.py
+++ b/yuccahitch/messages/store.py
@@ -23,13 +23,20 @@
 
 
 class Range(records.Record):
-    """Read one key, or all keys with a prefix."""
+    """Read one key, or all keys with a prefix.
 
-    __slots__ = ("key", "prefix")
+    Attributes:
+        key: The key or prefix.
+        prefix: Whether it is a prefix.
+        after: Key after which a further page begins, or empty.
+    """
+
+    __slots__ = ("key", "prefix", "after")
 
-    def __init__(self, key: str, *, prefix: bool = False) -> None:
+    def __init__(self, key: str, *, prefix: bool = False, after: str = "") -> None:
         self.key = key
         self.prefix = prefix
+        self.after = after
 
 
 class Expect(records.Record):
@@ -112,13 +119,14 @@
 
 
 class Items(records.Record):
-    """Reply to a Range."""
+    """Reply to a Range; ``more`` tells whether a further page follows."""
 
-    __slots__ = ("items", "revision")
+    __slots__ = ("items", "revision", "more")
 
-    def __init__(self, items: list[Item], *, revision: int) -> None:
+    def __init__(self, items: list[Item], *, revision: int, more: bool = False) -> None:
         self.items = items
         self.revision = revision
+        self.more = more
 
 
 class Committed(records.Record):
@@ -176,19 +184,23 @@
 
 
 class Changed(records.Record):
-    """Keys that a watch saw change; a deleted key's value is None."""
+    """Keys under a prefix that a watch saw change; a deleted key's value is None."""
 
-    __slots__ = ("items", "revision")
+    __slots__ = ("items", "revision", "prefix")
 
-    def __init__(self, items: list[tuple[str, Item | None]], *, revision: int) -> None:
+    def __init__(
+        self, items: list[tuple[str, Item | None]], *, revision: int, prefix: str = ""
+    ) -> None:
         self.items = items
         self.revision = revision
+        self.prefix = prefix
 
 
 class WatchLost(records.Record):
     """The watch broke; what changed since must be read again."""
 
-    __slots__ = ("detail",)
+    __slots__ = ("detail", "prefix")
 
-    def __init__(self, detail: str) -> None:
+    def __init__(self, detail: str, *, prefix: str = "") -> None:
         self.detail = detail
+        self.prefix = prefix
--- /dev/null
+++ b/yuccahitch/platform/publication.py
@@ -0,0 +1,110 @@
+"""Reads the operators' configuration."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+from yuccahitch.resources import account, key, publication, rate, route, service
+
+Json = dict[str, typing.Any]
+
+# On the wire a kind also tells whether the answer is a stream.
+REPEATS = {"safe": route.Repeat.SAFE, "unsafe": route.Repeat.UNSAFE}
+
+
+def decode(raw: bytes) -> publication.Publication:
+    """Read a configuration.
+
+    Args:
+        raw: JSON as the operator wrote it.
+
+    Returns:
+        The configuration.
+
+    Raises:
+        ValueError: When it can't be read.
+    """
+    try:
+        data = json.loads(raw)
+        return publication.Publication(
+            version=int(data["version"]),
+            routes=[_route(item) for item in data["routes"]],
+            services=[_service(item) for item in data["services"]],
+            accounts=[_account(item) for item in data.get("tenants") or ()],
+            rates=[_rate(item) for item in data.get("tenants") or () if item.get("ratePerS")],
+            keys=_keys(data),
+            keyed=bool(data.get("tenants")),
+            limits=_limits(data.get("limits") or {}),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from error
+
+
+def _keys(data: Json) -> dict[str, str]:
+    return {
+        key.digest_of(text): item["name"]
+        for item in data.get("tenants") or ()
+        for text in item.get("apiKeys") or ()
+    }
+
+
+def _route(item: Json) -> route.Route:
+    shared = tuple((part["service"], int(part["weight"])) for part in item.get("backends") or ())
+    streams = item["kind"] == "streaming"
+    repeat = REPEATS.get(item["kind"], route.Repeat.UNSAFE)
+    if streams and item.get("resumable"):
+        repeat = route.Repeat.RESUMABLE
+    return route.Route(
+        name=item["name"],
+        service=item.get("service") or "",
+        regions=tuple(item.get("homeRegions") or ()),
+        open=bool(item.get("public")),
+        idempotent=repeat is not route.Repeat.UNSAFE,
+        host=item["host"],
+        prefix=item["pathPrefix"],
+        backends=shared,
+        repeat=repeat,
+        streams=streams,
+        timeout_s=float(item.get("timeoutMs") or 0) / 1000,
+        target_s=float(item.get("targetLatencyMs") or 0) / 1000,
+        attempts=int(item.get("maxAttempts") or 1),
+        priority=int(item.get("priority") or 0),
+    )
+
+
+def _service(item: Json) -> service.Service:
+    return service.Service(
+        name=item["name"],
+        kind=service.MODEL if item.get("engine") else service.PLAIN,
+        warmup_s=float(item.get("warmupS") or 0),
+        warmup_per_s=float(item.get("warmupPerS") or 0),
+        max_connections=int(item.get("maxConnections") or 0),
+    )
+
+
+def _account(item: Json) -> account.Account:
+    return account.Account(
+        name=item["name"],
+        residency=tuple(item.get("homeRegions") or ()),
+        priority=item.get("priority"),
+        plain_tokens=int(item.get("plainTokens") or 0),
+    )
+
+
+def _rate(item: Json) -> rate.Rate:
+    # Both count tokens where the unit says so, else requests.
+    return rate.Rate(
+        name=item["name"],
+        tokens_per_s=float(item["ratePerS"]),
+        burst_tokens=float(item.get("burst") or 0),
+    )
+
+
+def _limits(item: Json) -> publication.CallerLimits:
+    return publication.CallerLimits(
+        header_bytes=int(item.get("maxHeaderBytes", 16384)),
+        body_bytes=int(item.get("maxBodyBytes", 4194304)),
+        header_s=float(item.get("headerTimeoutMs", 3000)) / 1000,
+        idle_s=float(item.get("idleTimeoutMs", 15000)) / 1000,
+    )
--- /dev/null
+++ b/yuccahitch/platform/store.py
@@ -0,0 +1,137 @@
+"""Calls to the platform's store and its replies: the dialect of ``tasks.store_client``."""
+
+from __future__ import annotations
+
+import base64
+import functools
+import json
+import typing
+
+from yuccahitch.codecs import etcd
+from yuccahitch.messages import store
+from yuccahitch.platform import names
+
+Json = dict[str, typing.Any]
+
+# A watch is a call that waits for the next changes, not a stream.
+POLLING = True
+GONE = 410
+WATCH_PATH = names.WATCH_PATH
+NOTHING_DONE = frozenset((429, 503))
+
+
+@functools.singledispatch
+def encode(call: store.Call) -> etcd.Post:
+    """Return the request for a call."""
+    raise TypeError(type(call))
+
+
+@encode.register
+def _(call: store.Range) -> etcd.Post:
+    if not call.prefix:
+        return etcd.Post(names.KEY_PATH, None, method="GET", query={"key": call.key})
+    query = {"pathPrefix": call.key}
+    if call.after:
+        query["after"] = call.after
+    return etcd.Post(names.RANGE_PATH, None, method="GET", query=query)
+
+
+@encode.register
+def _(call: store.Commit) -> etcd.Post:
+    body = {
+        "expectedRevision": [{"key": e.key, "revision": e.revision} for e in call.expects],
+        "puts": [_put(change) for change in call.changes if type(change) is store.Put],
+        "remove": [change.key for change in call.changes if type(change) is store.Delete],
+    }
+    return etcd.Post(names.COMMIT_PATH, body)
+
+
+@encode.register
+def _(call: store.GrantLease) -> etcd.Post:
+    return etcd.Post(names.LEASE_PATH, {"ttlMs": int(call.ttl_s * 1000)})
+
+
+@encode.register
+def _(call: store.KeepAlive) -> etcd.Post:
+    return etcd.Post(f"{names.KEEP_PATH}{call.lease}", {})
+
+
+@encode.register
+def _(call: store.RevokeLease) -> etcd.Post:
+    return etcd.Post(f"{names.END_PATH}{call.lease}", None, method="DELETE")
+
+
+def decode(call: store.Call, status: int, raw: bytes) -> store.Reply:
+    """Read the reply to a call."""
+    if status in NOTHING_DONE:
+        return store.Failed(sent=False, detail=f"status {status}")
+    return _decode(call, status, json.loads(raw) if raw else {})
+
+
+@functools.singledispatch
+def _decode(call: store.Call, status: int, body: Json) -> store.Reply:
+    raise TypeError(type(call))
+
+
+@_decode.register
+def _(call: store.Range, status: int, body: Json) -> store.Reply:
+    if status == 404 and not call.prefix:
+        return store.Items([], revision=int(body.get("at", 0)))
+    if status != 200:
+        return _failed(status)
+    found = body["items"] if call.prefix else [body]
+    items = [_item(entry) for entry in found]
+    return store.Items(items, revision=int(body["at"]), more=bool(body.get("hasMore")))
+
+
+@_decode.register
+def _(call: store.Commit, status: int, body: Json) -> store.Reply:
+    if status == 412:
+        items = [_item(entry) for entry in body.get("items", ()) if entry.get("value") is not None]
+        return store.Committed(applied=False, items=items, revision=0)
+    if status != 200:
+        return _failed(status)
+    return store.Committed(applied=True, items=[], revision=int(body["revision"]))
+
+
+@_decode.register(store.GrantLease)
+@_decode.register(store.KeepAlive)
+@_decode.register(store.RevokeLease)
+def _(call: store.Call, status: int, body: Json) -> store.Reply:
+    if status == 404:
+        return store.Leased(lease=0, ttl_s=0.0)
+    if status != 200:
+        return _failed(status)
+    lease = body.get("lease", getattr(call, "lease", 0))
+    return store.Leased(lease=int(lease), ttl_s=float(body.get("ttlMs", 0)) / 1000)
+
+
+def watch_query(prefix: str, revision: int, wait_s: float) -> Json:
+    """Return the query of a call that waits for changes after a revision."""
+    return {"pathPrefix": prefix, "after": str(revision), "waitMs": str(int(wait_s * 1000))}
+
+
+def decode_watch(prefix: str, raw: bytes) -> store.Changed:
+    """Read the changes that a waiting call returned."""
+    body = json.loads(raw)
+    items = [
+        (entry["key"], None if entry.get("deleted") else _item(entry)) for entry in body["events"]
+    ]
+    return store.Changed(items, revision=int(body["at"]), prefix=prefix)
+
+
+def _put(change: store.Put) -> Json:
+    value = base64.b64encode(change.value).decode()
+    return {"key": change.key, "value": value, "lease": change.lease}
+
+
+def _item(entry: Json) -> store.Item:
+    return store.Item(
+        key=entry["key"],
+        value=base64.b64decode(entry.get("value") or ""),
+        revision=int(entry["revision"]),
+    )
+
+
+def _failed(status: int) -> store.Failed:
+    return store.Failed(sent=True, detail=f"status {status}")
--- a/yuccahitch/resources/service.py
+++ b/yuccahitch/resources/service.py
@@ -16,9 +16,20 @@
         kind: ``model`` or ``plain``.
         max_output_tokens: Limit of an answer when the caller gives none, in tokens.
         tokens_per_call: Tokens that a call of a plain service costs.
+        warmup_s: Time for which an upstream is cold after its start, in seconds.
+        warmup_per_s: Requests a second that a cold upstream bears, over all instances.
+        max_connections: Connections that an upstream takes, over all instances; 0 means no limit.
     """
 
-    __slots__ = ("name", "kind", "max_output_tokens", "tokens_per_call")
+    __slots__ = (
+        "name",
+        "kind",
+        "max_output_tokens",
+        "tokens_per_call",
+        "warmup_s",
+        "warmup_per_s",
+        "max_connections",
+    )
 
     def __init__(
         self,
@@ -27,8 +38,14 @@
         kind: str = MODEL,
         max_output_tokens: int = 512,
         tokens_per_call: int = 1,
+        warmup_s: float = 0.0,
+        warmup_per_s: float = 0.0,
+        max_connections: int = 0,
     ) -> None:
         self.name = name
         self.kind = kind
         self.max_output_tokens = max_output_tokens
         self.tokens_per_call = tokens_per_call
+        self.warmup_s = warmup_s
+        self.warmup_per_s = warmup_per_s
+        self.max_connections = max_connections
--- a/yuccahitch/resources/upstream.py
+++ b/yuccahitch/resources/upstream.py
@@ -19,6 +19,9 @@
         cost: Cost of a thousand tokens, in the operators' unit.
         abilities: What the engine supports: ``load``, ``cancel``, ``resume``, ``priority``,
             ``events``, ``orders``, ``fencing``, ``echo``.
+        born_ms: Start of this incarnation, in milliseconds since the Unix epoch, or 0.
+        cold_s: Time for which it is still cold, in seconds, when the entry was written.
+        leaves_in_s: Time until it is taken away, in seconds, or None.
     """
 
     __slots__ = (
@@ -31,6 +34,9 @@
         "leaving",
         "cost",
         "abilities",
+        "born_ms",
+        "cold_s",
+        "leaves_in_s",
     )
 
     def __init__(
@@ -45,6 +51,9 @@
         leaving: bool = False,
         cost: float = 1.0,
         abilities: tuple[str, ...] = (),
+        born_ms: int = 0,
+        cold_s: float = 0.0,
+        leaves_in_s: float | None = None,
     ) -> None:
         self.name = name
         self.service = service
@@ -55,3 +64,6 @@
         self.leaving = leaving
         self.cost = cost
         self.abilities = tuple(abilities)
+        self.born_ms = born_ms
+        self.cold_s = cold_s
+        self.leaves_in_s = leaves_in_s
--- a/yuccahitch/settings.py
+++ b/yuccahitch/settings.py
@@ -127,6 +127,56 @@
             setattr(self, name, sections[name])
 
 
+class EdgeInstanceSection(Section):
+    """Who and where an instance on the users' platform is."""
+
+    __slots__ = schema.option_names("instance", schema.EDGE_SCHEMA)
+
+
+class EdgeStoreSection(Section):
+    """The platform's store."""
+
+    __slots__ = schema.option_names("store", schema.EDGE_SCHEMA)
+
+
+class EdgeBoundsSection(Section):
+    """What the platform bounds."""
+
+    __slots__ = schema.option_names("bounds", schema.EDGE_SCHEMA)
+
+
+class EdgeCallersSection(Section):
+    """How callers are answered."""
+
+    __slots__ = schema.option_names("callers", schema.EDGE_SCHEMA)
+
+
+class EdgePolicySection(Section):
+    """The links between regions."""
+
+    __slots__ = schema.option_names("policy", schema.EDGE_SCHEMA)
+
+
+EDGE_SECTIONS: dict[str, type[Section]] = {
+    "instance": EdgeInstanceSection,
+    "store": EdgeStoreSection,
+    "bounds": EdgeBoundsSection,
+    "callers": EdgeCallersSection,
+    "policy": EdgePolicySection,
+    "log": LogSection,
+}
+
+
+class EdgeSettings(records.Record):
+    """All sections of the settings of an instance on the users' platform."""
+
+    __slots__ = tuple(EDGE_SECTIONS)
+
+    def __init__(self, sections: dict[str, Section]) -> None:
+        for name in EDGE_SECTIONS:
+            setattr(self, name, sections[name])
+
+
 def load(path: pathlib.Path) -> Settings:
     """Read and check a settings file.
 
@@ -139,6 +189,30 @@
     Raises:
         SettingsError: With every mistake found.
     """
+    return check(_read(path))
+
+
+def load_edge(path: pathlib.Path) -> EdgeSettings:
+    """Read and check the settings of an instance on the users' platform.
+
+    Options without a value count as left out: the platform fills in only what it knows.
+
+    Raises:
+        SettingsError: With every mistake found.
+    """
+    raw = {
+        name: {option: value for option, value in options.items() if value}
+        for name, options in _read(path).items()
+    }
+    return EdgeSettings(_sections(raw, EDGE_SECTIONS, schema.EDGE_SCHEMA))
+
+
+def check(raw: dict[str, dict[str, str]]) -> Settings:
+    """Check raw sections of text options and return typed settings."""
+    return Settings(_sections(raw, SECTIONS, schema.SCHEMA))
+
+
+def _read(path: pathlib.Path) -> dict[str, dict[str, str]]:
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with path.open(encoding="utf-8") as file:
@@ -148,42 +222,45 @@
         raise SettingsError(
             [Mistake("", "", str(path), f"a readable INI file ({detail})")]
         ) from error
-    return check({name: dict(parser[name]) for name in parser.sections()})
+    return {name: dict(parser[name]) for name in parser.sections()}
 
 
-def check(raw: dict[str, dict[str, str]]) -> Settings:
-    """Check raw sections of text options and return typed settings."""
+def _sections(
+    raw: dict[str, dict[str, str]], kinds: dict[str, type[Section]], table: schema.Schema
+) -> dict[str, Section]:
     mistakes = [
-        Mistake(name, "", "", f"one of the sections {', '.join(SECTIONS)}")
+        Mistake(name, "", "", f"one of the sections {', '.join(kinds)}")
         for name in raw
-        if name not in SECTIONS
+        if name not in kinds
     ]
     sections = {}
-    for name, kind in SECTIONS.items():
-        options, found = _check_section(name, raw.get(name, {}))
+    for name, kind in kinds.items():
+        options, found = _check_section(name, raw.get(name, {}), table)
         mistakes.extend(found)
         if not found:
             sections[name] = kind(options)
     if mistakes:
         raise SettingsError(mistakes)
-    return Settings(sections)
+    return sections
 
 
-def _check_section(name: str, raw: dict[str, str]) -> tuple[dict[str, typing.Any], list[Mistake]]:
-    rules = schema.rules(name)
-    validator = cerberus.Validator(rules)
+def _check_section(
+    name: str, raw: dict[str, str], table: schema.Schema
+) -> tuple[dict[str, typing.Any], list[Mistake]]:
+    validator = cerberus.Validator(table[name])
     options = validator.normalized(raw, always_return_document=True) or {}
     validator.validate(raw)
     mistakes = [
-        Mistake(name, option, raw.get(option, ""), schema.expectation(name, option))
+        Mistake(name, option, raw.get(option, ""), schema.expectation(name, option, table))
         for option in validator.errors
     ]
-    secrets = [o for o in schema.secret_names(name) if o not in validator.errors]
+    secrets = [o for o in schema.secret_names(name, table) if o not in validator.errors]
     for option in secrets:
         try:
             options[option] = _read_secret(options[option])
         except (OSError, KeyError, ValueError, UnicodeDecodeError):
-            mistakes.append(Mistake(name, option, raw[option], schema.expectation(name, option)))
+            expected = schema.expectation(name, option, table)
+            mistakes.append(Mistake(name, option, raw[option], expected))
     return options, mistakes
 
 
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -8,14 +8,22 @@
 import typing
 
 from yuccahitch import clock, events, records
-from yuccahitch.controllers import configuration, gateway, orders
-from yuccahitch.messages import commands, exchanges, peers
-from yuccahitch.messages import store as store_messages
+from yuccahitch.controllers import configuration, gateway, notes, orders
+from yuccahitch.messages import commands, exchanges, peers, pulses
 from yuccahitch.tasks import mailbox, metrics
 
 ORDER_WAIT_S = 60.0
 
 
+class PulseHeard(records.Record):
+    """A pulse came from another instance of the platform."""
+
+    __slots__ = ("pulse",)
+
+    def __init__(self, pulse: pulses.Pulse) -> None:
+        self.pulse = pulse
+
+
 class Tick(records.Record):
     """Time has passed."""
 
@@ -104,6 +112,7 @@
         store: Mailbox of the store client.
         peers: Mailbox of the peer client.
         upstreams: Mailbox of the upstream client.
+        pulse_socket: Mailbox of the socket for pulses, on the users' platform.
     """
 
     __slots__ = (
@@ -114,6 +123,7 @@
         "store",
         "peers",
         "upstreams",
+        "pulse_socket",
         "inbox",
         "waiting",
         "tickets",
@@ -130,6 +140,7 @@
         store: mailbox.Mailbox,
         peers: mailbox.Mailbox,
         upstreams: mailbox.Mailbox,
+        pulse_socket: mailbox.Mailbox | None = None,
     ) -> None:
         self.decisions = decisions
         self.time = time
@@ -138,6 +149,7 @@
         self.store = store
         self.peers = peers
         self.upstreams = upstreams
+        self.pulse_socket = pulse_socket
         self.inbox = mailbox.Mailbox()
         self.waiting: dict[str, mailbox.Ask] = {}
         self.tickets: dict[str, mailbox.Ask] = {}
@@ -159,11 +171,11 @@
         """Handle one message and pass on what the decisions ask for."""
         now = self.time.now()
         if type(message) is mailbox.Ask:
-            _asked(message.message, message, self, now)
+            asked(message.message, message, self, now)
         else:
-            _told(message, self, now)
+            told(message, self, now)
         for item in self.decisions.drain(now):
-            _pass_on(item, self)
+            pass_on(item, self)
 
     def settle(self, ask: mailbox.Ask, request_id: str, outcome: typing.Any) -> None:
         """Answer a task that runs a request, or keep it waiting."""
@@ -174,11 +186,12 @@
 
 
 @functools.singledispatch
-def _asked(message: typing.Any, ask: mailbox.Ask, core: Core, now: float) -> None:
+def asked(message: typing.Any, ask: mailbox.Ask, core: Core, now: float) -> None:
+    """Answer a message whose sender waits."""
     raise TypeError(type(message))
 
 
-@_asked.register
+@asked.register
 def _(message: exchanges.Begin, ask: mailbox.Ask, core: Core, now: float) -> None:
     core.figures.count("requests")
     request = message.request
@@ -192,18 +205,24 @@
     core.settle(ask, request.id, outcome)
 
 
-@_asked.register
+@asked.register
 def _(message: exchanges.Resume, ask: mailbox.Ask, core: Core, now: float) -> None:
     outcome = core.decisions.resume(message.request_id, message.part, now)
     core.settle(ask, message.request_id, outcome)
 
 
-@_asked.register
+@asked.register
+def _(message: exchanges.Expired, ask: mailbox.Ask, core: Core, now: float) -> None:
+    core.waiting.pop(message.request_id, None)
+    ask.answer(core.decisions.expire(message.request_id, now))
+
+
+@asked.register
 def _(message: PeerMessage, ask: mailbox.Ask, core: Core, now: float) -> None:
     ask.answer(core.decisions.on_peer(message.body, message.sender, now))
 
 
-@_asked.register
+@asked.register
 def _(message: Query, ask: mailbox.Ask, core: Core, now: float) -> None:
     try:
         ask.answer(message.read(core.decisions))
@@ -211,19 +230,19 @@
         ask.reply.set_exception(error)
 
 
-@_asked.register
+@asked.register
 def _(message: configuration.Write, ask: mailbox.Ask, core: Core, now: float) -> None:
     core.tickets[message.ticket] = ask
     core.decisions.config.write(message)
 
 
-@_asked.register
+@asked.register
 def _(message: Release, ask: mailbox.Ask, core: Core, now: float) -> None:
     core.tickets[message.ticket] = ask
     core.decisions.reclaim.release(message.instance, message.ticket)
 
 
-@_asked.register
+@asked.register
 def _(message: orders.Order, ask: mailbox.Ask, core: Core, now: float) -> None:
     core.tickets[message.ticket] = ask
     message.until = now + core.decisions.orders.longest_s + ORDER_WAIT_S
@@ -231,63 +250,69 @@
 
 
 @functools.singledispatch
-def _told(message: typing.Any, core: Core, now: float) -> None:
+def told(message: typing.Any, core: Core, now: float) -> None:
+    """Take in a message that nobody waits for."""
     raise TypeError(type(message))
 
 
-@_told.register
+@told.register
 def _(message: Tick, core: Core, now: float) -> None:
     was_ready = core.decisions.members.own.ready
     core.decisions.tick(now)
     if core.decisions.members.own.ready and not was_ready:
         core.log.write(events.Event.READY)
-    if core.decisions.access.closed:
+    if core.decisions.closed:
         core.drained.set()
 
 
-@_told.register
+@told.register
+def _(message: PulseHeard, core: Core, now: float) -> None:
+    core.decisions.on_pulse(message.pulse, now)
+
+
+@told.register
 def _(message: BeginDrain, core: Core, now: float) -> None:
     core.log.write(events.Event.DRAIN_BEGAN, open_requests=len(core.decisions.exchanges))
     core.decisions.begin_drain(now)
 
 
-@_told.register
+@told.register
 def _(message: exchanges.Finished, core: Core, now: float) -> None:
     core.waiting.pop(message.request_id, None)
     item = core.decisions.finish(message, now)
     if item is None:
         return
     _count(core, message, now - item.began)
-    note = gateway.note_of(message, item)
+    note = notes.note_of(message, item)
     core.log.write(note.event, **note.fields)
 
 
-@_told.register
+@told.register
 def _(message: commands.StoreReply, core: Core, now: float) -> None:
     core.decisions.on_store(message, now)
 
 
-@_told.register
+@told.register
 def _(message: commands.PeerReply, core: Core, now: float) -> None:
     core.decisions.on_peer_reply(message, now)
 
 
-@_told.register
+@told.register
 def _(message: commands.OrderReply, core: Core, now: float) -> None:
     core.decisions.orders.answered(message.order, message.error, now)
 
 
-@_told.register
+@told.register
 def _(message: WatchHeard, core: Core, now: float) -> None:
-    _watch(message.event, core, now)
+    core.decisions.on_watch(message.event, now)
 
 
-@_told.register
+@told.register
 def _(message: LoadHeard, core: Core, now: float) -> None:
     core.decisions.states.hear(message.load, now)
 
 
-@_told.register
+@told.register
 def _(message: SeedsHeard, core: Core, now: float) -> None:
     known = core.decisions.members.seeds
     own = core.decisions.members.own
@@ -295,65 +320,55 @@
     known.extend(address for address in message.addresses if address not in taken)
 
 
-@_told.register
+@told.register
 def _(message: ClientsHeard, core: Core, now: float) -> None:
     core.decisions.config.publish(message.entries)
 
 
 @functools.singledispatch
-def _watch(event: typing.Any, core: Core, now: float) -> None:
-    raise TypeError(type(event))
-
-
-@_watch.register
-def _(event: store_messages.Changed, core: Core, now: float) -> None:
-    core.decisions.config.changed(event, now)
-
-
-@_watch.register
-def _(event: store_messages.WatchLost, core: Core, now: float) -> None:
-    core.log.write(events.Event.WATCH_BROKEN, detail=event.detail)
-    core.decisions.config.watch_lost()
-
-
-@functools.singledispatch
-def _pass_on(item: typing.Any, core: Core) -> None:
+def pass_on(item: typing.Any, core: Core) -> None:
+    """Give what the decisions ask for to the task that does it."""
     raise TypeError(type(item))
 
 
-@_pass_on.register
+@pass_on.register
 def _(item: commands.StoreCall, core: Core) -> None:
     core.store.post(item)
 
 
-@_pass_on.register
+@pass_on.register
 def _(item: commands.WatchStore, core: Core) -> None:
     core.store.post(item)
 
 
-@_pass_on.register
+@pass_on.register
 def _(item: commands.SendOrder, core: Core) -> None:
     core.upstreams.post(item)
 
 
-@_pass_on.register
+@pass_on.register
+def _(item: pulses.SendPulse, core: Core) -> None:
+    core.pulse_socket.post(item)
+
+
+@pass_on.register
 def _(item: commands.PeerCall, core: Core) -> None:
     core.peers.post(item)
 
 
-@_pass_on.register
+@pass_on.register
 def _(item: commands.Note, core: Core) -> None:
     core.log.write(item.event, **item.fields)
 
 
-@_pass_on.register
+@pass_on.register
 def _(item: commands.Wake, core: Core) -> None:
     ask = core.tickets.pop(item.request_id, None)
     if ask is not None:
         ask.answer(item.reply)
 
 
-@_pass_on.register
+@pass_on.register
 def _(item: exchanges.Outcome, core: Core) -> None:
     ask = core.waiting.pop(item.request_id, None)
     if ask is not None:
--- /dev/null
+++ b/yuccahitch/tasks/edge_process.py
@@ -0,0 +1,193 @@
+"""Puts the tasks of one instance on the users' platform together and runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+import uuid
+
+import eliot
+import reactivex
+from reactivex.scheduler import eventloop
+
+from yuccahitch import clock, events
+from yuccahitch import settings as config_file
+from yuccahitch.controllers import edge
+from yuccahitch.platform import names, publication, upstreams
+from yuccahitch.platform import store as store_dialect
+from yuccahitch.tasks import (
+    core,
+    front_server,
+    mailbox,
+    metrics,
+    peer_client,
+    peer_server,
+    pulse_socket,
+    replica_client,
+    runner,
+    store_client,
+)
+
+TICK_S = 0.1
+SWEEP_S = 1.0
+PEER_TIMEOUT_S = 2.0
+# The platform hands out no secret: its network alone keeps others from the peer port.
+NO_SECRET = ""
+
+
+class EdgeProcess:
+    """All tasks of one instance.
+
+    Args:
+        settings: Its settings.
+        path: The file that they came from, read again on SIGHUP.
+    """
+
+    __slots__ = (
+        "settings",
+        "path",
+        "instance",
+        "time",
+        "log",
+        "figures",
+        "core",
+        "store",
+        "peers",
+        "replicas",
+        "pulses",
+        "front",
+        "peer_server",
+        "children",
+    )
+
+    def __init__(self, settings: config_file.EdgeSettings, path: pathlib.Path) -> None:
+        self.settings = settings
+        self.path = path
+        self.time = clock.SystemClock()
+        self.instance = f"{settings.instance.name}~{uuid.uuid4().hex[:8]}"
+        self.log = events.Log(self.instance, events.Stamp(self.time.wall))
+        self.figures = metrics.Metrics()
+        self.children = mailbox.Children()
+        rng = random.Random(uuid.uuid4().int)
+        self.replicas = replica_client.ReplicaClient(time=self.time, log=self.log)
+        self._make_core(rng)
+        mailboxes = runner.Mailboxes(
+            core=self.core.inbox,
+            upstreams=self.replicas.inbox,
+            peers=self.peers.inbox,
+            capacity=settings.callers.answer_buffer_chunks,
+            write_timeout_s=settings.callers.write_timeout_s,
+        )
+        self.front = front_server.FrontServer(
+            settings,
+            decisions=self.core.inbox,
+            state=self.core.decisions,
+            mailboxes=mailboxes,
+            time=self.time,
+            log=self.log,
+        )
+        self.peer_server = peer_server.PeerServer(
+            secret=NO_SECRET,
+            decisions=self.core.inbox,
+            mailboxes=mailboxes,
+            time=self.time,
+            log=self.log,
+        )
+
+    async def run(self) -> None:
+        """Serve until a graceful shutdown is done."""
+        host, _, port = self.settings.instance.peers.rpartition(":")
+        await self.pulses.start(host, int(port))
+        parts = (self.core, self.store, self.peers, self.replicas, self.pulses)
+        tasks = [self.children.start(part.run()) for part in parts]
+        await self.peer_server.start(host, int(port))
+        await self.front.start()
+        place = self.settings.instance
+        self.log.write(events.Event.STARTED, region=place.region, zone=place.zone)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.core.inbox.post, core.BeginDrain())
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        scheduler = eventloop.AsyncIOScheduler(loop)
+        ticks = reactivex.interval(TICK_S, scheduler=scheduler)
+        sweeps = reactivex.interval(SWEEP_S, scheduler=scheduler)
+        subscriptions = [
+            ticks.subscribe(on_next=lambda _: self.core.inbox.post(core.Tick())),
+            sweeps.subscribe(on_next=lambda _: self.replicas.sweep(self.time.now())),
+        ]
+        self.core.inbox.post(core.Tick())
+        drained = self.children.start(self.core.drained.wait())
+        await asyncio.wait([drained, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        for subscription in subscriptions:
+            subscription.dispose()
+        await self.front.stop()
+        await self.peer_server.stop()
+        self.log.write(events.Event.STOPPED)
+        failed = [task for task in tasks if task.done() and task.exception() is not None]
+        await self.children.stop()
+        for task in failed:
+            raise task.exception()
+
+    def _make_core(self, rng: random.Random) -> None:
+        decisions = edge.Edge(
+            self.settings,
+            instance=self.instance,
+            keyspace=names,
+            read_publication=publication.decode,
+            read_upstream=upstreams.decode,
+            rng=rng,
+            now=self.time.now(),
+        )
+        options = self.settings.store
+        self.store = store_client.StoreClient(
+            f"http://{options.address}",
+            prefix="",
+            timeout_s=options.timeout_s,
+            time=self.time,
+            log=self.log,
+            reply_to=lambda reply: self.core.inbox.post(reply),
+            watch_to=lambda event: self.core.inbox.post(core.WatchHeard(event)),
+            rng=rng,
+            dialect=store_dialect,
+            poll_wait_s=options.watch_s,
+        )
+        self.peers = peer_client.PeerClient(
+            self.instance,
+            secret=NO_SECRET,
+            timeout_s=PEER_TIMEOUT_S,
+            time=self.time,
+            log=self.log,
+            reply_to=lambda reply: self.core.inbox.post(reply),
+        )
+        self.pulses = pulse_socket.PulseSocket(decisions=mailbox.Mailbox(), log=self.log)
+        self.core = core.Core(
+            decisions,
+            time=self.time,
+            log=self.log,
+            figures=self.figures,
+            store=self.store.inbox,
+            peers=self.peers.inbox,
+            upstreams=self.replicas.inbox,
+            pulse_socket=self.pulses.inbox,
+        )
+        self.pulses.decisions = self.core.inbox
+
+    def _reload(self) -> None:
+        """Read the settings again; a file with mistakes changes nothing."""
+        try:
+            loaded = config_file.load_edge(self.path)
+        except config_file.SettingsError as error:
+            self.log.write(events.Event.RELOADED, mistakes=str(error))
+            return
+        self.store.url = f"http://{loaded.store.address}"
+        self.log.write(events.Event.RELOADED, store=loaded.store.address)
+
+
+def serve(settings: config_file.EdgeSettings, path: pathlib.Path) -> None:
+    """Run one instance on the users' platform until it is told to stop."""
+    file = sys.stdout if settings.log.file == "-" else open(settings.log.file, "a", buffering=1)
+    eliot.to_file(file)
+    asyncio.run(EdgeProcess(settings, path).run())
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -11,6 +11,8 @@
 from yuccahitch.messages import actions, answers, exchanges, requests
 from yuccahitch.tasks import answer_stream, mailbox, peer_client, upstream_client
 
+END_MARGIN_S = 0.05
+
 
 class Sink(typing.Protocol):
     """Where an answer goes; each method may raise ``ConnectionError`` when nobody listens."""
@@ -85,6 +87,8 @@
         "began",
         "first_byte_s",
         "crashed",
+        "limit",
+        "last_event",
     )
 
     def __init__(
@@ -109,14 +113,19 @@
         self.began = now()
         self.first_byte_s: float | None = None
         self.crashed = ""
+        self.limit: asyncio.Timeout | None = None
+        self.last_event = request.resume_after
 
     async def run(self, hop: requests.Hop | None = None) -> None:
         """Run the request to its end; what it holds is settled however it ends."""
         try:
-            outcome = await self.mailboxes.core.ask(exchanges.Begin(self.request, hop))
-            while outcome is not None:
-                outcome = await _act(outcome.action, outcome, self)
-        except (ConnectionError, TimeoutError):
+            async with asyncio.timeout(None) as self.limit:
+                outcome = await self.mailboxes.core.ask(exchanges.Begin(self.request, hop))
+                while outcome is not None:
+                    outcome = await _act(outcome.action, outcome, self)
+        except TimeoutError:
+            await self._expired()
+        except ConnectionError:
             self.listening = False
         finally:
             if self.stream is not None:
@@ -131,25 +140,45 @@
         part = await stream.get()
         return await self.mailboxes.core.ask(exchanges.Resume(self.request.id, part))
 
+    def end_at(self, give_up_at: float | None) -> None:
+        """End the request at a time, in monotonic seconds, shortly after the upstream's own end."""
+        if give_up_at is not None:
+            self.limit.reschedule(give_up_at + END_MARGIN_S)
+
+    async def _expired(self) -> None:
+        """Give the request its final answer, or leave a caller that does not read."""
+        if not self.limit.expired():
+            self.listening = False
+            return
+        if self.stream is not None:
+            self.stream.close()
+        outcome = await self.mailboxes.core.ask(exchanges.Expired(self.request.id))
+        try:
+            await _act(outcome.action, outcome, self)
+        except (ConnectionError, TimeoutError):
+            self.listening = False
+
     def open_stream(self, attempt: int) -> answer_stream.AnswerStream:
         """Return a stream for an attempt."""
         return answer_stream.AnswerStream(
             self.request.id, attempt, capacity=self.mailboxes.capacity
         )
 
-    async def relay(self, head: answers.Head) -> None:
-        """Pass an answer on until it ends.
+    async def relay(self, head: answers.Head) -> exchanges.Outcome | None:
+        """Pass an answer on until it ends; return what follows when it broke off.
 
         When the caller has hung up, a request with an idempotency key goes on, so that its answer
         is there for a repeat; any other is abandoned.
         """
-        self.head = head
-        self.first_byte_s = self.now() - self.began
-        await self.send(self.sink.start(head))
-        ended = False
-        while not ended:
+        if self.head is None:
+            self.head = head
+            self.first_byte_s = self.now() - self.began
+            await self.send(self.sink.start(head))
+        outcome, ended = None, False
+        while not ended and outcome is None:
             part = await self.stream.get()
-            ended = await _relay(part, self)
+            ended, outcome = await _relay(part, self)
+        return outcome
 
     async def send(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
         """Send something to the caller, unless it has hung up."""
@@ -205,7 +234,11 @@
     action: actions.Refuse, outcome: exchanges.Outcome, runner: Runner
 ) -> exchanges.Outcome | None:
     runner.error = action.error
-    await runner.send(runner.sink.refuse(action.error, outcome.operation))
+    if runner.head is None:
+        await runner.send(runner.sink.refuse(action.error, outcome.operation))
+    else:
+        cut = answers.Failure(request_id=runner.request.id, attempt=0, error=action.error)
+        await runner.send(runner.sink.cut(cut))
     return None
 
 
@@ -222,8 +255,7 @@
 async def _(
     action: actions.Deliver, outcome: exchanges.Outcome, runner: Runner
 ) -> exchanges.Outcome | None:
-    await runner.relay(action.head)
-    return None
+    return await runner.relay(action.head)
 
 
 @_act.register
@@ -241,6 +273,7 @@
 @_perform.register
 async def _(work: actions.Dispatch, runner: Runner) -> exchanges.Outcome:
     stream = runner.open_stream(work.attempt)
+    runner.end_at(work.give_up_at)
     runner.mailboxes.upstreams.post(upstream_client.Open(work, stream))
     return await runner.attempt(stream)
 
@@ -248,40 +281,49 @@
 @_perform.register
 async def _(work: actions.Forward, runner: Runner) -> exchanges.Outcome:
     stream = runner.open_stream(work.attempt)
+    if runner.request.kind == requests.PROXY:
+        runner.end_at(runner.now() + work.deadline_in)
     runner.mailboxes.peers.post(peer_client.OpenForward(work, stream))
     return await runner.attempt(stream)
 
 
+Relayed = tuple[bool, exchanges.Outcome | None]
+
+
 @functools.singledispatch
-async def _relay(part: answers.Part, runner: Runner) -> bool:
-    """Pass a part on; return whether it is the last one."""
+async def _relay(part: answers.Part, runner: Runner) -> Relayed:
+    """Pass a part on; return whether it is the last one, and what to do next if it is not."""
     raise TypeError(type(part))
 
 
 @_relay.register
-async def _(part: answers.Head, runner: Runner) -> bool:
-    return False
+async def _(part: answers.Head, runner: Runner) -> Relayed:
+    return False, None
 
 
 @_relay.register
-async def _(part: answers.Chunk, runner: Runner) -> bool:
+async def _(part: answers.Chunk, runner: Runner) -> Relayed:
     runner.keep(part.data)
+    runner.last_event = part.event_id or runner.last_event
     await runner.send(runner.sink.write(part))
-    return False
+    return False, None
 
 
 @_relay.register
-async def _(part: answers.End, runner: Runner) -> bool:
+async def _(part: answers.End, runner: Runner) -> Relayed:
     runner.usage = part.usage
     runner.succeeded = True
     await runner.send(runner.sink.end(part))
-    return True
+    return True, None
 
 
 @_relay.register
-async def _(part: answers.Failure, runner: Runner) -> bool:
+async def _(part: answers.Failure, runner: Runner) -> Relayed:
     runner.usage = part.usage
+    if runner.request.kind == requests.PROXY:
+        part.last_event = runner.last_event
+        return False, await runner.mailboxes.core.ask(exchanges.Resume(runner.request.id, part))
     runner.error = part.error
     runner.crashed = part.error.peer if part.crashed else ""
     await runner.send(runner.sink.cut(part))
-    return True
+    return True, None
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -19,6 +19,8 @@
 
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
+POLL_WAIT_S = 3.0
+POLL_PAUSE_S = 0.1
 LOST_AFTER_FAILURES = 3
 MAX_CALLS = 32
 MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
@@ -39,6 +41,8 @@
         reply_to: Takes each reply.
         watch_to: Takes what the watch sees.
         rng: Source of jitter.
+        dialect: Module that encodes calls and decodes replies.
+        poll_wait_s: Longest wait of a call that waits for changes, in seconds.
     """
 
     __slots__ = (
@@ -50,6 +54,8 @@
         "reply_to",
         "watch_to",
         "rng",
+        "dialect",
+        "poll_wait_s",
         "inbox",
         "children",
         "session",
@@ -70,6 +76,8 @@
         reply_to: typing.Callable[[commands.StoreReply], None],
         watch_to: typing.Callable[[store.Changed | store.WatchLost], None],
         rng: random.Random,
+        dialect: typing.Any = etcd,
+        poll_wait_s: float = POLL_WAIT_S,
     ) -> None:
         self.url = url.rstrip("/")
         self.prefix = prefix
@@ -79,11 +87,13 @@
         self.reply_to = reply_to
         self.watch_to = watch_to
         self.rng = rng
+        self.dialect = dialect
+        self.poll_wait_s = poll_wait_s
         self.inbox = mailbox.Mailbox()
         self.children = mailbox.Children()
         self.session: aiohttp.ClientSession | None = None
         self.failures = 0
-        self.watching: asyncio.Task[None] | None = None
+        self.watching: dict[str, reactivex_abc.DisposableBase] = {}
         self.slots = asyncio.Semaphore(MAX_CALLS)
         self.calls = 0
 
@@ -99,17 +109,20 @@
 
     async def call(self, call: store.Call) -> store.Reply:
         """Make one call and return its reply or failure."""
-        post = etcd.encode(_prefixed(call, self.prefix))
+        post = self.dialect.encode(_prefixed(call, self.prefix))
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         self.calls += 1
         try:
-            async with self.session.post(
-                self.url + post.path, json=post.body, timeout=timeout
+            async with self.session.request(
+                post.method,
+                self.url + post.path,
+                params=post.query,
+                json=post.body,
+                timeout=timeout,
             ) as response:
-                body = await response.json(content_type=None)
-                if response.status != 200:
-                    return store.Failed(sent=True, detail=f"status {response.status}")
-                return _unprefixed(etcd.decode(call, body), self.prefix)
+                raw = await response.read()
+                reply = self.dialect.decode(call, response.status, raw)
+                return _unprefixed(reply, self.prefix)
         except aiohttp.ClientConnectorError as error:
             return store.Failed(sent=False, detail=type(error).__name__)
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
@@ -121,15 +134,10 @@
             sent_at = self.time.now()
             reply = await self.call(command.call)
         if type(reply) is store.Failed:
-            self.failures += 1
-            if self.failures == LOST_AFTER_FAILURES:
-                self.log.write(events.Event.STORE_LOST, detail=reply.detail)
-            pause = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(self.failures, 8))
-            await asyncio.sleep(pause * (0.5 + self.rng.random() / 2))
+            self._failed(reply.detail)
+            await asyncio.sleep(self._pause(self.failures))
         else:
-            if self.failures >= LOST_AFTER_FAILURES:
-                self.log.write(events.Event.STORE_FOUND)
-            self.failures = 0
+            self._answered()
         self.reply_to(commands.StoreReply(purpose=command.purpose, reply=reply, sent_at=sent_at))
 
     def watch(self, prefix: str, revision: int) -> reactivex.Observable:
@@ -138,19 +146,20 @@
         def subscribe(
             observer: reactivex_abc.ObserverBase, scheduler: typing.Any = None
         ) -> reactivex_abc.DisposableBase:
-            task = self.children.start(self._watch(prefix, revision, observer))
+            work = self._poll if self.dialect.POLLING else self._watch
+            task = self.children.start(work(prefix, revision, observer))
             return reactivex.disposable.Disposable(task.cancel)
 
         return reactivex.create(subscribe)
 
     def start_watch(self, command: commands.WatchStore) -> None:
         """Begin or end the watch that the core asks for."""
-        if self.watching is not None:
-            self.watching.dispose()
-            self.watching = None
+        earlier = self.watching.pop(command.prefix, None)
+        if earlier is not None:
+            earlier.dispose()
         if command.active:
             observable = self.watch(command.prefix, command.revision)
-            self.watching = observable.subscribe(on_next=self.watch_to)
+            self.watching[command.prefix] = observable.subscribe(on_next=self.watch_to)
 
     async def _watch(
         self, prefix: str, revision: int, observer: reactivex_abc.ObserverBase
@@ -172,9 +181,60 @@
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
             detail = type(error).__name__
         await asyncio.sleep(FIRST_PAUSE_S)
-        observer.on_next(store.WatchLost(detail))
+        observer.on_next(store.WatchLost(detail, prefix=prefix))
         observer.on_completed()
 
+    async def _poll(self, prefix: str, revision: int, observer: reactivex_abc.ObserverBase) -> None:
+        """Ask for the next changes again and again, until the store has lost the history."""
+        failures = 0
+        while True:
+            try:
+                status, raw = await self._changes_after(prefix, revision)
+                if status == self.dialect.GONE:
+                    break
+                if status == 200:
+                    change = self.dialect.decode_watch(self.prefix + prefix, raw)
+                    revision = max(revision, change.revision)
+                    change = _unprefixed_change(change, self.prefix)
+                    change.prefix = prefix
+                    observer.on_next(change)
+                    self._answered()
+                    failures = 0
+                    # Changes that follow closely come with one call.
+                    await asyncio.sleep(POLL_PAUSE_S)
+                    continue
+                detail = f"status {status}"
+            except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
+                detail = type(error).__name__
+            failures += 1
+            self._failed(detail)
+            await asyncio.sleep(self._pause(failures))
+        observer.on_next(store.WatchLost("the history is gone", prefix=prefix))
+        observer.on_completed()
+
+    async def _changes_after(self, prefix: str, revision: int) -> tuple[int, bytes]:
+        query = self.dialect.watch_query(self.prefix + prefix, revision, self.poll_wait_s)
+        timeout = aiohttp.ClientTimeout(total=self.poll_wait_s + self.timeout_s)
+        self.calls += 1
+        async with self.session.get(
+            self.url + self.dialect.WATCH_PATH, params=query, timeout=timeout
+        ) as response:
+            return response.status, await response.read()
+
+    def _failed(self, detail: str) -> None:
+        self.failures += 1
+        if self.failures == LOST_AFTER_FAILURES:
+            self.log.write(events.Event.STORE_LOST, detail=detail)
+
+    def _answered(self) -> None:
+        if self.failures >= LOST_AFTER_FAILURES:
+            self.log.write(events.Event.STORE_FOUND)
+        self.failures = 0
+
+    def _pause(self, failures: int) -> float:
+        pause = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures, 8))
+        return pause * (0.5 + self.rng.random() / 2)
+
 
 @functools.singledispatch
 def _handle(message: typing.Any, client: StoreClient) -> None:
@@ -198,7 +258,8 @@
 
 @_prefixed.register
 def _(call: store.Range, prefix: str) -> store.Call:
-    return store.Range(prefix + call.key, prefix=call.prefix)
+    after = prefix + call.after if call.after else ""
+    return store.Range(prefix + call.key, prefix=call.prefix, after=after)
 
 
 @_prefixed.register
@@ -231,7 +292,8 @@
 
 @_unprefixed.register
 def _(reply: store.Items, prefix: str) -> store.Reply:
-    return store.Items([_cut(item, prefix) for item in reply.items], revision=reply.revision)
+    items = [_cut(item, prefix) for item in reply.items]
+    return store.Items(items, revision=reply.revision, more=reply.more)
 
 
 @_unprefixed.register
