Let a request exceed its instance's share of a rate; keep callers in home regions

Change: instances may be overdrawn together by a part of burst and tolerance. Change: home regions first.

--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -288,6 +288,9 @@
         "retry_ratio": _number("Repeats as a share of requests.", "parts", 0.2, 0, 1),
         "retry_window_s": _number("Window of the repeats.", "seconds", 10, 0.1, 3600),
         "retry_extra": _number("Repeats in a window beside that.", "requests", 0, 0, 1e6),
+        "rate_window_s": _number("Window in which use is judged.", "seconds", 1, 0.1, 3600),
+        "rate_overage": _number("Part of a rate that may be exceeded.", "parts", 0, 0, 1),
+        "rate_slack": _number("Tokens beside that.", "tokens", 0, 0, 1e12),
     },
     "callers": {
         "list_ttl_s": _number("Time to live of the directory's answers.", "seconds", 2.0, 0.5, 60),
--- a/yuccahitch/codecs/resources.py
+++ b/yuccahitch/codecs/resources.py
@@ -12,6 +12,8 @@
 from yuccahitch.resources import entry
 
 STEP = "resource-codec"
+# What only a publication sets is not part of a resource of its own.
+FIELDS = {entry.KINDS[kind]: frozenset(fields) for kind, fields in schema.SCHEMA.items()}
 
 
 def spec_to_dict(spec: entry.Spec) -> dict[str, typing.Any]:
@@ -19,6 +21,7 @@
     return {
         name: list(value) if type(value) is tuple else value
         for name, value in spec.as_dict().items()
+        if name in FIELDS[type(spec)]
     }
 
 
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -145,7 +145,13 @@
 
     def _make_policy(self, now: float) -> None:
         bounds, options = self.settings.bounds, self.settings.policy
-        self.meters = shares.Shares(self.members, began=now)
+        self.meters = shares.Shares(
+            self.members,
+            began=now,
+            window_s=bounds.rate_window_s,
+            overage=bounds.rate_overage,
+            slack=bounds.rate_slack,
+        )
         self.policy = balance.Balance(
             members=self.members,
             found=self.found,
@@ -295,16 +301,24 @@
         """Return whether callers are to send requests here."""
         return self.members.own.ready and not self.shutdown.leaving
 
-    def directions(self, region: str, now: float) -> list[str]:
-        """Return the addresses that callers of a region are to use."""
+    def directions(self, host: str, region: str, now: float) -> list[str]:
+        """Return the addresses that callers of a region are to use for a host.
+
+        Callers whose own region has no instance go to regions where the host's data may be.
+        """
         rows = self.members.serving(now, region=region)
         if not rows:
             regions = {member.row.region for member in self.members.alive(now)}
             regions.add(self.members.own.region)
-            others = (self.members.serving(now, region=name) for name in sorted(regions))
-            rows = list(itertools.chain.from_iterable(others))
+            homes = self.config.current.homes(host) if self.config.ready() else None
+            rows = self._serving_in(regions & homes if homes else regions, now)
+            rows = rows or self._serving_in(regions, now)
         return [f"{row.host}:{row.caller_port}" for row in rows]
 
+    def _serving_in(self, regions: typing.Iterable[str], now: float) -> list[peers.Row]:
+        found = (self.members.serving(now, region=region) for region in sorted(regions))
+        return list(itertools.chain.from_iterable(found))
+
     def _chain(self, item: exchange.Exchange) -> chain.Chain:
         return self.chains["entry" if item.hop is None else "arrival"]
 
--- a/yuccahitch/controllers/shares.py
+++ b/yuccahitch/controllers/shares.py
@@ -16,6 +16,9 @@
 DEMAND_MEMORY_S = 2.0
 EVEN_SHARE = 0.1
 RETRY_MAX_S = 2.0
+# Parts of the burst and of the platform's tolerance that instances may be overdrawn by together.
+OVERDRAWN_BURST = 0.5
+OVERDRAWN_TOLERANCE = 0.6
 
 
 class Meter(records.Record):
@@ -43,13 +46,27 @@
     Args:
         members: The fleet.
         began: Start of this instance, in monotonic seconds.
+        window_s: Window in which the platform judges use, in seconds.
+        overage: Part of a window's allowance that it tolerates beyond it.
+        slack: Tokens that it tolerates beside that.
     """
 
-    __slots__ = ("members", "began", "meters")
-
-    def __init__(self, members: fleet.Fleet, *, began: float) -> None:
+    __slots__ = ("members", "began", "window_s", "overage", "slack", "meters")
+
+    def __init__(
+        self,
+        members: fleet.Fleet,
+        *,
+        began: float,
+        window_s: float = 1.0,
+        overage: float = 0.0,
+        slack: float = 0.0,
+    ) -> None:
         self.members = members
         self.began = began
+        self.window_s = window_s
+        self.overage = overage
+        self.slack = slack
         self.meters: dict[str, Meter] = {}
 
     def spend(self, limit: rate.Rate, tokens: float, now: float) -> float:
@@ -60,11 +77,12 @@
         """
         meter = self._meter(limit, now)
         meter.demand += tokens / DEMAND_MEMORY_S
-        if meter.tokens >= tokens:
+        allowed = meter.tokens + self._overdraft(limit, now)
+        if allowed >= tokens:
             meter.tokens -= tokens
             return 0.0
         pace = max(1e-9, limit.tokens_per_s * meter.share)
-        return min(RETRY_MAX_S, max(0.05, (tokens - meter.tokens) / pace))
+        return min(RETRY_MAX_S, max(0.05, (tokens - allowed) / pace))
 
     def refund(self, limit: rate.Rate, tokens: float, now: float) -> None:
         """Give back the tokens of a request that has not run."""
@@ -88,10 +106,18 @@
         meter.demand *= math.exp(-passed / DEMAND_MEMORY_S)
         meter.share = self._share(limit.name, meter, now)
         earned = passed * limit.tokens_per_s * meter.share
-        meter.tokens = min(meter.tokens + earned, limit.burst_tokens * meter.share)
+        kept = (1 - OVERDRAWN_BURST) * limit.burst_tokens * meter.share
+        meter.tokens = min(meter.tokens + earned, kept)
         meter.updated_at = now
         return meter
 
+    def _overdraft(self, limit: rate.Rate, now: float) -> float:
+        """Return by how much this instance may be overdrawn: a request can exceed its share."""
+        allowance = limit.tokens_per_s * self.window_s + limit.burst_tokens
+        tolerance = allowance * self.overage + self.slack
+        whole = OVERDRAWN_BURST * limit.burst_tokens + OVERDRAWN_TOLERANCE * tolerance
+        return whole / self.members.count(now)
+
     def _share(self, account: str, meter: Meter, now: float) -> float:
         others = self.members.demands(account, now)
         even = 1.0 / self.members.count(now)
--- a/yuccahitch/platform/requests.py
+++ b/yuccahitch/platform/requests.py
@@ -137,12 +137,13 @@
     return status, headers, json.dumps({"error": told}).encode()
 
 
-def resolved_region(path: str) -> str | None:
-    """Return the region of a caller that asks the directory, or None for another path."""
+def directory_question(path: str) -> tuple[str, str] | None:
+    """Return host and region of a caller that asks the directory, or None for another path."""
     url = urllib.parse.urlsplit(path)
     if url.path != names.RESOLVE_PATH:
         return None
-    return dict(urllib.parse.parse_qsl(url.query)).get("region", "")
+    query = dict(urllib.parse.parse_qsl(url.query))
+    return query.get("name", "").lower(), query.get("region", "")
 
 
 def directory_answer(addresses: list[str], *, ttl_s: float) -> bytes:
--- a/yuccahitch/resources/publication.py
+++ b/yuccahitch/resources/publication.py
@@ -73,6 +73,11 @@
         grouped = itertools.groupby(ordered, key=lambda item: item.host)
         self.by_host = {host: list(found) for host, found in grouped}
 
+    def homes(self, host: str) -> frozenset[str] | None:
+        """Return the regions where all routes of a host may be served; None means every region."""
+        bounds = [frozenset(r.regions) for r in self.by_host.get(host, ()) if r.regions]
+        return frozenset.intersection(*bounds) if bounds else None
+
     def route(self, host: str, path: str) -> route.Route | None:
         """Return the route of a host whose prefix is the longest that begins the path."""
         found = self.by_host.get(host, ())
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -182,10 +182,10 @@
         return web.Response(status=200 if serving else 503)
 
     async def _resolve(self, request: web.BaseRequest) -> web.Response:
-        region = wire_form.resolved_region(request.raw_path)
-        if region is None:
+        question = wire_form.directory_question(request.raw_path)
+        if question is None:
             return web.Response(status=404)
-        found = await self._ask(lambda state: state.directions(region, self.time.now()))
+        found = await self._ask(lambda state: state.directions(*question, self.time.now()))
         ttl_s = self.settings.callers.list_ttl_s
         body = wire_form.directory_answer(found[: wire_form.MAX_ADDRESSES], ttl_s=ttl_s)
         return web.Response(status=200 if found else 503, body=body, headers=JSON)
