Resume after a send that failed early; keep the id, body and address right

The id in the exchange now only moves on. - HOME: with no instance left in the homes the directory named the others; now it names none. - A stray answer before the own one broke a request with a body (h11 state without the body). - A request without an id was sent on without one, and its answer was dropped as another's. - Kept connections were keyed by the upstream's id, not its address. - A send that ended before its answer began was not counted as a run on resumed streams.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -11,7 +11,17 @@
 
 from aiohttp import web
 
-from standins import directory, engine, instance_list, keyvalue, link, plain, weights
+from standins import (
+    directory,
+    engine,
+    instance_list,
+    keyvalue,
+    link,
+    plain,
+    platform_store,
+    replica,
+    weights,
+)
 
 KINDS: dict[str, typing.Callable[..., web.Application]] = {
     "keyvalue": keyvalue.application,
@@ -21,6 +31,8 @@
     "engine": engine.application,
     "plain": plain.application,
     "link": link.application,
+    "platform_store": platform_store.application,
+    "replica": replica.application,
 }
 HOST = "127.0.0.1"
 
@@ -45,7 +57,9 @@
     kind, port, *options = words
     given = dict(option.split("=", 1) for option in options)
     host = given.pop("host", HOST)
-    runner = web.AppRunner(KINDS[kind](**given), access_log=None, shutdown_timeout=0.2)
+    runner = web.AppRunner(
+        KINDS[kind](**given), access_log=None, shutdown_timeout=0.2, handler_cancellation=True
+    )
     await runner.setup()
     await web.TCPSite(runner, host, int(port)).start()
     return runner
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,271 @@
+"""Stand-in for the users' platform's store: items, prefixes, watches, leases and transactions.
+
+What operators and upstreams write comes in by ``/admin``. Faults: outage, delay, lost answers, late
+writes, silent watches, a lost history and machines that are turned away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import itertools
+import json
+import time
+import typing
+
+from aiohttp import web
+
+from standins import faults
+
+Json = dict[str, typing.Any]
+SWEEP_S = 0.1
+MAX_WAIT_S = 30.0
+PAGE_ITEMS = 500
+FAULTS = {
+    "down": False,
+    "silent": False,
+    "delay_s": 0.0,
+    "lose_answers": 0,
+    "late_writes": 0,
+    "mute_watches": False,
+    "turn_away": "",
+    "turn_away_status": 503,
+}
+CLOSED_PREFIXES = ("op/", "servers/")
+
+
+class PlatformStore:
+    """The state of the store."""
+
+    __slots__ = ("faults", "items", "leases", "revision", "history", "lost", "changed", "calls")
+
+    def __init__(self) -> None:
+        self.faults = faults.Faults(FAULTS)
+        self.items: dict[str, Json] = {}
+        self.leases: dict[int, list[float]] = {}
+        self.revision = 1
+        self.history: list[Json] = []
+        self.lost = 0
+        self.changed = asyncio.Condition()
+        self.calls: dict[str, int] = {}
+
+    def put(self, key: str, value: str, lease: int = 0) -> None:
+        """Write an item; its value is base64."""
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        item = {
+            "key": key,
+            "value": value,
+            "revision": self.revision,
+            "created": created,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self.history.append(item)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.history.append({"key": key, "revision": self.revision, "deleted": True})
+
+    def end_lease(self, lease: int) -> bool:
+        """End a lease and remove its keys."""
+        found = self.leases.pop(lease, None) is not None
+        for key in [k for k, item in self.items.items() if item["lease"] == lease]:
+            self.remove(key)
+        return found
+
+    def sweep(self) -> bool:
+        """End the leases that ran out; return whether anything changed."""
+        before = self.revision
+        now = time.monotonic()
+        for lease in [name for name, (ends, _) in self.leases.items() if ends < now]:
+            self.end_lease(lease)
+        return self.revision != before
+
+    async def notify(self) -> None:
+        """Wake the watches."""
+        async with self.changed:
+            self.changed.notify_all()
+
+
+def application() -> web.Application:
+    """Return the store as an application."""
+    state = PlatformStore()
+    app = faults.application(state.faults)
+    app["state"] = state
+    app.middlewares.append(_faulty)
+    app.router.add_get("/api/kv-key", _key)
+    app.router.add_get("/api/kv-range", _range)
+    app.router.add_get("/api/kv-watch", _watch)
+    app.router.add_post("/api/kv-txn", _txn)
+    app.router.add_post("/api/kv-lease", _lease)
+    app.router.add_post("/api/kv-keep/{id}", _keep)
+    app.router.add_delete("/api/kv-lease-end/{id}", _end)
+    app.router.add_post("/admin/put", _admin_put)
+    app.router.add_post("/admin/compact", _admin_compact)
+    app.router.add_get("/admin/items", _admin_items)
+    app.router.add_get("/admin/calls", _admin_calls)
+    app.cleanup_ctx.append(_sweeper)
+    return app
+
+
+async def _sweeper(app: web.Application) -> typing.AsyncIterator[None]:
+    async def sweep() -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            if app["state"].sweep():
+                await app["state"].notify()
+
+    task = asyncio.get_running_loop().create_task(sweep())
+    yield
+    task.cancel()
+
+
+@web.middleware
+async def _faulty(request: web.Request, handler: typing.Any) -> web.StreamResponse:
+    state: PlatformStore = request.app["state"]
+    if not request.path.startswith("/api/"):
+        return await handler(request)
+    state.calls[request.path] = state.calls.get(request.path, 0) + 1
+    switches = state.faults
+    if switches["turn_away"] and request.remote == switches["turn_away"]:
+        return web.Response(status=int(switches["turn_away_status"]))
+    if switches["silent"]:
+        await asyncio.sleep(MAX_WAIT_S)
+    if switches["down"]:
+        request.transport.abort()
+        raise web.HTTPServiceUnavailable
+    await asyncio.sleep(switches["delay_s"])
+    if request.method == "POST" and switches.take("late_writes"):
+        await request.read()
+        await asyncio.sleep(1.0)
+        await handler(request)
+        request.transport.abort()
+    response = await handler(request)
+    if request.method == "POST" and switches.take("lose_answers"):
+        request.transport.abort()
+    return response
+
+
+async def _key(request: web.Request) -> web.Response:
+    state: PlatformStore = request.app["state"]
+    item = state.items.get(request.query["key"])
+    if item is None:
+        return web.json_response({"at": state.revision}, status=404)
+    return web.json_response(item | {"at": state.revision})
+
+
+async def _range(request: web.Request) -> web.Response:
+    state: PlatformStore = request.app["state"]
+    prefix, after = request.query["pathPrefix"], request.query.get("after", "")
+    names = sorted(k for k in state.items if k.startswith(prefix) and k > after)
+    page = [state.items[name] for name in names[:PAGE_ITEMS]]
+    more = len(names) > PAGE_ITEMS
+    return web.json_response({"items": page, "hasMore": more, "at": state.revision})
+
+
+async def _watch(request: web.Request) -> web.Response:
+    state: PlatformStore = request.app["state"]
+    prefix, after = request.query["pathPrefix"], int(request.query["after"])
+    ends = time.monotonic() + min(MAX_WAIT_S, int(request.query["waitMs"]) / 1000)
+    while True:
+        if after < state.lost:
+            return web.json_response({}, status=410)
+        muted = state.faults["mute_watches"]
+        events = [
+            event
+            for event in state.history
+            if event["revision"] > after and event["key"].startswith(prefix) and not muted
+        ]
+        left = ends - time.monotonic()
+        if events or left <= 0:
+            return web.json_response({"events": events, "at": state.revision})
+        async with state.changed:
+            try:
+                await asyncio.wait_for(state.changed.wait(), left)
+            except TimeoutError:
+                continue
+
+
+async def _txn(request: web.Request) -> web.Response:
+    state: PlatformStore = request.app["state"]
+    body = await request.json()
+    keys = [entry["key"] for entry in body.get("puts", ())] + list(body.get("remove", ()))
+    if any(key.startswith(CLOSED_PREFIXES) for key in keys):
+        return web.json_response({}, status=403)
+    expected = body.get("expectedRevision", ())
+    held = all(
+        state.items.get(row["key"], {}).get("revision", 0) == row["revision"] for row in expected
+    )
+    if not held:
+        items = [state.items[row["key"]] for row in expected if row["key"] in state.items]
+        return web.json_response({"items": items}, status=412)
+    leases = [entry.get("lease", 0) for entry in body.get("puts", ())]
+    if any(lease and lease not in state.leases for lease in leases):
+        return web.json_response({}, status=404)
+    for entry, lease in zip(body.get("puts", ()), leases, strict=True):
+        state.put(entry["key"], entry["value"], lease)
+    for key in body.get("remove", ()):
+        state.remove(key)
+    await state.notify()
+    return web.json_response({"revision": state.revision})
+
+
+_leases = itertools.count(77001)
+
+
+async def _lease(request: web.Request) -> web.Response:
+    state: PlatformStore = request.app["state"]
+    ttl_ms = (await request.json())["ttlMs"]
+    lease = next(_leases)
+    state.leases[lease] = [time.monotonic() + ttl_ms / 1000, ttl_ms]
+    return web.json_response({"lease": lease, "ttlMs": ttl_ms})
+
+
+async def _keep(request: web.Request) -> web.Response:
+    state: PlatformStore = request.app["state"]
+    lease = int(request.match_info["id"])
+    if lease not in state.leases:
+        return web.json_response({}, status=404)
+    ttl_ms = state.leases[lease][1]
+    state.leases[lease][0] = time.monotonic() + ttl_ms / 1000
+    return web.json_response({"ttlMs": ttl_ms})
+
+
+async def _end(request: web.Request) -> web.Response:
+    state: PlatformStore = request.app["state"]
+    found = state.end_lease(int(request.match_info["id"]))
+    await state.notify()
+    return web.json_response({}, status=200 if found else 404)
+
+
+async def _admin_put(request: web.Request) -> web.Response:
+    """Write what an operator or an upstream writes; a value of null removes the key."""
+    state: PlatformStore = request.app["state"]
+    body = await request.json()
+    if body["value"] is None:
+        state.remove(body["key"])
+    else:
+        text = body["value"] if type(body["value"]) is str else json.dumps(body["value"])
+        state.put(body["key"], base64.b64encode(text.encode()).decode())
+    await state.notify()
+    return web.json_response({"revision": state.revision})
+
+
+async def _admin_compact(request: web.Request) -> web.Response:
+    """Forget the history, and cut the watches."""
+    state: PlatformStore = request.app["state"]
+    state.lost = state.revision
+    state.history.clear()
+    await state.notify()
+    return web.json_response({})
+
+
+async def _admin_items(request: web.Request) -> web.Response:
+    return web.json_response(request.app["state"].items)
+
+
+async def _admin_calls(request: web.Request) -> web.Response:
+    return web.json_response(request.app["state"].calls)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -227,3 +227,75 @@
     fleet.load([an_entry(spec) for spec in given])
     fleet.run(settle_s)
     return fleet
+
+
+HOST = "rinks.example"
+PLATFORM_KEY = "key-of-rinks"
+
+
+def a_published_route(name: str, prefix: str, **fields: typing.Any) -> dict[str, typing.Any]:
+    """Return a route as operators of the platform publish it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": "unsafe",
+        "timeoutMs": 3000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": "desk",
+        "maxAttempts": 1,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+        "homeRegions": [],
+    } | fields
+
+
+def a_published_tenant(name: str = "rinks", **fields: typing.Any) -> dict[str, typing.Any]:
+    """Return a client account as operators of the platform publish it."""
+    return {
+        "name": name,
+        "apiKeys": [PLATFORM_KEY],
+        "unit": "generate",
+        "plainTokens": 10,
+        "ratePerS": 0,
+        "burst": 0,
+        "homeRegions": [],
+    } | fields
+
+
+def a_publication(version: int = 1, **fields: typing.Any) -> dict[str, typing.Any]:
+    """Return a configuration as operators of the platform publish it."""
+    engine = {"capacity": 8, "kvCapacityTokens": 100000, "models": [{"name": "m"}]}
+    stream = {"kind": "streaming", "service": "model", "timeoutMs": 5000, "maxAttempts": 2}
+    return {
+        "version": version,
+        "routes": [
+            a_published_route("book", "/book/"),
+            a_published_route("status", "/status/", kind="safe", maxAttempts=2),
+            a_published_route("open", "/open/", public=True),
+            a_published_route("plan", "/plan/", **stream, resumable=True),
+            a_published_route("ask", "/ask/", **(stream | {"maxAttempts": 1})),
+            a_published_route("away", "/away/", kind="safe", homeRegions=["west"]),
+            a_published_route("brief", "/brief/", kind="safe", timeoutMs=700),
+        ],
+        "services": [
+            {"name": "desk", "healthPath": "/health", "maxConnections": 100},
+            {
+                "name": "model",
+                "healthPath": "/health",
+                "maxConnections": 100,
+                "warmupS": 3.0,
+                "warmupPerS": 4.0,
+                "engine": engine,
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 20000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [a_published_tenant()],
+    } | fields
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import itertools
 import os
 import pathlib
 import sys
@@ -11,10 +13,13 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 sys.path.insert(0, str(ROOT))
 
-from standins import deployment  # noqa: E402
+from standins import deployment, platform_site  # noqa: E402
 from tests import builders  # noqa: E402
 
 EXAMPLES = ("ice-works", "doors")
+SETTLE_S = 1.0
+# Outlives the scenario, unlike what is set on its context.
+VERSIONS = itertools.count(1)
 
 
 def before_all(context) -> None:
@@ -31,6 +36,63 @@
         if "deployment" in feature.tags and name in feature.tags:
             context.world = context.loop.run_until_complete(start(name))
             context.feature_closers = [context.world.close]
+    if "platform_site" in feature.tags:
+        context.site = context.loop.run_until_complete(start_site())
+        context.feature_closers = [context.site.close]
+
+
+def before_scenario(context, scenario) -> None:
+    """Bring the platform site back to where nothing is wrong."""
+    if "platform_site" in scenario.feature.tags:
+        context.loop.run_until_complete(reset_site(context))
+
+
+async def start_site() -> platform_site.Site:
+    """Start the platform's stand-ins and the instances."""
+    site = platform_site.Site(ROOT / ".run" / "test-platform")
+    for log in site.run_dir.glob("*.log"):
+        log.unlink()
+    try:
+        await site.start_standins()
+        await site.write("op/config", builders.a_publication(1))
+        for name in platform_site.MACHINES:
+            await site.start(name)
+        await site.until_ready(*platform_site.MACHINES)
+    except BaseException:
+        await site.close()
+        raise
+    return site
+
+
+async def reset_site(context) -> None:
+    """Undo faults, entries and configurations of the scenario before."""
+    site = context.site
+    await site.faults("store")
+    context.version = next(VERSIONS) * 100
+    await site.shared_faults()
+    document = builders.a_publication(context.version)
+    probe = builders.a_published_route("probe", f"/probe-{context.version}/", kind="safe")
+    document["routes"].append(probe)
+    await site.write("op/config", document)
+    for name in platform_site.UPSTREAMS:
+        await site.faults(name)
+        await site.write(f"servers/{name}", None)
+    for zone in platform_site.ZONES:
+        await site.write(f"op/evacuate/{zone}", None)
+    for name in platform_site.UPSTREAMS:
+        await site.register(name)
+    await deployment.until(functools.partial(in_force, site, context.version))
+    await asyncio.sleep(SETTLE_S)
+    context.marks = {n: len((await site.seen(n))["seen"]) for n in platform_site.UPSTREAMS}
+
+
+async def in_force(site: platform_site.Site, version: int) -> bool:
+    """Return whether every running instance serves a configuration's own route."""
+    asks = [
+        site.status(name, f"/probe-{version}/", builders.HOST, builders.PLATFORM_KEY)
+        for name in site.processes
+    ]
+    return set(await asyncio.gather(*asks)) == {200}
 
 
 async def start(name: str) -> deployment.Deployment:
--- /dev/null
+++ b/tests/features/platform.feature
@@ -0,0 +1,179 @@
+@platform_site
+Feature: Instances on the users' platform, as processes, with its store and upstreams as stand-ins
+  Two instances in east and one in west; two upstreams of each service in east and one in west.
+
+  Scenario: A request passes unchanged, and its answer is the upstream's
+    When a caller who sets what only the gateway may asks edge-east-1 for POST /book/a%20b?x=1
+    Then the answer is 200, signed by an upstream, with its whole body
+    And one upstream saw POST /book/a%20b?x=1 with the body flood
+    And it was told the account rinks, its own id, and at most the time that was left
+    And it saw neither the key nor what only the gateway may set
+
+  Scenario Outline: What the configuration does not allow is refused
+    When a caller <who> asks edge-east-1 for <method> <path>
+    Then the answer is <status> and no upstream saw it
+
+    Examples:
+      | method | path      | who                      | status |
+      | POST   | /none/x   | with the account's key  | 404    |
+      | POST   | /book/x   | with no key             | 401    |
+      | POST   | /book/x   | with an unknown key     | 401    |
+      | POST   | /book/x   | with 9000 header bytes  | 431    |
+      | POST   | /book/x   | with 30000 body bytes   | 413    |
+
+  Scenario Outline: A request that must not be repeated runs once at most, and is told the truth
+    Given the upstreams have the fault <fault>
+    When a caller with the account's key asks edge-east-1 for POST /book/x
+    Then the answer is <status>
+    And it ran <times> times
+
+    Examples:
+      | fault            | status | times |
+      | shed once        | 200    | 1     |
+      | reset            | 502    | 1     |
+      | lose_answer      | 502    | 1     |
+      | fail             | 500    | 1     |
+      | stray_before     | 200    | 1     |
+      | unframed         | 200    | 1     |
+      | unframed_reset   | 502    | 1     |
+      | unsigned         | 502    | 1     |
+      | quiet_503        | 502    | 1     |
+      | early            | 500    | 0     |
+
+  Scenario Outline: A safe request is sent to another upstream
+    Given the upstreams have the fault <fault>
+    When a caller with the account's key asks edge-east-1 for GET /status/x
+    Then the answer is 200
+    And it ran <times> times
+
+    Examples:
+      | fault      | times |
+      | fail once  | 2     |
+      | reset once | 2     |
+      | shed once  | 1     |
+
+  Scenario: Bytes after a whole answer belong to no request
+    Given the upstreams have the fault stray_after
+    When 6 requests GET /status/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+
+  Scenario: Another upstream has the address
+    Given the entry of desk-1 names the address of desk-2
+    And the entry of desk-3 names the address of desk-2
+    When 6 requests GET /status/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+    And only desk-2 ran them
+
+  Scenario Outline: A stream that breaks off
+    Given the upstreams have the fault cut once
+    When a caller with the account's key asks edge-east-1 for GET /<route>/x
+    Then the stream <ends>
+
+    Examples:
+      | route | ends                                        |
+      | plan  | has each event from 1 to 6 once, in order   |
+      | ask   | breaks off after whole events 1 to 3        |
+
+  Scenario: A resumed stream is refused before its first event, and resumes in another region
+    Given the upstreams have the fault cut once
+    And model-2 sheds every request
+    When a caller with the account's key asks edge-east-1 for GET /plan/x
+    Then the stream has each event from 1 to 6 once, in order
+
+  Scenario: A caller that leaves
+    Given the upstreams have the fault hang
+    When a caller leaves 0.3 seconds after asking edge-east-1 for GET /ask/x
+    Then no upstream works on it half a second later
+
+  Scenario: A request is given up at its route's time
+    Given the upstreams have the fault hang
+    When a caller with the account's key asks edge-east-1 for GET /brief/x
+    Then the answer is 504 within 0.7 to 1.2 seconds
+
+  Scenario: The data's home is another region
+    When 4 requests GET /away/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+    And only desk-3 ran them
+
+  Scenario Outline: An upstream that leaves gets nothing new
+    When desk-1 <leaves>
+    And 3 s of real time pass
+    And 8 requests GET /status/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+    And desk-1 ran none of them
+
+    Examples:
+      | leaves                              |
+      | says that it is draining            |
+      | has its entry removed               |
+      | has an entry that can't be read     |
+      | has an entry of an unknown state    |
+
+  # The bound of 3 s holds for instances whose store has been well for 5 s.
+  Scenario Outline: The store is in trouble
+    Given the store has the fault <fault>
+    And 2 s of real time pass
+    When 6 requests GET /status/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+    When the store has no fault any more
+    And 5 s of real time pass
+    And version 2 drops the route status
+    And 3 s of real time pass
+    And a caller with the account's key asks edge-east-1 for GET /status/x
+    Then the answer is 404
+
+    Examples:
+      | fault                                |
+      | down                                 |
+      | silent                               |
+      | 0.5 s of delay                       |
+      | mute watches, and forgets its history|
+
+  Scenario: Configurations come into force and never go back
+    When version 3 drops the route status
+    And 3 s of real time pass
+    And an older version 2 and a broken one are written
+    And 1 s of real time pass
+    And a caller with the account's key asks edge-west-1 for GET /status/x
+    Then the answer is 404
+    When a caller with the account's key asks edge-east-2 for POST /book/x
+    Then the answer is 200
+
+  Scenario: A key that is withdrawn
+    When version 4 takes the account's key away
+    And 3 s of real time pass
+    And a caller with the account's key asks edge-east-2 for POST /book/x
+    Then the answer is 401
+
+  Scenario: A zone that is evacuated and taken back
+    When the zone east-a is evacuated
+    And 2 s of real time pass
+    And 4 requests GET /status/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+    And only desk-3 ran them
+    When the zone east-a is taken back
+    And 2 s of real time pass
+    And 6 requests GET /status/x go to edge-east-1 over one connection
+    Then desk-3 ran none of these
+
+  Scenario: A rate holds over all instances
+    Given version 5 gives the account 100 tokens a second and a burst of 100
+    And 3 s of real time pass
+    When 20 requests a second of 10 tokens each are sent to every instance for 8 seconds
+    Then at most 1190 tokens ran, and at least 700
+
+  Scenario: A planned stop loses nothing
+    When requests run over kept connections at edge-east-1 and it is told to stop
+    Then no request was lost, and the instance exited with code 0
+    And no directory names edge-east-1 within 4 seconds
+    And edge-east-1 starts again and is ready
+
+  Scenario: An instance that is killed
+    When the platform kills edge-east-2
+    Then no directory names edge-east-2 within 5 seconds
+    And edge-east-2 starts again and is ready
+
+  Scenario: No configuration is known yet
+    When all are killed, the store is empty and edge-east-1 starts
+    And a caller with the account's key asks edge-east-1 for POST /book/x
+    Then the answer is 503 and no upstream saw it
--- /dev/null
+++ b/tests/features/steps/platform.py
@@ -0,0 +1,451 @@
+"""Steps for instances on the users' platform: real processes, with store and upstreams as
+stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import time
+
+import aiohttp
+import behave
+
+from standins import deployment, platform_site
+from tests import builders
+
+numbers = itertools.count(1)
+
+
+class Reply:
+    """An answer as a caller saw it; status 0 means that the connection broke."""
+
+    def __init__(self, status, headers, body, seconds, request_id):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.seconds = seconds
+        self.id = request_id
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+async def ask(session, instance, method, path, *, body=b"", key=builders.PLATFORM_KEY, **headers):
+    """Send a request and return its reply."""
+    request_id = f"q{next(numbers)}"
+    sent = {"Host": builders.HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "4000"}
+    if key:
+        sent["Authorization"] = f"Token {key}"
+    sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+    url = f"http://{platform_site.machine(instance)}:7101"
+    began = time.monotonic()
+    status, found, received = 0, {}, bytearray()
+    try:
+        target = aiohttp.client.URL(url + path, encoded=True)
+        async with session.request(method, target, headers=sent, data=body or None) as response:
+            status, found = response.status, response.headers
+            async for data in response.content.iter_any():
+                received += data
+    except aiohttp.ClientError:
+        status = -status if status else 0
+    return Reply(status, found, bytes(received), time.monotonic() - began, request_id)
+
+
+def one(context, instance, method, path, **options):
+    async def work():
+        async with aiohttp.ClientSession() as session:
+            return await ask(session, instance, method, path, **options)
+
+    context.replies = [run(context, work())]
+
+
+def seen(context):
+    """Return what all upstreams saw since the scenario began, each with its upstream's name."""
+
+    async def work():
+        found = []
+        for name in platform_site.UPSTREAMS:
+            told = (await context.site.seen(name))["seen"]
+            found += [entry | {"at": name} for entry in told[context.marks.get(name, 0) :]]
+        return found
+
+    return run(context, work())
+
+
+def mark(context):
+    """Forget what the upstreams saw so far."""
+
+    async def work():
+        return {n: len((await context.site.seen(n))["seen"]) for n in platform_site.UPSTREAMS}
+
+    context.marks = run(context, work())
+
+
+def publish(context, version, **fields):
+    document = builders.a_publication(context.version + version, **fields)
+    run(context, context.site.write("op/config", document))
+
+
+CALLERS = {
+    "with the account's key": {},
+    "who sets what only the gateway may": {
+        "body": b"flood",
+        "X_Tenant_Id": "other",
+        "X_Expected_Instance": "i-9",
+        "X_Hold": "h",
+        "X_Own": "kept",
+    },
+    "with no key": {"key": ""},
+    "with an unknown key": {"key": "nobody's"},
+    "with 9000 header bytes": {"X_Long": "x" * 7000, "X_Long_2": "x" * 2000},
+    "with 30000 body bytes": {"body": b"x" * 30000},
+}
+
+
+@behave.when("a caller {who} asks {instance} for {method} {path}")
+def step_asks(context, who, instance, method, path):
+    body = {"body": b"x"} if method == "POST" else {}
+    one(context, instance, method, path, **(body | CALLERS[who]))
+
+
+@behave.when("{count:d} requests {method} {path} go to {instance} over one connection")
+def step_kept(context, count, method, path, instance):
+    async def work():
+        connector = aiohttp.TCPConnector(limit=1)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            replies = []
+            for _ in range(count):
+                replies.append(await ask(session, instance, method, path))
+                await asyncio.sleep(0.08)
+            return replies
+
+    mark(context)
+    context.replies = run(context, work())
+
+
+@behave.when("a caller leaves {s:g} seconds after asking {instance} for {method} {path}")
+def step_leaves(context, s, instance, method, path):
+    async def work():
+        async with aiohttp.ClientSession() as session:
+            task = asyncio.ensure_future(ask(session, instance, method, path))
+            await asyncio.sleep(s)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    run(context, work())
+
+
+@behave.then("the answer is 200, signed by an upstream, with its whole body")
+def step_whole(context):
+    (reply,) = context.replies
+    assert reply.status == 200, reply.status
+    signer = reply.headers["X-Response-Signature"].removeprefix("signed-by-")
+    assert reply.body.decode() == f"done by {signer}", reply.body
+    assert reply.headers["X-Request-Id"] == reply.id
+
+
+@behave.then("one upstream saw {method} {path} with the body {body}")
+def step_unchanged(context, method, path, body):
+    (entry,) = seen(context)
+    assert (entry["method"], entry["path"], entry["body"]) == (method, path, body), entry
+
+
+@behave.then("it was told the account rinks, its own id, and at most the time that was left")
+def step_told(context):
+    (entry,) = seen(context)
+    assert entry["headers"]["x-tenant-id"] == "rinks"
+    assert entry["headers"]["x-expected-instance"] == entry["at"]
+    assert 0 < int(entry["headers"]["x-deadline-ms"]) <= 4000
+    assert entry["id"] == context.replies[0].id
+
+
+@behave.then("it saw neither the key nor what only the gateway may set")
+def step_hidden(context):
+    (entry,) = seen(context)
+    assert "authorization" not in entry["headers"] and "x-hold" not in entry["headers"]
+    assert builders.PLATFORM_KEY not in json.dumps(entry)
+    assert entry["headers"]["x-own"] == "kept"
+
+
+@behave.then("the answer is {status:d} and no upstream saw it")
+def step_refused(context, status):
+    assert context.replies[0].status == status, context.replies[0].status
+    assert not seen(context)
+
+
+@behave.then("the answer is {status:d}")
+def step_status(context, status):
+    (reply,) = context.replies
+    assert reply.status == status, (reply.status, reply.body)
+    if reply.status == 503:
+        assert not [entry for entry in seen(context) if entry["ran"]]
+
+
+@behave.then("the answer is {status:d} within {low:g} to {high:g} seconds")
+def step_in_time(context, status, low, high):
+    (reply,) = context.replies
+    assert reply.status == status, reply.status
+    assert low <= reply.seconds <= high, reply.seconds
+
+
+@behave.then("it ran {times:d} times")
+def step_ran(context, times):
+    ran = [entry for entry in seen(context) if entry["ran"]]
+    assert len(ran) == times, ran
+
+
+@behave.then("all answers are 200 and each belongs to its request")
+def step_all(context):
+    statuses = [reply.status for reply in context.replies]
+    assert set(statuses) == {200}, statuses
+    wrong = [r.id for r in context.replies if r.headers["X-Request-Id"] != r.id]
+    assert not wrong, wrong
+    assert all(reply.body.startswith(b"done by") for reply in context.replies)
+
+
+@behave.then("only {name} ran them")
+def step_only(context, name):
+    places = [entry["at"] for entry in seen(context) if entry["ran"]]
+    assert set(places) == {name}, places
+
+
+@behave.then("{name} ran none of them")
+@behave.then("{name} ran none of these")
+def step_none(context, name):
+    assert name not in {entry["at"] for entry in seen(context) if entry["ran"]}
+
+
+@behave.then("no upstream works on it half a second later")
+def step_stopped(context):
+    async def work():
+        await asyncio.sleep(0.5)
+        return sum([(await context.site.seen(n))["running"] for n in platform_site.UPSTREAMS])
+
+    assert run(context, work()) == 0
+
+
+@behave.then("the stream has each event from 1 to 6 once, in order")
+def step_events(context):
+    (reply,) = context.replies
+    ids = [line for line in reply.body.decode().splitlines() if line.startswith("id:")]
+    assert reply.status == 200 and ids == [f"id: {n}" for n in range(1, 7)], (reply.status, ids)
+    assert len({entry["at"] for entry in seen(context) if entry["ran"]}) == 2
+
+
+@behave.then("the stream breaks off after whole events 1 to 3")
+def step_broken(context):
+    (reply,) = context.replies
+    assert reply.status == -200, reply.status
+    expected = "".join(f"id: {n}\ndata: token {n}\n\n" for n in (1, 2, 3))
+    assert reply.body.decode() == expected, reply.body
+
+
+@behave.given("the upstreams have the fault {words}")
+def step_fault(context, words):
+    name, _, amount = words.partition(" ")
+
+    async def work():
+        if amount == "once":
+            await context.site.shared_faults(**{name: 1})
+            return
+        for place in platform_site.UPSTREAMS:
+            await context.site.faults(place, **{name: int(amount or 1)})
+
+    run(context, work())
+
+
+@behave.given("{name} sheds every request")
+def step_sheds(context, name):
+    run(context, context.site.faults(name, shed=1000))
+
+
+@behave.given("the entry of {name} names the address of {other}")
+def step_wrong_address(context, name, other):
+    run(context, context.site.register(name, address=platform_site.address(other)))
+    run(context, asyncio.sleep(0.6))
+
+
+@behave.when("{name} says that it is draining")
+def step_draining(context, name):
+    run(context, context.site.register(name, state="draining"))
+
+
+@behave.when("{name} has its entry removed")
+def step_removed(context, name):
+    run(context, context.site.write(f"servers/{name}", None))
+
+
+@behave.when("{name} has an entry that can't be read")
+def step_unreadable(context, name):
+    run(context, context.site.write(f"servers/{name}", "\x01not json"))
+
+
+@behave.when("{name} has an entry of an unknown state")
+def step_unknown_state(context, name):
+    run(context, context.site.register(name, state="resting"))
+
+
+@behave.when("{seconds:d} s of real time pass")
+@behave.given("{seconds:d} s of real time pass")
+def step_pass(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+STORE_FAULTS = {
+    "down": {"down": True},
+    "silent": {"silent": True},
+    "0.5 s of delay": {"delay_s": 0.5},
+    "mute watches, and forgets its history": {"mute_watches": True},
+}
+
+
+@behave.given("the store has the fault {words}")
+def step_store_fault(context, words):
+    context.forgets = "forgets" in words
+    run(context, context.site.faults("store", **STORE_FAULTS[words]))
+
+
+@behave.when("the store has no fault any more")
+def step_store_well(context):
+    run(context, context.site.faults("store"))
+    if context.forgets:
+        run(context, context.site.call_store("POST", "/admin/compact"))
+
+
+@behave.when("version {version:d} drops the route status")
+def step_drop(context, version):
+    routes = [r for r in builders.a_publication()["routes"] if r["name"] != "status"]
+    publish(context, version, routes=routes)
+
+
+@behave.when("an older version 2 and a broken one are written")
+def step_older(context):
+    publish(context, 2)
+    run(context, context.site.write("op/config", "{"))
+
+
+@behave.when("version {version:d} takes the account's key away")
+def step_withdraw(context, version):
+    publish(context, version, tenants=[builders.a_published_tenant(apiKeys=["another-key"])])
+
+
+@behave.given("version {version:d} gives the account {rate:d} tokens a second and a burst of {b:d}")
+def step_rate(context, version, rate, b):
+    publish(context, version, tenants=[builders.a_published_tenant(ratePerS=rate, burst=b)])
+
+
+@behave.when(
+    "{count:d} requests a second of {tokens:d} tokens each are sent to every instance"
+    " for {seconds:d} seconds"
+)
+def step_load(context, count, tokens, seconds):
+    async def work():
+        async with aiohttp.ClientSession() as session:
+            tasks = []
+            for _ in range(count * seconds):
+                tasks += [
+                    asyncio.ensure_future(
+                        ask(session, name, "GET", "/status/x", X_Token_Usage=f"{tokens},0")
+                    )
+                    for name in platform_site.MACHINES
+                ]
+                await asyncio.sleep(1 / count)
+            return await asyncio.gather(*tasks)
+
+    mark(context)
+    context.tokens = tokens
+    context.replies = run(context, work())
+
+
+@behave.then("at most {most:d} tokens ran, and at least {least:d}")
+def step_tokens(context, most, least):
+    ran = {entry["id"] for entry in seen(context) if entry["ran"]}
+    used = len(ran) * context.tokens
+    assert least <= used <= most, used
+    refused = {reply.status for reply in context.replies} - {200}
+    assert refused <= {429}, refused
+
+
+@behave.when("the zone {zone} is evacuated")
+def step_evacuate(context, zone):
+    run(context, context.site.write(f"op/evacuate/{zone}", {}))
+
+
+@behave.when("the zone {zone} is taken back")
+def step_take_back(context, zone):
+    run(context, context.site.write(f"op/evacuate/{zone}", None))
+
+
+@behave.when("requests run over kept connections at {name} and it is told to stop")
+def step_stop(context, name):
+    async def caller(session, ends):
+        replies = []
+        while time.monotonic() < ends:
+            method, path = next(calls)
+            replies.append(await ask(session, name, method, path, body=b"x"))
+            if replies[-1].headers.get("Connection") == "close":
+                break
+        return replies
+
+    calls = itertools.cycle([("POST", "/book/x"), ("POST", "/plan/x"), ("POST", "/status/x")])
+
+    async def work():
+        for upstream in platform_site.UPSTREAMS:
+            await context.site.faults(upstream, work_s=0.2)
+        async with aiohttp.ClientSession() as session:
+            ends = time.monotonic() + 3.0
+            callers = [asyncio.ensure_future(caller(session, ends)) for _ in range(10)]
+            await asyncio.sleep(0.7)
+            code = await context.site.stop(name)
+            return code, await asyncio.gather(*callers)
+
+    context.code, found = run(context, work())
+    context.replies = list(itertools.chain.from_iterable(found))
+    context.stopped = name
+
+
+@behave.then("no request was lost, and the instance exited with code 0")
+def step_none_lost(context):
+    statuses = {reply.status for reply in context.replies}
+    assert statuses == {200}, statuses
+    assert len(context.replies) >= 10 and context.code == 0, context.code
+
+
+@behave.when("the platform kills {name}")
+def step_kill(context, name):
+    run(context, context.site.kill(name))
+
+
+@behave.then("no directory names {name} within {seconds:d} seconds")
+def step_not_named(context, name, seconds):
+    zone = platform_site.MACHINES[name]
+    region = platform_site.ZONES[zone]
+
+    async def gone():
+        lists = [
+            await context.site.directory(asked, region, builders.HOST)
+            for asked in context.site.processes
+        ]
+        return all(found and name not in found for found in lists)
+
+    run(context, deployment.until(gone, seconds))
+
+
+@behave.then("{name} starts again and is ready")
+def step_again(context, name):
+    run(context, context.site.start(name))
+    run(context, context.site.until_ready(name))
+
+
+@behave.when("all are killed, the store is empty and {name} starts")
+def step_empty(context, name):
+    async def work():
+        for running in list(context.site.processes):
+            await context.site.kill(running)
+        await context.site.write("op/config", None)
+        await context.site.start(name)
+        await asyncio.sleep(2.0)
+
+    run(context, work())
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -304,15 +304,15 @@
     def directions(self, host: str, region: str, now: float) -> list[str]:
         """Return the addresses that callers of a region are to use for a host.
 
-        Callers whose own region has no instance go to regions where the host's data may be.
+        Callers whose own region has no instance go to regions where the host's data may be; where
+        none is left they get no answer, and keep the one that they have.
         """
         rows = self.members.serving(now, region=region)
         if not rows:
             regions = {member.row.region for member in self.members.alive(now)}
             regions.add(self.members.own.region)
             homes = self.config.current.homes(host) if self.config.ready() else None
-            rows = self._serving_in(regions & homes if homes else regions, now)
-            rows = rows or self._serving_in(regions, now)
+            rows = self._serving_in(regions if homes is None else regions & homes, now)
         return [f"{row.host}:{row.caller_port}" for row in rows]
 
     def _serving_in(self, regions: typing.Iterable[str], now: float) -> list[peers.Row]:
--- a/yuccahitch/filters/exchange.py
+++ b/yuccahitch/filters/exchange.py
@@ -38,6 +38,7 @@
         give_up_at: When the caller or the route gives it up, in monotonic seconds.
         runs: Upstreams that may have run it.
         sends: Times that it was sent on.
+        began_attempt: Attempt whose answer began, or 0.
         last_event: Id of the last event that was passed on, or empty.
         entered: Filters entered, whose ``leave`` is owed.
     """
@@ -70,6 +71,7 @@
         "give_up_at",
         "runs",
         "sends",
+        "began_attempt",
         "last_event",
         "entered",
     )
@@ -104,6 +106,7 @@
         self.give_up_at = request.deadline
         self.runs = 0
         self.sends = 0
+        self.began_attempt = 0
         self.last_event = ""
         self.entered: list[str] = []
 
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -122,6 +122,7 @@
 def _(reply: answers.Head, step: Send, item: exchange.Exchange, now: float) -> actions.Action:
     step.policy.began(item.id)
     item.runs += 1
+    item.began_attempt = item.attempt
     item.reached = True
     failed = reply.status >= SERVER_ERROR
     if failed and item.head is None and item.idempotent and _may_send(step, item, now):
@@ -145,9 +146,10 @@
 def _(reply: answers.Failure, step: Send, item: exchange.Exchange, now: float) -> actions.Action:
     error = reply.error
     ran = error.run is errors.Run.MAY_HAVE_RUN
-    item.runs += ran and item.head is None
+    item.runs += ran and item.began_attempt != item.attempt
     item.reached = item.reached or ran
-    item.last_event = reply.last_event
+    # A resumed send can fail before its first event.
+    item.last_event = reply.last_event or item.last_event
     _learn(reply, step, item, now)
     if item.reached:
         error.run = errors.Run.MAY_HAVE_RUN
--- a/yuccahitch/platform/requests.py
+++ b/yuccahitch/platform/requests.py
@@ -81,6 +81,8 @@
         own.append((names.DEADLINE_MS, str(left_ms)))
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         own.append(("content-length", str(len(request.body))))
+    if not any(name.lower() == names.REQUEST_ID for name, _ in request.headers):
+        own.append((names.REQUEST_ID, request.id))
     kept = request.headers
     if request.resume_after:
         kept = [pair for pair in kept if pair[0].lower() != names.LAST_EVENT_ID]
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -62,11 +62,13 @@
                 return event
             self.state.receive_data(await self.wire.read())
 
-    def skip_answer(self, request: h11.Request) -> None:
+    def skip_answer(self, request: h11.Request, body: bytes) -> None:
         """Make ready for the next answer after a stray one, without sending anything."""
         rest, _ = self.state.trailing_data
         self.state = h11.Connection(h11.CLIENT)
         self.state.send(request)
+        if body:
+            self.state.send(h11.Data(data=body))
         self.state.send(h11.EndOfMessage())
         if rest:
             self.state.receive_data(rest)
@@ -131,7 +133,7 @@
                 connection.wire.abort()
 
     async def _connection(self, work: actions.Dispatch) -> Connection:
-        kept = self.idle.get(work.upstream)
+        kept = self.idle.get(work.address)
         now = self.time.now()
         while kept:
             connection = kept.pop()
@@ -154,7 +156,7 @@
         if connection.until <= self.time.now():
             return False
         state.start_next_cycle()
-        kept = self.idle.setdefault(work.upstream, collections.deque(maxlen=MAX_IDLE))
+        kept = self.idle.setdefault(work.address, collections.deque(maxlen=MAX_IDLE))
         if len(kept) == MAX_IDLE:
             kept.popleft().wire.abort()
         connection.used += 1
@@ -163,11 +165,11 @@
 
     def sweep(self, now: float) -> None:
         """Close connections that were idle for too long."""
-        for upstream, kept in list(self.idle.items()):
+        for address, kept in list(self.idle.items()):
             while kept and (kept[0].until <= now or not kept[0].wire.idle()):
                 kept.popleft().wire.abort()
             if not kept:
-                del self.idle[upstream]
+                del self.idle[address]
 
 
 class _Exchange:
@@ -224,7 +226,7 @@
                 return answer
             self.log.write(events.Event.ANSWER_DROPPED, request=self.work.request.id)
             await self._body()
-            self.connection.skip_answer(request)
+            self.connection.skip_answer(request, self.work.request.body)
         raise ConnectionResetError("only answers of other requests")
 
     async def _body(self) -> bytes:
