Send a shared part to one holder over all regions, as far as loads allow

Change: all instances agree on one upstream of all allowed regions by rendezvous; a region that must read a part itself agrees on a second.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -1,6 +1,7 @@
-"""Starts and ends a small deployment of the users' platform on loopback: store, upstreams, instances.
+"""Starts and ends a small deployment of the users' platform on loopback.
 
-The instances' settings come from ``deploy/settings.ini``, filled in as the platform does.
+Store and upstreams are stand-ins, the instances real processes. Their settings come from
+``deploy/settings.ini``, filled in as the platform does.
 """
 
 from __future__ import annotations
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -24,6 +24,10 @@
 SUSPECT_S = 0.5
 RETRY_AFTER_S = 0.4
 UNKNOWN_WAIT_S = 0.3
+# What reading a shared part again, beside the one upstream that holds it, weighs.
+REREAD_S = 0.15
+# Instances that must read a part beside its holder agree on where, as far as loads allow.
+SECOND_HOLDER = 0.9
 
 
 class Task(records.Record):
@@ -217,31 +221,42 @@
         if not candidates:
             return 0.0, None
         uses = self.members.uses(now)
-        holder = self._holder(task, candidates)
+        holder = self._holder(task, now)
+        second = rendezvous.first(_shared(task), [r.upstream.name for r in candidates])
         rated = [
-            (self._estimate(replica, task, uses, holder), self.rng.random(), replica)
+            (self._estimate(replica, task, uses, (holder, second)), self.rng.random(), replica)
             for replica in candidates
         ]
         estimate, _, best = min(rated)
         return estimate, best
 
-    def _holder(self, task: Task, candidates: list[replicas.Replica]) -> str:
-        """Return the upstream that the shared parts of a prompt are sent to by all instances."""
-        if len(task.parts) < 2:
+    def _holder(self, task: Task, now: float) -> str:
+        """Return the upstream, of any region, that all instances send a shared part to."""
+        shared = _shared(task)
+        if not shared:
             return ""
-        names = [replica.upstream.name for replica in candidates]
-        return rendezvous.first(task.parts[0][0], names)
+        regions = {replica.upstream.region for replica in self.found.table.values()}
+        names = [
+            replica.upstream.name
+            for region in (regions if task.regions is None else regions & task.regions)
+            for replica in self.found.usable(task.service.name, now, region=region)
+        ]
+        return rendezvous.first(shared, names)
 
     def _estimate(
         self,
         replica: replicas.Replica,
         task: Task,
         uses: dict[str, tuple[int, int]],
-        holder: str,
+        holders: tuple[str, str],
     ) -> float:
-        """Return the estimated time to the first token, in seconds."""
+        """Return the estimated time to the first token, in seconds, and what else it weighs."""
+        holder, second = holders
         unread = _unread(replica, task.parts, holder)
         prefill = unread / PREFILL_TOKENS_PER_S
+        if holder and unread > task.parts[-1][1]:
+            prefill += REREAD_S
+            prefill *= SECOND_HOLDER if replica.upstream.name == second else 1.0
         return self._wait(replica, task.service, uses) + prefill
 
     def _wait(
@@ -284,7 +299,10 @@
     def _remote_wait(self, region: str, task: Task, now: float) -> float:
         room = self.members.room(region, task.service.name, now)
         link = 2 * self.link_delay_s + task.body_bytes / self.link_bytes_per_s
-        prefill = sum(tokens for _, tokens in task.parts[-1:]) / PREFILL_TOKENS_PER_S
+        holder = self.found.table.get(self._holder(task, now))
+        held = holder is None or holder.upstream.region == region
+        unread = sum(tokens for _, tokens in (task.parts[-1:] if held else task.parts))
+        prefill = unread / PREFILL_TOKENS_PER_S + (0.0 if held else REREAD_S)
         if room is None:
             return link + prefill + UNKNOWN_WAIT_S
         work_s = self.work_s.get(task.service.name, MODEL_WORK_S)
@@ -309,6 +327,11 @@
         self.found.sent(name, prompt_tokens=tokens, now=now)
 
 
+def _shared(task: Task) -> str:
+    """Return the id of the part that a prompt shares with others, or no text."""
+    return task.parts[0][0] if len(task.parts) > 1 else ""
+
+
 def _unread(replica: replicas.Replica, parts: tuple[tuple[str, int], ...], holder: str) -> int:
     """Return the tokens of a prompt that an upstream has not in its cache, as far as is known."""
     if replica.upstream.name == holder:
