--- a/yuccahitch/codecs/pulses.py
+++ b/yuccahitch/codecs/pulses.py
@@ -21,7 +21,8 @@
             for u in pulse.uses
         ],
         demands=[
-            pb.Demand(account=name, tokens_per_s=rate) for name, rate in pulse.demands.items()
+            pb.Demand(account=d.account, tokens_per_s=d.tokens_per_s, overdrawn=d.overdrawn)
+            for d in pulse.demands
         ],
         rooms=[
             pb.Room(service=r.service, places=r.places, taken=r.taken, wait_s=r.wait_s)
@@ -60,7 +61,10 @@
             pulses.Use(u.upstream, running=u.running, prompt_tokens=u.prompt_tokens)
             for u in found.uses
         ],
-        demands={d.account: d.tokens_per_s for d in found.demands},
+        demands=[
+            pulses.Demand(d.account, tokens_per_s=d.tokens_per_s, overdrawn=d.overdrawn)
+            for d in found.demands
+        ],
         rooms=[
             pulses.Room(r.service, places=r.places, taken=r.taken, wait_s=r.wait_s)
             for r in found.rooms
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -164,13 +164,15 @@
         recent = [m for m in self.members.values() if now - m.heard_at < DEMAND_LIFETIME_S]
         return 1 + len(recent)
 
-    def demands(self, account: str, now: float) -> float:
-        """Return the tokens a second that an account asks of all other instances."""
-        return sum(
-            member.pulse.demands.get(account, 0.0)
+    def demands(self, account: str, now: float) -> list[pulses.Demand]:
+        """Return what an account asks of each other instance, silent ones for a while included."""
+        return [
+            demand
             for member in self.members.values()
             if member.pulse is not None and now - member.heard_at < DEMAND_LIFETIME_S
-        )
+            for demand in member.pulse.demands
+            if demand.account == account
+        ]
 
     def uses(self, now: float) -> dict[str, tuple[int, int]]:
         """Return the requests and unread prompt tokens of near instances at each upstream."""
--- a/yuccahitch/controllers/shares.py
+++ b/yuccahitch/controllers/shares.py
@@ -11,6 +11,7 @@
 
 from yuccahitch import records
 from yuccahitch.controllers import fleet
+from yuccahitch.messages import pulses
 from yuccahitch.resources import rate
 
 DEMAND_MEMORY_S = 2.0
@@ -89,13 +90,17 @@
         meter = self._meter(limit, now)
         meter.tokens = min(meter.tokens + tokens, limit.burst_tokens * meter.share)
 
-    def demands(self, now: float) -> dict[str, float]:
-        """Return the tokens a second that each account asks for here."""
-        faded = {
-            name: meter.demand * math.exp(-(now - meter.updated_at) / DEMAND_MEMORY_S)
+    def demands(self, now: float) -> list[pulses.Demand]:
+        """Return what each account asks for here."""
+        told = [
+            pulses.Demand(
+                name,
+                tokens_per_s=meter.demand * math.exp(-(now - meter.updated_at) / DEMAND_MEMORY_S),
+                overdrawn=max(0.0, -meter.tokens),
+            )
             for name, meter in self.meters.items()
-        }
-        return {name: demand for name, demand in faded.items() if demand > 1.0}
+        ]
+        return [item for item in told if item.tokens_per_s > 1.0 or item.overdrawn > 0]
 
     def _meter(self, limit: rate.Rate, now: float) -> Meter:
         meter = self.meters.get(limit.name)
@@ -112,14 +117,18 @@
         return meter
 
     def _overdraft(self, limit: rate.Rate, now: float) -> float:
-        """Return by how much this instance may be overdrawn: a request can exceed its share."""
+        """Return by how much this instance may be overdrawn: a request can exceed its share.
+
+        What others have overdrawn, as far as it is known, is not there for this one.
+        """
         allowance = limit.tokens_per_s * self.window_s + limit.burst_tokens
         tolerance = allowance * self.overage + self.slack
         whole = OVERDRAWN_BURST * limit.burst_tokens + OVERDRAWN_TOLERANCE * tolerance
-        return whole / self.members.count(now)
+        taken = sum(demand.overdrawn for demand in self.members.demands(limit.name, now))
+        return max(0.0, whole - taken)
 
     def _share(self, account: str, meter: Meter, now: float) -> float:
-        others = self.members.demands(account, now)
+        others = sum(demand.tokens_per_s for demand in self.members.demands(account, now))
         even = 1.0 / self.members.count(now)
         total = others + meter.demand
         if total <= 0:
--- a/yuccahitch/messages/pulses.py
+++ b/yuccahitch/messages/pulses.py
@@ -23,6 +23,23 @@
         self.prompt_tokens = prompt_tokens
 
 
+class Demand(records.Record):
+    """What a client account asks of an instance.
+
+    Attributes:
+        account: Name of the account.
+        tokens_per_s: Tokens a second that it asks for.
+        overdrawn: Tokens by which the instance has exceeded its share.
+    """
+
+    __slots__ = ("account", "tokens_per_s", "overdrawn")
+
+    def __init__(self, account: str, *, tokens_per_s: float, overdrawn: float) -> None:
+        self.account = account
+        self.tokens_per_s = tokens_per_s
+        self.overdrawn = overdrawn
+
+
 class Room(records.Record):
     """What a region offers at a service.
 
@@ -52,7 +69,7 @@
         leaving: Whether it shuts down.
         ready: Whether it serves.
         uses: Its work at the upstreams of its region.
-        demands: Tokens a second that each client account asks of it.
+        demands: What client accounts ask of it.
         rooms: What its region offers at each service.
         heard: Instances of its region and the seconds since they were heard.
         suspects: Requests that crashed upstreams.
@@ -82,7 +99,7 @@
         leaving: bool,
         ready: bool,
         uses: list[Use],
-        demands: dict[str, float],
+        demands: list[Demand],
         rooms: list[Room],
         heard: dict[str, float],
         suspects: list[peers.Suspect],
