--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -41,7 +41,6 @@
 
 POISON_CRASHES = 3
 POISON_S = 120.0
-DRAIN_MARGIN_S = 2.0
 DRAIN_RESERVE_S = 1.0
 
 
@@ -128,7 +127,6 @@
             region=options.region,
             instance=self.instance,
             config=self.config,
-            rng=self.rng,
             gone_after_s=min(2.0, self.settings.bounds.drain_ms / 1000 - 1.0),
         )
         self.feed = feed.Feed(
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import random
 import typing
 
 from yuccahitch import events
@@ -15,7 +14,6 @@
 OUTCOME_SHARE = 0.2
 EJECT_BELOW = 0.45
 EJECT_S = 2.0
-SUSPECT_PENALTY_S = 0.4
 COLD_OWNERS = 3
 PARTS_KEPT = 4096
 
@@ -84,7 +82,6 @@
         region: Region of this instance.
         instance: Id of this instance.
         config: The configuration in force.
-        rng: Seeded source of random numbers.
         gone_after_s: Time for which an upstream whose entry vanished is used on, in seconds.
     """
 
@@ -93,7 +90,6 @@
         "region",
         "instance",
         "config",
-        "rng",
         "gone_after_s",
         "table",
         "outbox",
@@ -106,14 +102,12 @@
         region: str,
         instance: str,
         config: published.Published,
-        rng: random.Random,
         gone_after_s: float = 2.0,
     ) -> None:
         self.decode = decode
         self.region = region
         self.instance = instance
         self.config = config
-        self.rng = rng
         self.gone_after_s = gone_after_s
         self.table: dict[str, Replica] = {}
         self.outbox: list[commands.Command] = []
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import functools
-import typing
-
-from yuccahitch.controllers import balance, placement
-from yuccahitch.filters import chain, exchange
+from yuccahitch.controllers import balance
+from yuccahitch.filters import chain, exchange, place
 from yuccahitch.messages import actions
 
 
@@ -27,7 +24,7 @@
         """Choose an upstream or an instance, or refuse."""
         item.upstream = ""
         item.instance = ""
-        return _act(self.policy.place(_task(item, now), now), item)
+        return place.act(self.policy.place(_task(item, now), now), item)
 
     def leave(self, item: exchange.Exchange, now: float) -> None:
         """Free the place."""
@@ -48,27 +45,3 @@
         avoid=tuple(item.tried) + (item.hop.avoid if item.hop is not None else ()),
         local_only=item.hop is not None,
     )
-
-
-@functools.singledispatch
-def _act(choice: typing.Any, item: exchange.Exchange) -> actions.Action:
-    raise TypeError(type(choice))
-
-
-@_act.register
-def _(choice: placement.ToUpstream, item: exchange.Exchange) -> actions.Action:
-    item.upstream = choice.upstream.name
-    return actions.Proceed()
-
-
-@_act.register
-def _(choice: placement.ToInstance, item: exchange.Exchange) -> actions.Action:
-    item.instance = choice.row.instance
-    item.better_than_s = choice.better_than_s
-    return actions.Proceed()
-
-
-@_act.register
-def _(choice: placement.Refused, item: exchange.Exchange) -> actions.Action:
-    # With no place for another attempt, the caller is told why the last one failed.
-    return actions.Refuse(item.last_error or choice.error)
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -29,11 +29,11 @@
             self.policy.declined(item.instance, item.account.name, now)
         item.upstream = ""
         item.instance = ""
-        return _act(self.policy.place(_task(item), now), item)
+        return act(self.policy.place(_task(item), now), item)
 
     def resume(self, item: exchange.Exchange, reply: typing.Any, now: float) -> actions.Action:
         """Go on once there is a place."""
-        return _act(reply, item)
+        return act(reply, item)
 
     def leave(self, item: exchange.Exchange, now: float) -> None:
         """Free the place."""
@@ -60,34 +60,35 @@
 
 
 @functools.singledispatch
-def _act(choice: typing.Any, item: exchange.Exchange) -> actions.Action:
+def act(choice: typing.Any, item: exchange.Exchange) -> actions.Action:
+    """Do with a request what was chosen for it."""
     raise TypeError(type(choice))
 
 
-@_act.register
+@act.register
 def _(choice: placement.ToUpstream, item: exchange.Exchange) -> actions.Action:
     item.upstream = choice.upstream.name
     return actions.Proceed()
 
 
-@_act.register
+@act.register
 def _(choice: placement.ToInstance, item: exchange.Exchange) -> actions.Action:
     item.instance = choice.row.instance
     item.better_than_s = choice.better_than_s
     return actions.Proceed()
 
 
-@_act.register
+@act.register
 def _(choice: placement.Wait, item: exchange.Exchange) -> actions.Action:
     return actions.Perform(actions.AwaitTurn(until=choice.until))
 
 
-@_act.register
+@act.register
 def _(choice: placement.Refused, item: exchange.Exchange) -> actions.Action:
     # With no place for another attempt, the caller is told why the last one failed.
     return actions.Refuse(item.last_error or choice.error)
 
 
-@_act.register
+@act.register
 def _(choice: commands.Denied, item: exchange.Exchange) -> actions.Action:
     return actions.Refuse(choice.error)
--- a/yuccahitch/platform/names.py
+++ b/yuccahitch/platform/names.py
@@ -18,7 +18,6 @@
 AUTHORIZATION = "authorization"
 KEY_SCHEME = "Token "
 LAST_EVENT_ID = "last-event-id"
-WARMUP_MS = "x-warmup-ms"
 
 # Headers that only the gateway may set: a caller's own are dropped.
 OWN_HEADERS = frozenset(
@@ -53,7 +52,6 @@
     )
 )
 
-READY_PATH = "/api/ready"
 RESOLVE_PATH = "/api/resolve"
 
 OPERATOR_PREFIX = "op/"
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -87,7 +87,6 @@
             state=self.core.decisions,
             mailboxes=mailboxes,
             time=self.time,
-            log=self.log,
         )
         self.peer_server = peer_server.PeerServer(
             secret=NO_SECRET,
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -8,27 +8,26 @@
 
 from aiohttp import web
 
-from yuccahitch import clock, errors, events
+from yuccahitch import clock, errors
 from yuccahitch import settings as config_file
 from yuccahitch.controllers import edge
 from yuccahitch.messages import answers, requests
 from yuccahitch.platform import requests as wire_form
-from yuccahitch.tasks import core, mailbox, runner
+from yuccahitch.tasks import caller_server, core, mailbox, runner
 
 MAX_HEADER_BYTES = 65536
 KEEP_ALIVE_S = 600.0
-MAX_WHOLE_BYTES = 262_144
 JSON = {"content-type": "application/json"}
 
 
-class FrontSink:
+class FrontSink(caller_server.HttpSink):
     """Sends an answer to a caller as the upstream made it.
 
     An answer that is no stream is held back until it is whole, so that a cut one becomes a clear
     error; a stream that is cut ends with its connection.
     """
 
-    __slots__ = ("request", "id", "leaving", "response", "head", "held")
+    __slots__ = ("leaving",)
 
     def __init__(
         self,
@@ -37,12 +36,8 @@
         request_id: str,
         leaving: typing.Callable[[], bool],
     ) -> None:
-        self.request = request
-        self.id = request_id
+        super().__init__(request, request_id=request_id, streams=False)
         self.leaving = leaving
-        self.response: web.StreamResponse | None = None
-        self.head: answers.Head | None = None
-        self.held = bytearray()
 
     async def start(self, head: answers.Head) -> None:
         """Begin the answer."""
@@ -51,25 +46,6 @@
         if kind.startswith(wire_form.EVENT_STREAM):
             await self._open()
 
-    async def write(self, chunk: answers.Chunk) -> None:
-        """Pass bytes on, or hold them until the answer is whole."""
-        if self.response is not None:
-            await self.response.write(chunk.data)
-            return
-        self.held += chunk.data
-        if len(self.held) > MAX_WHOLE_BYTES:
-            await self._open()
-            await self.response.write(bytes(self.held))
-
-    async def end(self, part: answers.End) -> None:
-        """End a whole answer."""
-        if self.response is not None:
-            await self.response.write_eof()
-            return
-        response = web.Response(status=self.head.status, body=bytes(self.held))
-        _set_headers(response, self.head.headers)
-        await self._send(response)
-
     async def cut(self, part: answers.Failure) -> None:
         """End an answer that is not whole, so that the caller can't take it for whole."""
         if self.response is None:
@@ -82,24 +58,22 @@
         status, headers, body = wire_form.refusal(error, request_id=self.id)
         await self._send(web.Response(status=status, headers=headers, body=body))
 
-    async def replay(self, answer: answers.Recorded) -> None:
-        """Send a recorded answer; published routes have none."""
-        raise NotImplementedError("published routes keep no answers")
+    async def _whole(self, status: int, headers: tuple[tuple[str, str], ...], body: bytes) -> None:
+        response = web.Response(status=status, body=body)
+        _set_headers(response, headers)
+        await self._send(response)
 
     async def _open(self) -> None:
-        response = web.StreamResponse(status=self.head.status)
-        _set_headers(response, self.head.headers)
+        self.response = web.StreamResponse(status=self.head.status)
+        _set_headers(self.response, self.head.headers)
         if self.leaving():
-            response.force_close()
-        self.response = response
-        await response.prepare(self.request)
+            self.response.force_close()
+        await self.response.prepare(self.request)
 
     async def _send(self, response: web.Response) -> None:
         if self.leaving():
             response.force_close()
-        self.response = response
-        await response.prepare(self.request)
-        await response.write_eof()
+        await super()._send(response)
 
 
 class FrontServer:
@@ -111,7 +85,6 @@
         state: The decisions, read for their state only.
         mailboxes: Mailboxes for running requests.
         time: The clock.
-        log: Writes events.
     """
 
     __slots__ = (
@@ -120,7 +93,6 @@
         "state",
         "mailboxes",
         "time",
-        "log",
         "children",
         "runners",
     )
@@ -133,14 +105,12 @@
         state: edge.Edge,
         mailboxes: runner.Mailboxes,
         time: clock.Clock,
-        log: events.Log,
     ) -> None:
         self.settings = settings
         self.decisions = decisions
         self.state = state
         self.mailboxes = mailboxes
         self.time = time
-        self.log = log
         self.children = mailbox.Children()
         self.runners: list[web.ServerRunner] = []
 
