--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -53,13 +53,14 @@
         run_dir: Where settings and logs are written.
     """
 
-    __slots__ = ("run_dir", "standins", "processes", "session")
+    __slots__ = ("run_dir", "standins", "processes", "session", "pipes")
 
     def __init__(self, run_dir: pathlib.Path) -> None:
         self.run_dir = run_dir
         self.standins: asyncio.subprocess.Process | None = None
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.session: aiohttp.ClientSession | None = None
+        self.pipes: list[int] = []
 
     async def start_standins(self) -> None:
         """Start store and upstreams in one process, and register the upstreams."""
@@ -111,8 +112,8 @@
         async with self.session.get(f"http://{address(name)}/seen") as response:
             return await response.json()
 
-    async def start(self, name: str) -> None:
-        """Start one instance."""
+    async def start(self, name: str, *, unread: bool = False) -> None:
+        """Start one instance, its log in a file or in a pipe that nobody reads."""
         path = self.run_dir / f"{name}.ini"
         path.write_text(render(TEMPLATE.read_text(), settings_of(name)))
         log = (self.run_dir / f"{name}.log").open("ab")
@@ -123,7 +124,7 @@
             "edge",
             cwd=ROOT,
             env=os.environ | {"YUCCAHITCH_SETTINGS": str(path), "PYTHONPATH": str(ROOT)},
-            stdout=log,
+            stdout=self._unread_pipe() if unread else log,
             stderr=log,
         )
 
@@ -180,6 +181,14 @@
             await self.standins.wait()
         if self.session is not None:
             await self.session.close()
+        for end in self.pipes:
+            os.close(end)
+
+    def _unread_pipe(self) -> int:
+        """Return the writing end of a pipe that nobody reads."""
+        ends = os.pipe()
+        self.pipes.extend(ends)
+        return ends[1]
 
 
 def machine(name: str) -> str:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
+import configparser
 import itertools
+import json
+import pathlib
+import random
+import tempfile
 import time
 import typing
 import uuid
 
 from fakes import fleet as fleets
+from yuccahitch import errors
 from yuccahitch import settings as config_file
-from yuccahitch.messages import requests
+from yuccahitch.codecs import pulses as pulse_codec
+from yuccahitch.controllers import edge
+from yuccahitch.messages import answers, exchanges, requests, store
+from yuccahitch.platform import names, publication, upstreams
+from yuccahitch.platform import requests as wire_form
 from yuccahitch.resources import account, entry, key, rate, route, service, upstream
 
 SECRET_VARIABLE = "YUCCAHITCH_TEST_SECRET"
@@ -299,3 +309,138 @@
         },
         "tenants": [a_published_tenant()],
     } | fields
+
+
+def edge_settings(raw: dict[str, dict[str, str]]) -> config_file.EdgeSettings:
+    """Return checked settings of an instance on a platform."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_dict(raw)
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+        parser.write(file)
+        file.flush()
+        return config_file.load_edge(pathlib.Path(file.name))
+
+
+class EdgeUnderTest:
+    """The decisions of one instance on a platform, driven by hand in virtual time.
+
+    Attributes:
+        decisions: The controllers and chains.
+        now: Virtual time in seconds.
+        sent: What the decisions asked the tasks to do.
+    """
+
+    __slots__ = ("decisions", "now", "sent", "revision")
+
+    def __init__(self, name: str = "edge-1", *, region: str = "east") -> None:
+        zones = "east-a=east, west-a=west"
+        raw = {
+            "instance": {
+                "name": name,
+                "region": region,
+                "zone": f"{region}-a",
+                "zones": zones,
+                "callers": f"127.0.0.1:{7000 + next(_numbers)}",
+                "readiness": "127.0.0.1:7002",
+                "peers": "127.0.0.1:7004",
+            },
+            "store": {"address": "127.0.0.1:7100"},
+            "bounds": {"retry_extra": "60", "rate_window_s": "8", "rate_overage": "0.1"},
+        }
+        self.now = 1000.0
+        self.sent: list[typing.Any] = []
+        self.revision = 1
+        self.decisions = edge.Edge(
+            edge_settings(raw),
+            instance=f"{name}~{next(_numbers)}",
+            keyspace=names,
+            read_publication=publication.decode,
+            read_upstream=upstreams.decode,
+            rng=random.Random(7),
+            now=self.now,
+        )
+
+    def item(self, key: str, value: typing.Any) -> store.Item:
+        """Return an item of the store, newer than those before."""
+        self.revision += 1
+        raw = value if type(value) is bytes else json.dumps(value).encode()
+        return store.Item(key=key, value=raw, revision=self.revision)
+
+    def publish(self, document: typing.Any) -> None:
+        """Let the operators publish a configuration."""
+        self.decisions.config.changed("config", self.item("config", document), self.now)
+
+    def register(self, name: str, **fields: typing.Any) -> None:
+        """Let an upstream register itself."""
+        entry_of = {
+            "service": "desk",
+            "address": "127.0.0.1:1",
+            "zone": "east-a",
+            "capacity": 4,
+            "state": "ready",
+            "warmupLeftMs": 0,
+            "born": 1,
+        }
+        self.decisions.found.changed(name, self.item(name, entry_of | fields), self.now)
+
+    def meet(self, other: EdgeUnderTest) -> None:
+        """Let another instance be listed, and hear its pulse."""
+        own = other.decisions.members.own
+        own.ready = True
+        name = other.decisions.members.name
+        self.decisions.members.changed(name, self.item(name, own.as_dict()), self.now)
+        self.hear(other)
+
+    def hear(self, other: EdgeUnderTest) -> None:
+        """Hear the pulse of another instance, as it is on the wire."""
+        other.decisions.outbox.clear()
+        other.decisions._tell(["127.0.0.1:1"], other.now)
+        message = other.decisions.outbox.pop()
+        pulse = pulse_codec.decode(pulse_codec.encode(message.pulse))
+        self.decisions.on_pulse(pulse, self.now)
+
+    def ask(self, path: str = "/status/x", **headers: str) -> exchanges.Outcome:
+        """Let a caller's request come in."""
+        given = {
+            "Host": HOST,
+            "Authorization": f"Token {PLATFORM_KEY}",
+            "X-Request-Id": f"e{next(_numbers)}",
+            "X-Deadline-Ms": "4000",
+        }
+        request = wire_form.decode(
+            method="GET",
+            path=path,
+            headers=list((given | headers).items()),
+            body=b"",
+            now=self.now,
+            new_id="none",
+        )
+        return self.decisions.begin(request, None, self.now)
+
+    def reply(self, request_id: str, part: typing.Any) -> exchanges.Outcome:
+        """Let a part of an answer, or a failure, come back."""
+        return self.decisions.resume(request_id, part, self.now)
+
+    def finish(self, request_id: str, *, succeeded: bool = True) -> None:
+        """Let a request end."""
+        message = exchanges.Finished(request_id, succeeded=succeeded, usage=answers.Usage())
+        self.decisions.finish(message, self.now)
+
+
+def a_failure(
+    request_id: str,
+    code: errors.Code = errors.Code.UPSTREAM_FAILED,
+    *,
+    ran: bool = True,
+    peer: str = "",
+    crashed: bool = False,
+) -> answers.Failure:
+    """Return the failure of a send."""
+    run = errors.Run.MAY_HAVE_RUN if ran else errors.Run.NOT_RUN
+    error = errors.GatewayError(code, step="send", peer=peer, run=run)
+    return answers.Failure(request_id=request_id, attempt=1, error=error, crashed=crashed)
+
+
+def a_head(request_id: str, status: int = 200) -> answers.Head:
+    """Return the beginning of an answer."""
+    return answers.Head(request_id=request_id, attempt=1, status=status, headers=(), source="u")
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -173,6 +173,12 @@
     Then no directory names edge-east-2 within 5 seconds
     And edge-east-2 starts again and is ready
 
+  Scenario: Nobody reads the log
+    When edge-west-1 starts again with a log that nobody reads
+    And it is asked 2000 times for GET /open/x
+    Then all were answered 200 in less than 1 second each
+    And its metrics tell of dropped log lines and of 2000 requests or more
+
   Scenario: No configuration is known yet
     When all are killed, the store is empty and edge-east-1 starts
     And a caller with the account's key asks edge-east-1 for POST /book/x
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -449,3 +449,48 @@
         await asyncio.sleep(2.0)
 
     run(context, work())
+
+
+@behave.when("{name} starts again with a log that nobody reads")
+def step_unread(context, name):
+    async def work():
+        await context.site.kill(name)
+        await context.site.start(name, unread=True)
+        await context.site.until_ready(name)
+        await asyncio.sleep(1.0)
+
+    context.asked = name
+    run(context, work())
+
+
+@behave.when("it is asked {count:d} times for {method} {path}")
+def step_many_asked(context, count, method, path):
+    async def caller(session):
+        each = [await ask(session, context.asked, method, path) for _ in range(count // 10)]
+        return each
+
+    async def work():
+        connector = aiohttp.TCPConnector(limit=10)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            found = await asyncio.gather(*(caller(session) for _ in range(10)))
+            return list(itertools.chain.from_iterable(found))
+
+    context.replies = run(context, work())
+
+
+@behave.then("all were answered {status:d} in less than {seconds:d} second each")
+def step_quick(context, status, seconds):
+    assert {reply.status for reply in context.replies} == {status}
+    assert max(reply.seconds for reply in context.replies) < seconds
+
+
+@behave.then("its metrics tell of dropped log lines and of {count:d} requests or more")
+def step_metrics(context, count):
+    async def work():
+        url = f"http://{platform_site.machine(context.asked)}:9464/metrics"
+        async with context.site.session.get(url) as response:
+            return await response.text()
+
+    lines = dict(line.rsplit(" ", 1) for line in run(context, work()).splitlines())
+    assert float(lines["yuccahitch_log_lines_dropped"]) > 0, lines
+    assert float(lines["yuccahitch_requests"]) >= count, lines
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -59,6 +59,7 @@
     OPERATION_CLAIMED = (700, "operation-claimed", "An idempotency key was claimed.")
     OPERATION_REPLAYED = (701, "operation-replayed", "A repeated key got the first answer.")
     ORDER_SENT = (800, "order-sent", "An order was sent to an engine.")
+    LOG_DROPPED = (105, "log-dropped", "Log lines were dropped, so many of each event.")
     FAULT = (900, "fault", "An unexpected error was caught.")
 
     def __init__(self, number: int, label: str, meaning: str) -> None:
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import random
 import signal
@@ -21,6 +22,7 @@
 from yuccahitch.tasks import (
     core,
     front_server,
+    log_pipe,
     mailbox,
     metrics,
     peer_client,
@@ -61,6 +63,7 @@
         "front",
         "peer_server",
         "children",
+        "pipe",
     )
 
     def __init__(self, settings: config_file.EdgeSettings, path: pathlib.Path) -> None:
@@ -71,6 +74,8 @@
         self.log = events.Log(self.instance, events.Stamp(self.time.wall))
         self.figures = metrics.Metrics()
         self.children = mailbox.Children()
+        self.pipe = log_pipe.LogPipe(_descriptor(settings.log.file))
+        eliot.add_destinations(self.pipe)
         rng = random.Random(uuid.uuid4().int)
         self.replicas = replica_client.ReplicaClient(time=self.time, log=self.log)
         self._make_core(rng)
@@ -86,8 +91,10 @@
             decisions=self.core.inbox,
             state=self.core.decisions,
             mailboxes=mailboxes,
+            figures=self.figures,
             time=self.time,
         )
+        self._show_gauges()
         self.peer_server = peer_server.PeerServer(
             secret=NO_SECRET,
             decisions=self.core.inbox,
@@ -98,6 +105,7 @@
 
     async def run(self) -> None:
         """Serve until a graceful shutdown is done."""
+        self.pipe.start(asyncio.get_running_loop())
         host, _, port = self.settings.instance.peers.rpartition(":")
         await self.pulses.start(host, int(port))
         parts = (self.core, self.store, self.peers, self.replicas, self.pulses)
@@ -127,6 +135,7 @@
         self.log.write(events.Event.STOPPED)
         failed = [task for task in tasks if task.done() and task.exception() is not None]
         await self.children.stop()
+        self.pipe.close()
         for task in failed:
             raise task.exception()
 
@@ -174,6 +183,21 @@
         )
         self.pulses.decisions = self.core.inbox
 
+    def _show_gauges(self) -> None:
+        state, now = self.core.decisions, self.time.now
+        self.figures.gauges.update(
+            open_requests=lambda: len(state.exchanges),
+            live_instances=lambda: len(state.members.alive(now())) + 1,
+            config_version=lambda: state.config.current.version if state.config.ready() else 0,
+            store_age_seconds=lambda: min(
+                1e9, now() - min(state.feed.heard_at.values(), default=0)
+            ),
+            upstreams=lambda: len(state.found.table),
+            upstream_connections_opened=lambda: self.replicas.opened,
+            store_calls=lambda: self.store.calls,
+            log_lines_dropped=lambda: self.pipe.dropped_total,
+        )
+
     def _reload(self) -> None:
         """Read the settings again; a file with mistakes changes nothing."""
         try:
@@ -187,6 +211,11 @@
 
 def serve(settings: config_file.EdgeSettings, path: pathlib.Path) -> None:
     """Run one instance on the users' platform until it is told to stop."""
-    file = sys.stdout if settings.log.file == "-" else open(settings.log.file, "a", buffering=1)
-    eliot.to_file(file)
     asyncio.run(EdgeProcess(settings, path).run())
+
+
+def _descriptor(place: str) -> int:
+    """Return the descriptor of a file, or of standard output."""
+    if place == "-":
+        return sys.stdout.fileno()
+    return os.open(place, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -13,7 +13,7 @@
 from yuccahitch.controllers import edge
 from yuccahitch.messages import answers, requests
 from yuccahitch.platform import requests as wire_form
-from yuccahitch.tasks import caller_server, core, mailbox, runner
+from yuccahitch.tasks import caller_server, core, mailbox, metrics, runner
 
 MAX_HEADER_BYTES = 65536
 KEEP_ALIVE_S = 600.0
@@ -84,6 +84,7 @@
         decisions: Mailbox of the core.
         state: The decisions, read for their state only.
         mailboxes: Mailboxes for running requests.
+        figures: Metrics to show.
         time: The clock.
     """
 
@@ -92,6 +93,7 @@
         "decisions",
         "state",
         "mailboxes",
+        "figures",
         "time",
         "children",
         "runners",
@@ -104,12 +106,14 @@
         decisions: mailbox.Mailbox,
         state: edge.Edge,
         mailboxes: runner.Mailboxes,
+        figures: metrics.Metrics,
         time: clock.Clock,
     ) -> None:
         self.settings = settings
         self.decisions = decisions
         self.state = state
         self.mailboxes = mailboxes
+        self.figures = figures
         self.time = time
         self.children = mailbox.Children()
         self.runners: list[web.ServerRunner] = []
@@ -121,6 +125,7 @@
             (place.callers, self._proxy),
             (place.readiness, self._ready),
             (place.directory, self._resolve),
+            (place.metrics, self._metrics),
         )
         for address, handler in servers:
             if address:
@@ -160,6 +165,9 @@
         body = wire_form.directory_answer(found[: wire_form.MAX_ADDRESSES], ttl_s=ttl_s)
         return web.Response(status=200 if found else 503, body=body, headers=JSON)
 
+    async def _metrics(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(text=self.figures.text())
+
     async def _ask(self, read: typing.Callable[[edge.Edge], typing.Any]) -> typing.Any:
         return await self.decisions.ask(core.Query(read))
 
