--- a/docs/generate.py
+++ b/docs/generate.py
@@ -51,8 +51,27 @@
 
 def settings_page() -> str:
     """Return the reference of settings."""
+    own = _sections(_settings_schema.SCHEMA)
+    edge = _sections(_settings_schema.EDGE_SCHEMA)
+    return f"""# Settings
+
+One INI file an instance. `yuccahitch check FILE` (`yuccahitch edge --check FILE` for an instance on
+the users' platform) reports every mistake at once with section, option, value and what was
+expected, and ends with exit code 2. Secrets are never in the file. This page is written by
+`python docs/generate.py`.
+
+{own}
+# Settings of an instance on the users' platform
+
+An option without a value counts as left out, so that the template `deploy/settings.ini` can name
+what a deployment does not give.
+
+{edge}"""
+
+
+def _sections(schema: _settings_schema.Schema) -> str:
     parts = []
-    for section, options in _settings_schema.SCHEMA.items():
+    for section, options in schema.items():
         rows = "\n".join(
             f"| `{name}` | {rule['meta']['meaning']} | {rule['meta']['expected']} "
             f"| {_default(rule['meta']['default'])} |"
@@ -60,14 +79,7 @@
         )
         head = "| option | meaning | expected | default |\n| --- | --- | --- | --- |"
         parts.append(f"## [{section}]\n\n{head}\n{rows}\n")
-    sections = "\n".join(parts)
-    return f"""# Settings
-
-One INI file an instance. `yuccahitch check FILE` reports every mistake at once with section,
-option, value and what was expected, and ends with exit code 2. Secrets are never in the file. This
-page is written by `python docs/generate.py`.
-
-{sections}"""
+    return "\n".join(parts)
 
 
 def _default(value: object) -> str:
