Keep what an account earns while others are overdrawn

Cause: (1) an instance at the cap of its share earned nothing while others had overdrawn, so the sum over all instances fell below the rate; (2) what came in between two requests was counted with the share of the moment of the second one, when a neighbour had just asked; (3) an instance in debt could take the rest of the common overdraft before those that had saved for it.

Change: meters are brought up to date with each pulse; while others are overdrawn, the cap rises by this instance's part of their debt; the part of the burst follows demand over 2 s; one in debt may overdraw its own part of the whole alone.

--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -45,15 +45,17 @@
         listed: Whether the entry is there.
         heard_at: When it was last known to live, in monotonic seconds.
         pulse: Its last pulse, or None.
+        demands: What that pulse told of each account, by its name.
     """
 
-    __slots__ = ("row", "listed", "heard_at", "pulse")
+    __slots__ = ("row", "listed", "heard_at", "pulse", "demands")
 
     def __init__(self, row: peers.Row, now: float) -> None:
         self.row = row
         self.listed = True
         self.heard_at = now
         self.pulse: pulses.Pulse | None = None
+        self.demands: dict[str, pulses.Demand] = {}
 
 
 class Fleet:
@@ -130,6 +132,7 @@
         if member is None or (member.pulse is not None and pulse.number <= member.pulse.number):
             return
         member.pulse = pulse
+        member.demands = {demand.account: demand for demand in pulse.demands}
         member.heard_at = now
         for name, age in pulse.heard.items():
             if name in self.members:
@@ -164,14 +167,19 @@
         recent = [m for m in self.members.values() if now - m.heard_at < DEMAND_LIFETIME_S]
         return 1 + len(recent)
 
-    def demands(self, account: str, now: float) -> list[pulses.Demand]:
-        """Return what an account asks of each other instance, silent ones for a while included."""
+    def demands(self, account: str, now: float, *, alive: bool = False) -> list[pulses.Demand]:
+        """Return what an account asks of each other instance.
+
+        Args:
+            account: Name of the client account.
+            now: Monotonic seconds.
+            alive: Leave out instances that fell silent; else they count for a while.
+        """
         return [
-            demand
+            member.demands[account]
             for member in self.members.values()
-            if member.pulse is not None and now - member.heard_at < DEMAND_LIFETIME_S
-            for demand in member.pulse.demands
-            if demand.account == account
+            if account in member.demands and now - member.heard_at < DEMAND_LIFETIME_S
+            if not alive or self._lives(member, now)
         ]
 
     def uses(self, now: float) -> dict[str, tuple[int, int]]:
--- a/yuccahitch/controllers/shares.py
+++ b/yuccahitch/controllers/shares.py
@@ -15,7 +15,9 @@
 from yuccahitch.resources import rate
 
 DEMAND_MEMORY_S = 2.0
+DEMAND_MIN = 1.0
 EVEN_SHARE = 0.1
+SAVED_FOLLOWS_S = 2.0
 RETRY_MAX_S = 2.0
 # Parts of the burst and of the platform's tolerance that instances may be overdrawn by together.
 OVERDRAWN_BURST = 0.5
@@ -26,18 +28,25 @@
     """What one account asks for and may use here.
 
     Attributes:
+        limit: Rate and burst of the account over the whole fleet.
         tokens: Tokens that may be used now.
         demand: Tokens a second asked for, smoothed.
-        share: Part of rate and burst that is this instance's.
+        told: Demand that the others were told last, in tokens a second.
+        share: Part of the rate that is this instance's.
+        saved_share: Part of the burst that is, which follows more slowly: a large request moves
+            the demand for a moment, and what was saved up must outlast that.
         updated_at: When the others were brought up to date, in monotonic seconds.
     """
 
-    __slots__ = ("tokens", "demand", "share", "updated_at")
+    __slots__ = ("limit", "tokens", "demand", "told", "share", "saved_share", "updated_at")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, limit: rate.Rate, now: float) -> None:
+        self.limit = limit
         self.tokens = 0.0
         self.demand = 0.0
+        self.told = 0.0
         self.share = 0.0
+        self.saved_share = 0.0
         self.updated_at = now
 
 
@@ -78,7 +87,7 @@
         """
         meter = self._meter(limit, now)
         meter.demand += tokens / DEMAND_MEMORY_S
-        allowed = meter.tokens + self._overdraft(limit, now)
+        allowed = meter.tokens + self._overdraft(meter, now)
         if allowed >= tokens:
             meter.tokens -= tokens
             return 0.0
@@ -88,49 +97,71 @@
     def refund(self, limit: rate.Rate, tokens: float, now: float) -> None:
         """Give back the tokens of a request that has not run."""
         meter = self._meter(limit, now)
-        meter.tokens = min(meter.tokens + tokens, limit.burst_tokens * meter.share)
+        meter.tokens = min(meter.tokens + tokens, limit.burst_tokens * meter.saved_share)
 
     def demands(self, now: float) -> list[pulses.Demand]:
-        """Return what each account asks for here."""
-        told = [
-            pulses.Demand(
-                name,
-                tokens_per_s=meter.demand * math.exp(-(now - meter.updated_at) / DEMAND_MEMORY_S),
-                overdrawn=max(0.0, -meter.tokens),
-            )
-            for name, meter in self.meters.items()
-        ]
-        return [item for item in told if item.tokens_per_s > 1.0 or item.overdrawn > 0]
+        """Return what each account asks for here, and bring those meters up to date."""
+        told = []
+        for name, meter in self.meters.items():
+            demand = meter.demand * math.exp(-(now - meter.updated_at) / DEMAND_MEMORY_S)
+            if demand > DEMAND_MIN or meter.tokens < 0:
+                self._update(meter, now)
+                meter.told = meter.demand
+                overdrawn = max(0.0, -meter.tokens)
+                told.append(pulses.Demand(name, tokens_per_s=meter.demand, overdrawn=overdrawn))
+        return told
 
     def _meter(self, limit: rate.Rate, now: float) -> Meter:
         meter = self.meters.get(limit.name)
         if meter is None:
             # A new instance can't know what was used before it: it earns from its start on.
-            meter = self.meters[limit.name] = Meter(self.began)
+            meter = self.meters[limit.name] = Meter(limit, self.began)
+            meter.saved_share = self._share(limit.name, meter, now)
+        meter.limit = limit
+        self._update(meter, now)
+        return meter
+
+    def _update(self, meter: Meter, now: float) -> None:
         passed = max(0.0, now - meter.updated_at)
         meter.demand *= math.exp(-passed / DEMAND_MEMORY_S)
-        meter.share = self._share(limit.name, meter, now)
-        earned = passed * limit.tokens_per_s * meter.share
-        kept = (1 - OVERDRAWN_BURST) * limit.burst_tokens * meter.share
-        meter.tokens = min(meter.tokens + earned, kept)
+        meter.share = self._share(meter.limit.name, meter, now)
+        followed = 1.0 - math.exp(-passed / SAVED_FOLLOWS_S)
+        meter.saved_share += (meter.share - meter.saved_share) * followed
+        earned = passed * meter.limit.tokens_per_s * meter.share
+        meter.tokens = min(meter.tokens + earned, self._kept(meter.limit, meter, now))
         meter.updated_at = now
-        return meter
 
-    def _overdraft(self, limit: rate.Rate, now: float) -> float:
+    def _kept(self, limit: rate.Rate, meter: Meter, now: float) -> float:
+        """Return what may be saved up here.
+
+        While others are overdrawn, those that aren't may save as much more together: the sum over
+        all instances stays the same, and what comes in meanwhile is not lost.
+        """
+        told = self.members.demands(limit.name, now, alive=True)
+        owed = sum(demand.overdrawn for demand in told)
+        return ((1 - OVERDRAWN_BURST) * limit.burst_tokens + owed) * meter.saved_share
+
+    def _overdraft(self, meter: Meter, now: float) -> float:
         """Return by how much this instance may be overdrawn: a request can exceed its share.
 
-        What others have overdrawn, as far as it is known, is not there for this one.
+        What others have overdrawn, as far as it is known, is not there for this one. One that is
+        overdrawn already leaves the others' part to them.
         """
+        limit = meter.limit
         allowance = limit.tokens_per_s * self.window_s + limit.burst_tokens
         tolerance = allowance * self.overage + self.slack
         whole = OVERDRAWN_BURST * limit.burst_tokens + OVERDRAWN_TOLERANCE * tolerance
         taken = sum(demand.overdrawn for demand in self.members.demands(limit.name, now))
-        return max(0.0, whole - taken)
+        part = meter.share if meter.tokens < 0 else 1.0
+        return max(0.0, min(whole - taken, whole * part))
 
     def _share(self, account: str, meter: Meter, now: float) -> float:
         others = sum(demand.tokens_per_s for demand in self.members.demands(account, now))
+        own = max(meter.told, meter.demand)
+        return self._part(own, others + own, now)
+
+    def _part(self, demand: float, total: float, now: float) -> float:
         even = 1.0 / self.members.count(now)
-        total = others + meter.demand
         if total <= 0:
             return even
-        return EVEN_SHARE * even + (1 - EVEN_SHARE) * meter.demand / total
+        return EVEN_SHARE * even + (1 - EVEN_SHARE) * demand / total
