Let operators write routes by host and path; hash ids as bytes

While testing them: a shared route's choice hashed a text, which the hash library refuses, so each request of a route with several services failed with an internal fault (event 900) and no answer, on the users' platform too.

Change: schema, references, catalog, match and callers' server take both forms of a route; the choice among services stands in resources/route.py, once, and hashes bytes.

Measured: routes.feature (16 scenarios; the one on weights failed first with the TypeError), edge_decisions.feature (shared published route), whole_path.feature (a route by host and path over real processes): all pass.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -98,6 +98,14 @@
     )
 
 
+def a_hosted_route(
+    name: str = "hall", *, host: str = "hall.example", prefix: str = "/", **options: typing.Any
+) -> route.Route:
+    """Return a route by host and path."""
+    service_name = options.pop("service", "desk-a")
+    return route.Route(name=name, host=host, prefix=prefix, service=service_name, **options)
+
+
 def an_upstream(name: str = "ice-1", **options: typing.Any) -> upstream.Upstream:
     """Return an upstream."""
     region = options.pop("region", "muscat-a")
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -62,6 +62,11 @@
       | /plan/x   | after it ran          | 2     |
       | /ask/x    | after it ran          | 1     |
 
+  Scenario: Services that share a published route get requests by their weights
+    Given an instance and a published route shared 3 to 1 by two services
+    When 400 requests of the shared route come in
+    Then the first service gets from 250 to 350 of them
+
   Scenario: A request that crashes upstreams is refused, and the others hear of it
     Given 2 instances of one region with upstreams u1, u2 and u3
     When the same request has crashed three upstreams at the first instance
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -275,6 +275,28 @@
     assert second.ask("/book/poison").action.error.code is errors.Code.POISON
 
 
+@behave.given("an instance and a published route shared {first:d} to {second:d} by two services")
+def step_shared_route(context, first, second):
+    context.edge = builders.EdgeUnderTest()
+    shared = [{"service": "desk", "weight": first}, {"service": "model", "weight": second}]
+    split = builders.a_published_route("split", "/split/", service=None, backends=shared)
+    context.edge.publish(builders.a_publication(routes=[split]))
+    context.edge.register("u1", service="desk", capacity=10000)
+    context.edge.register("u2", service="model", capacity=10000)
+
+
+@behave.when("{count:d} requests of the shared route come in")
+def step_shared_requests(context, count):
+    outcomes = [context.edge.ask("/split/x") for _ in range(count)]
+    context.shared = [upstream_of(outcome) for outcome in outcomes]
+
+
+@behave.then("the first service gets from {least:d} to {most:d} of them")
+def step_shared_counts(context, least, most):
+    assert set(context.shared) == {"u1", "u2"}, set(context.shared)
+    assert least <= context.shared.count("u1") <= most, context.shared.count("u1")
+
+
 @behave.given(
     "{count:d} instances and an account with {rate:d} tokens a second and a burst of {burst:d}"
 )
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 
 import behave
 import openai
@@ -13,6 +14,7 @@
 from yuccahitch.cli import show
 
 BODY_LIMIT = 4194304
+CONFIG_S = 4.0
 
 
 def call(context, method, url, **options):
@@ -205,6 +207,35 @@
     operate(context, "PUT", "/v1/resources/key/k", {"spec": spec})
 
 
+@behave.when("an operator writes a route from {host} under {prefix} to {service}")
+def step_write_route(context, host, prefix, service):
+    spec = {"name": "hosted", "host": host, "prefix": prefix, "service": service}
+    operate(context, "PUT", "/v1/resources/route/hosted", {"spec": spec})
+    assert context.status == 200, context.body
+
+
+@behave.when("{account} calls {path} of {host} at {name}")
+def step_call_hosted(context, account, path, host, name):
+    headers = builders.key_header(account) | {"Host": host}
+    deadline = time.monotonic() + CONFIG_S
+    call(context, "GET", context.world.url(name) + path, headers=headers)
+    while context.status == 404 and "no such path" in context.body:
+        assert time.monotonic() < deadline, context.body
+        time.sleep(0.1)
+        call(context, "GET", context.world.url(name) + path, headers=headers)
+
+
+@behave.then("the plain service saw {method} {path}")
+def step_plain_saw(context, method, path):
+    urls = context.world.standin_urls("plain")
+
+    async def work():
+        return [await context.world.get(url + "/runs") for url in urls.values()]
+
+    runs = context.loop.run_until_complete(work())
+    assert any(f"{method} {path}" in label for found in runs for label in found), runs
+
+
 @behave.when("an operator writes a malformed rate")
 def step_write_malformed(context):
     operate(context, "PUT", "/v1/resources/rate/x", {"spec": {"name": "x", "tokens_per_s": "a"}})
--- a/tests/features/whole_path.feature
+++ b/tests/features/whole_path.feature
@@ -61,6 +61,15 @@
     And a wrong operator token gets operator-unknown
     And a watch shows the resources
 
+  Scenario: An operator writes a route by host and path, and callers use it
+    When an operator writes a route from hall.example under /orders/ to rink-desk
+    And sahil-rinks calls /orders/7?x=1 of hall.example at muscat-a-1
+    Then the status is 200
+    And the plain service saw GET /orders/7
+    When sahil-rinks calls /elsewhere of hall.example at muscat-a-1
+    Then the status is 404
+    And the error is route-unknown at match and says not-run
+
   Scenario: No key is ever seen behind the entry
     When sahil-rinks asks muscat-a-1 for a plan of 2 tokens
     And school-ponds asks muscat-a-1 for a plan of 2 tokens
--- a/yuccahitch/codecs/_resource_schema.py
+++ b/yuccahitch/codecs/_resource_schema.py
@@ -7,6 +7,14 @@
 NAME = {"type": "string", "regex": r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", "required": True}
 LABEL = {"type": "string", "regex": r"([a-z0-9][a-z0-9-]{0,62})?"}
 LABELS = {"type": "list", "maxlength": 64, "schema": LABEL}
+RANK = {"type": "integer", "min": 0, "max": 9}
+BACKEND = {
+    "type": "dict",
+    "schema": {
+        "service": NAME,
+        "weight": {"type": "integer", "min": 0, "max": 1_000_000, "required": True},
+    },
+}
 MAX_TOKENS = 10_000_000
 ABILITIES = ["load", "cancel", "resume", "priority", "events", "orders", "fencing", "echo"]
 
@@ -16,6 +24,7 @@
         "residency": LABELS,
         "weight": {"type": "number", "min": 0.01, "max": 1000},
         "client": {"type": "string", "maxlength": 63},
+        "priority": {**RANK, "nullable": True},
     },
     "client": {
         "name": NAME,
@@ -41,13 +50,19 @@
     },
     "route": {
         "name": NAME,
-        "target": NAME,
-        "service": NAME,
+        "target": {**NAME, "required": False},
+        "service": {**NAME, "required": False},
         "regions": LABELS,
         "accounts": {"type": "list", "maxlength": 4096, "schema": {"type": "string"}},
         "open": {"type": "boolean"},
         "account": {"type": "string", "maxlength": 63},
         "idempotent": {"type": "boolean"},
+        "host": {"type": "string", "regex": r"[a-z0-9]([a-z0-9.-]{0,252}[a-z0-9])?"},
+        "prefix": {"type": "string", "regex": r"/([!-.0->@-~][!-.0->@-~/]*/)?", "maxlength": 1024},
+        "backends": {"type": "list", "maxlength": 64, "schema": BACKEND},
+        "timeout_s": {"type": "number", "min": 0, "max": 86400},
+        "attempts": {"type": "integer", "min": 1, "max": 10},
+        "priority": RANK,
     },
     "upstream": {
         "name": NAME,
--- a/yuccahitch/codecs/resources.py
+++ b/yuccahitch/codecs/resources.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import typing
 
@@ -12,17 +13,21 @@
 from yuccahitch.resources import entry
 
 STEP = "resource-codec"
+# Fields of a route that belong to one of its forms only.
+OPEN = frozenset(("target", "service", "host", "prefix", "backends"))
 # What only a publication sets is not part of a resource of its own.
 FIELDS = {entry.KINDS[kind]: frozenset(fields) for kind, fields in schema.SCHEMA.items()}
 
 
 def spec_to_dict(spec: entry.Spec) -> dict[str, typing.Any]:
     """Return a resource as plain data."""
-    return {
+    data = {
         name: list(value) if type(value) is tuple else value
         for name, value in spec.as_dict().items()
         if name in FIELDS[type(spec)]
     }
+    # What a resource leaves open is left out, so that what is read passes the schema again.
+    return _plain(spec, data)
 
 
 def spec_from_dict(kind: str, data: typing.Any) -> entry.Spec:
@@ -38,7 +43,7 @@
     validator = cerberus.Validator(schema.SCHEMA[kind])
     if not validator.validate(data):
         raise _invalid(json.dumps(validator.errors, sort_keys=True))
-    return entry.KINDS[kind](**validator.document)
+    return _typed(entry.KINDS[kind], validator.document)
 
 
 def entry_to_bytes(item: entry.Entry) -> bytes:
@@ -96,5 +101,35 @@
         raise _invalid("not JSON") from error
 
 
+@functools.singledispatch
+def _plain(spec: entry.Spec, data: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    return data
+
+
+@_plain.register
+def _(spec: entry.route.Route, data: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    data["backends"] = [{"service": name, "weight": weight} for name, weight in spec.backends]
+    return {name: value for name, value in data.items() if value or name not in OPEN}
+
+
+def _typed(kind: type, data: dict[str, typing.Any]) -> entry.Spec:
+    """Return the resource of checked data; a route has two forms.
+
+    Raises:
+        errors.GatewayError: When a route mixes its forms.
+    """
+    if kind is not entry.route.Route:
+        return kind(**data)
+    backends = tuple((item["service"], item["weight"]) for item in data.get("backends", ()))
+    by_path = bool(data.get("host")) and bool(data.get("prefix"))
+    if bool(data.get("target")) == by_path or bool(data.get("host")) != bool(data.get("prefix")):
+        raise _invalid("a route has either a target, or a host and a prefix")
+    if bool(data.get("service")) == bool(backends):
+        raise _invalid("a route has either a service or backends")
+    if backends and not any(weight for _, weight in backends):
+        raise _invalid("no backend has a weight over 0")
+    return kind(**(data | {"backends": backends}))
+
+
 def _invalid(detail: str) -> errors.GatewayError:
     return errors.GatewayError(errors.Code.RESOURCE_INVALID, step=STEP, detail=detail)
--- a/yuccahitch/controllers/references.py
+++ b/yuccahitch/controllers/references.py
@@ -40,7 +40,8 @@
 @_references.register
 def _(spec: entry.route.Route) -> list[tuple[str, str]]:
     used = [("account", name) for name in (*spec.accounts, spec.account) if name]
-    return [("service", spec.service), *used]
+    names = [name for name, _ in spec.backends] or [spec.service]
+    return [*(("service", name) for name in names), *used]
 
 
 @_references.register
--- a/yuccahitch/filters/authenticate.py
+++ b/yuccahitch/filters/authenticate.py
@@ -42,7 +42,7 @@
                 errors.Code.NOT_READY, "keys can't be checked: the configuration is out of reach"
             )
         catalog = self.config.catalog
-        route = catalog.routes.get(item.request.target)
+        route = catalog.route(item.request.target, item.request.path)
         if not item.request.key_digest:
             if route is None or not route.open:
                 return self._refuse(errors.Code.KEY_MISSING, "")
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -17,11 +17,9 @@
 from yuccahitch.filters import _forwarding, chain, exchange, poison, residency
 from yuccahitch.messages import actions, answers
 
-MAX_ATTEMPTS = 3
 DECLINES = frozenset(
     (errors.Code.OVERLOADED, errors.Code.NO_UPSTREAM, errors.Code.DRAINING, errors.Code.NOT_READY)
 )
-PRIORITY_SHORT = 0
 
 
 class Dispatch(chain.Step):
@@ -87,7 +85,7 @@
             attempt=item.attempt,
             request=item.request,
             max_tokens=item.output_limit,
-            priority=PRIORITY_SHORT,
+            priority=exchange.rank(item),
             echo="echo" in chosen.abilities,
         )
         return actions.Perform(work)
@@ -145,5 +143,5 @@
 def _may_retry(reply: answers.Failure, step: Dispatch, item: exchange.Exchange, now: float) -> bool:
     """Return whether another attempt is safe, of use and within the budget."""
     safe = item.idempotent or not item.reached
-    useful = item.attempt < MAX_ATTEMPTS and now < item.request.deadline
+    useful = item.attempt < item.route.attempts and now < item.request.deadline
     return safe and useful and step.budget.retry(now)
--- a/yuccahitch/filters/exchange.py
+++ b/yuccahitch/filters/exchange.py
@@ -114,3 +114,9 @@
     def id(self) -> str:
         """Return the request's id."""
         return self.request.id
+
+
+def rank(item: Exchange) -> int:
+    """Return the rank of a request, that of its client account before that of its route."""
+    given = item.account.priority
+    return item.route.priority if given is None else given
--- a/yuccahitch/filters/match.py
+++ b/yuccahitch/filters/match.py
@@ -6,6 +6,7 @@
 from yuccahitch.controllers import configuration
 from yuccahitch.filters import chain, exchange
 from yuccahitch.messages import actions, requests
+from yuccahitch.resources import route as routes
 from yuccahitch.resources import service as services
 
 KINDS = {requests.CHAT: services.MODEL, requests.CALL: services.PLAIN}
@@ -25,8 +26,10 @@
         """Set route, service and limits of the answer, or refuse."""
         catalog = self.config.catalog
         request = item.request
-        route = catalog.routes.get(request.target)
-        service = catalog.service(route.service) if route is not None else None
+        route = catalog.route(request.target, request.path)
+        service = None
+        if route is not None:
+            service = catalog.service(routes.service_of(route, request.id))
         if route is None or service is None or service.kind != KINDS[request.kind]:
             return self._refuse(errors.Code.ROUTE_UNKNOWN, f"no route for {request.target!r}")
         if route.accounts and item.account.name not in route.accounts:
@@ -34,6 +37,8 @@
         item.route = route
         item.service = service
         item.idempotent = route.idempotent or request.method in SAFE_METHODS
+        if route.timeout_s:
+            request.deadline = min(request.deadline, item.began + route.timeout_s)
         if service.kind == services.MODEL:
             item.output_limit = min(
                 request.max_tokens or service.max_output_tokens, service.max_output_tokens
--- a/yuccahitch/filters/residency.py
+++ b/yuccahitch/filters/residency.py
@@ -47,7 +47,7 @@
 def allowed_regions(item: exchange.Exchange, resources: catalog.Catalog) -> frozenset[str] | None:
     """Return where a request's data may reside as the catalog is now; None means everywhere."""
     account = resources.account(item.account.name) or item.account
-    route = resources.routes.get(item.request.target) or item.route
+    route = resources.route(item.request.target, item.request.path) or item.route
     client = resources.client(account.client) if account.client else None
     limits = [
         frozenset(regions)
--- a/yuccahitch/filters/routing.py
+++ b/yuccahitch/filters/routing.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-
-import xxhash
-
 from yuccahitch import errors
 from yuccahitch.controllers import published
 from yuccahitch.filters import chain, exchange
@@ -33,7 +29,7 @@
         route = current.route(request.target, request.path)
         if route is None:
             return self._refuse(errors.Code.ROUTE_UNKNOWN, "no route for host and path")
-        service = current.services.get(share_of(route, request.id))
+        service = current.services.get(routes.service_of(route, request.id))
         if service is None:
             return self._refuse(errors.Code.NO_UPSTREAM, f"{route.name} names no known service")
         item.route = route
@@ -45,13 +41,3 @@
 
     def _refuse(self, code: errors.Code, detail: str) -> actions.Action:
         return actions.Refuse(errors.GatewayError(code, step=self.step, detail=detail))
-
-
-def share_of(route: routes.Route, request_id: str) -> str:
-    """Return the service that gets a request of a route, by the services' weights."""
-    if not route.backends:
-        return route.service
-    names = [name for name, _ in route.backends]
-    bounds = list(itertools.accumulate(weight for _, weight in route.backends))
-    point = xxhash.xxh64_intdigest(request_id) % max(1, bounds[-1])
-    return next((n for n, bound in zip(names, bounds, strict=True) if point < bound), names[-1])
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -68,14 +68,13 @@
 
     def _dispatch(self, item: exchange.Exchange) -> actions.Dispatch:
         chosen = self.found.table[item.upstream].upstream
-        rank = item.account.priority
         return actions.Dispatch(
             upstream=chosen.name,
             address=chosen.address,
             attempt=item.attempt,
             request=item.request,
             max_tokens=0,
-            priority=item.route.priority if rank is None else rank,
+            priority=exchange.rank(item),
             echo=True,
             account=item.account.name,
             give_up_at=item.give_up_at,
@@ -86,7 +85,6 @@
         if member is None:
             return actions.Rewind(balance.STEP)
         own = self.members.own.instance
-        rank = item.account.priority
         hop = requests.Hop(
             sender=own,
             account=item.account.name,
@@ -99,7 +97,7 @@
             granted_tokens=0,
             better_than_s=item.better_than_s,
             service=item.service.name,
-            priority=item.route.priority if rank is None else rank,
+            priority=exchange.rank(item),
             avoid=tuple(item.tried),
         )
         work = actions.Forward(
--- a/yuccahitch/resources/catalog.py
+++ b/yuccahitch/resources/catalog.py
@@ -17,10 +17,12 @@
     Attributes:
         entries: Newest entry by kind and name; deleted ones stay as tombstones.
         digest: Sum of the hashes of all entries; equal catalogs have equal digests.
+        routes: Routes by target.
+        by_host: Routes by host and path, by host, the longest prefix first.
         order: Entries in the order of their arrival, for passing on what is new.
     """
 
-    __slots__ = ("entries", "digest", "order", "arrivals", "keys", "routes", "replicas")
+    __slots__ = ("entries", "digest", "order", "arrivals", "keys", "routes", "by_host", "replicas")
 
     def __init__(self) -> None:
         self.entries: dict[tuple[str, str], entry.Entry] = {}
@@ -29,6 +31,7 @@
         self.arrivals = 0
         self.keys: dict[str, key.Key] = {}
         self.routes: dict[str, route.Route] = {}
+        self.by_host: dict[str, list[route.Route]] = {}
         self.replicas: dict[str, dict[str, upstream.Upstream]] = {}
 
     def merge(self, new: entry.Entry) -> bool:
@@ -66,6 +69,10 @@
         found = self.entries.get((kind, name))
         return found.spec if found is not None else None
 
+    def route(self, target: str, path: str) -> route.Route | None:
+        """Return the route to a target, or that of a host and path, or None."""
+        return self.routes.get(target) or route.first(self.by_host.get(target, ()), path)
+
     def account(self, name: str) -> account.Account | None:
         """Return a client account, or None."""
         return typing.cast("account.Account | None", self.find("account", name))
@@ -92,6 +99,8 @@
             return
         if new.kind == "key":
             self.keys[spec.digest] = spec
+        elif new.kind == "route" and spec.host:
+            self.by_host[spec.host] = route.by_prefix([*self.by_host.get(spec.host, ()), spec])
         elif new.kind == "route":
             self.routes[spec.target] = spec
         elif new.kind == "upstream":
@@ -103,6 +112,8 @@
             return
         if old.kind == "key" and self.keys.get(spec.digest) is spec:
             del self.keys[spec.digest]
+        elif old.kind == "route" and spec.host:
+            self.by_host[spec.host].remove(spec)
         elif old.kind == "route" and self.routes.get(spec.target) is spec:
             del self.routes[spec.target]
         elif old.kind == "upstream":
--- a/yuccahitch/resources/publication.py
+++ b/yuccahitch/resources/publication.py
@@ -69,9 +69,9 @@
         self.keys = keys
         self.keyed = keyed
         self.limits = limits
-        ordered = sorted(routes, key=lambda item: (item.host, -len(item.prefix)))
+        ordered = sorted(routes, key=lambda item: item.host)
         grouped = itertools.groupby(ordered, key=lambda item: item.host)
-        self.by_host = {host: list(found) for host, found in grouped}
+        self.by_host = {host: route.by_prefix(found) for host, found in grouped}
 
     def homes(self, host: str) -> frozenset[str] | None:
         """Return the regions where all routes of a host may be served; None means every region."""
@@ -80,5 +80,4 @@
 
     def route(self, host: str, path: str) -> route.Route | None:
         """Return the route of a host whose prefix is the longest that begins the path."""
-        found = self.by_host.get(host, ())
-        return next((item for item in found if path.startswith(item.prefix)), None)
+        return route.first(self.by_host.get(host, ()), path)
--- a/yuccahitch/resources/route.py
+++ b/yuccahitch/resources/route.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import enum
+import itertools
+import typing
+
+import xxhash
 
 from yuccahitch import records
 
@@ -96,3 +100,23 @@
         self.target_s = target_s
         self.attempts = attempts
         self.priority = priority
+
+
+def by_prefix(routes: typing.Iterable[Route]) -> list[Route]:
+    """Return a host's routes with the longest prefix first."""
+    return sorted(routes, key=lambda item: -len(item.prefix))
+
+
+def first(routes: typing.Iterable[Route], path: str) -> Route | None:
+    """Return the first route whose prefix begins a path, or None."""
+    return next((item for item in routes if path.startswith(item.prefix)), None)
+
+
+def service_of(route: Route, request_id: str) -> str:
+    """Return the service that gets a request of a route, by the services' weights."""
+    if not route.backends:
+        return route.service
+    names = [name for name, _ in route.backends]
+    bounds = list(itertools.accumulate(weight for _, weight in route.backends))
+    point = xxhash.xxh64_intdigest(request_id.encode()) % max(1, bounds[-1])
+    return next((n for n, bound in zip(names, bounds, strict=True) if point < bound), names[-1])
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -141,6 +141,7 @@
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
         app.router.add_get("/metrics", self._metrics)
+        app.router.add_route("*", "/{path:.*}", self._hosted)
         self.runner = web.AppRunner(
             app,
             access_log=None,
@@ -204,6 +205,23 @@
         )
         return await self._run(request, parsed)
 
+    async def _hosted(self, request: web.Request) -> web.StreamResponse:
+        """Take a request of a route by host and path."""
+        host = request.host.partition(":")[0].lower()
+        routed = await self._ask(lambda gateway: host in gateway.config.catalog.by_host)
+        if not routed:
+            raise _error(errors.Code.ROUTE_UNKNOWN, "there is no such path")
+        parsed = callers.call_request(
+            request.headers,
+            await request.read(),
+            service=host,
+            method=request.method,
+            path=request.raw_path,
+            now=self.time.now(),
+            default_deadline=self.settings.callers.default_deadline_s,
+        )
+        return await self._run(request, parsed)
+
     async def _run(self, request: web.Request, parsed: requests.Request) -> web.StreamResponse:
         sink = HttpSink(request, request_id=parsed.id, streams=parsed.stream)
         job = runner.Runner(self.mailboxes, parsed, sink, now=self.time.now)
