--- a/tests/features/steps/routes.py
+++ b/tests/features/steps/routes.py
@@ -68,8 +68,7 @@
     names = {prefix: f"desk-{place}" for place, prefix in enumerate(prefixes)}
     context.names = {name: prefix for prefix, name in names.items()}
     routes = [
-        builders.a_hosted_route(name, prefix=prefix, service=name)
-        for prefix, name in names.items()
+        builders.a_hosted_route(name, prefix=prefix, service=name) for prefix, name in names.items()
     ]
     hosted(context, *routes, services=tuple(names.values()))
 
