--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -20,6 +20,7 @@
 
 from benchmarks import engines, report, workload
 from fakes import fleet as fleets
+from fakes import instances
 from tests import builders
 from yuccahitch import records
 from yuccahitch import settings as config_file
@@ -107,7 +108,7 @@
     def serve(
         self,
         fleet: fleets.Fleet,
-        instance: fleets.Instance,
+        instance: instances.Instance,
         work: typing.Any,
         tell: typing.Callable[..., None],
     ) -> None:
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -19,6 +19,7 @@
 
 from benchmarks import policy, workload
 from fakes import fleet as fleets
+from fakes import instances
 from yuccahitch import records
 from yuccahitch.codecs import peer as codec
 from yuccahitch.controllers import gateway
@@ -266,7 +267,7 @@
 
 def _beat_bytes(decisions: gateway.Gateway) -> int:
     near = next(iter(decisions.members.members))
-    gossip = decisions.gossip(near, 0.0)
+    gossip = decisions.gossip.heartbeat(near, 0.0)
     return len(codec.to_envelope(gossip, stamp=1).SerializeToString())
 
 
@@ -325,7 +326,7 @@
     return [Slope(name, unit="s", sizes=sizes, values=values)]
 
 
-def _publish(fleet: fleets.Fleet, instance: fleets.Instance, item: entry.Entry) -> None:
+def _publish(fleet: fleets.Fleet, instance: instances.Instance, item: entry.Entry) -> None:
     fleet.do(instance, lambda now: instance.decisions.config.publish([item]))
 
 
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -7,7 +7,7 @@
 import random
 import typing
 
-from fakes import clockwork, network, runs
+from fakes import clockwork, instances, network, runs
 from fakes import store as fake_store
 from yuccahitch import errors
 from yuccahitch import settings as config_file
@@ -24,50 +24,9 @@
 FAIL_PAUSE_S = 0.2
 
 
-class Instance:
-    """One instance's decisions with its own clock.
-
-    Attributes:
-        decisions: The controllers and chains.
-        rate: Seconds of its clock in a second of virtual time.
-        offset: What its clock shows at virtual time 0.
-        paused_until: Until when it handles nothing.
-        alive: Whether it runs.
-        backlog: What came while it was paused.
-        watch: Prefix that it watches, or None.
-    """
-
-    __slots__ = (
-        "decisions",
-        "name",
-        "region",
-        "rate",
-        "offset",
-        "paused_until",
-        "alive",
-        "backlog",
-        "watch",
-    )
-
-    def __init__(
-        self, decisions: gateway.Gateway, *, region: str, rate: float, offset: float
-    ) -> None:
-        self.decisions = decisions
-        self.name = decisions.instance
-        self.region = region
-        self.rate = rate
-        self.offset = offset
-        self.paused_until = 0.0
-        self.alive = True
-        self.backlog: list[typing.Callable[[], None]] = []
-        self.watch: str | None = None
-
-    def local(self, now: float) -> float:
-        """Return what its clock shows."""
-        return self.offset + now * self.rate
-
-
-Serve = typing.Callable[["Fleet", Instance, actions.Dispatch, typing.Callable[..., None]], None]
+Serve = typing.Callable[
+    ["Fleet", instances.Instance, actions.Dispatch, typing.Callable[..., None]], None
+]
 
 
 class Fleet:
@@ -116,7 +75,7 @@
         self.net = network.Network(random.Random(seed + 1))
         self.store = fake_store.FakeStore()
         self.store.listeners.append(self._store_changed)
-        self.instances: dict[str, Instance] = {}
+        self.instances: dict[str, instances.Instance] = {}
         self.settings_of = settings_of
         self.serve = serve or runs.serve_at_once
         self.rules = rules
@@ -131,7 +90,9 @@
         self.callers: dict[tuple[str, str], typing.Any] = {}
         self.store_route = self.call_store
         self.engine: typing.Any = None
-        self.on_admission: typing.Callable[[Instance, str], None] = lambda instance, name: None
+        self.on_admission: typing.Callable[[instances.Instance, str], None] = (
+            lambda instance, name: None
+        )
 
     @property
     def now(self) -> float:
@@ -140,7 +101,7 @@
 
     def add(
         self, name: str, region: str, zone: str = "", *, rate: float = 1.0, offset: float = 0.0
-    ) -> Instance:
+    ) -> instances.Instance:
         """Start an instance; it knows the addresses of those that run."""
         incarnation = f"{name}~{next(self.numbers)}"
         decisions = gateway.Gateway(
@@ -154,12 +115,12 @@
         decisions.members.own.host = incarnation
         decisions.members.own.wan_address = decisions.members.own.address
         decisions.members.seeds = [other.decisions.members.own.address for other in self.alive()]
-        added = Instance(decisions, region=region, rate=rate, offset=offset)
+        added = instances.Instance(decisions, region=region, rate=rate, offset=offset)
         self.instances[incarnation] = added
         self.clock.after(self.rng.random() * TICK_S, lambda: self._tick(added))
         return added
 
-    def alive(self) -> list[Instance]:
+    def alive(self) -> list[instances.Instance]:
         """Return the instances that run."""
         return [item for item in self.instances.values() if item.alive]
 
@@ -178,14 +139,14 @@
         """Let virtual time pass."""
         self.clock.run_until(self.now + seconds)
 
-    def kill(self, instance: Instance) -> None:
+    def kill(self, instance: instances.Instance) -> None:
         """End an instance at once; those that forwarded requests to it see their calls break."""
         instance.alive = False
         for (name, _), caller in list(self.callers.items()):
             if name == instance.name and type(caller) is runs.PeerCaller and not caller.over:
                 self.clock.after(CALL_TIMEOUT_S, caller.broken)
 
-    def leave(self, instance: Instance) -> None:
+    def leave(self, instance: instances.Instance) -> None:
         """Wait for an instance's graceful shutdown; then it tells the store and ends."""
         if not instance.alive:
             return
@@ -200,12 +161,12 @@
             self.store.end_lease(lease)
         self.kill(instance)
 
-    def pause(self, instance: Instance, seconds: float) -> None:
+    def pause(self, instance: instances.Instance, seconds: float) -> None:
         """Freeze an instance for a while; what comes meanwhile waits."""
         instance.paused_until = self.now + seconds
         self.clock.after(seconds, lambda: self._unpause(instance))
 
-    def do(self, instance: Instance, work: typing.Callable[[float], None]) -> None:
+    def do(self, instance: instances.Instance, work: typing.Callable[[float], None]) -> None:
         """Let an instance handle something now, or after its pause."""
         if not instance.alive:
             return
@@ -216,7 +177,10 @@
         self._pass_on(instance)
 
     def request(
-        self, instance: Instance, request: requests.Request, hop: requests.Hop | None = None
+        self,
+        instance: instances.Instance,
+        request: requests.Request,
+        hop: requests.Hop | None = None,
     ) -> runs.Result:
         """Send a request to an instance; its deadline is in the instance's time."""
         result = runs.Result(request, instance.name, self.now)
@@ -232,7 +196,7 @@
 
     def finish(
         self,
-        instance: Instance,
+        instance: instances.Instance,
         request_id: str,
         *,
         usage: answers.Usage,
@@ -252,45 +216,47 @@
         )
         self.do(instance, lambda now: instance.decisions.finish(message, now) and None)
 
-    def peer_delay(self, source: Instance, target: Instance) -> float:
+    def peer_delay(self, source: instances.Instance, target: instances.Instance) -> float:
         """Return the delay of a message between two instances."""
         return self.net.delay(source.region, target.region)
 
-    def reachable(self, source: Instance, target: Instance) -> bool:
+    def reachable(self, source: instances.Instance, target: instances.Instance) -> bool:
         """Return whether a message from one instance reaches another."""
         return target.alive and self.net.passes(
             (source.name, source.region), (target.name, target.region)
         )
 
-    def by_address(self, address: str) -> Instance | None:
+    def by_address(self, address: str) -> instances.Instance | None:
         """Return the instance with a peer address."""
         return self.instances.get(address.rpartition(":")[0])
 
-    def _direct(self, instance: Instance, result: runs.Result) -> typing.Any:
+    def _direct(self, instance: instances.Instance, result: runs.Result) -> typing.Any:
         return runs.DirectCaller(self, instance, result)
 
-    def _tick(self, instance: Instance) -> None:
+    def _tick(self, instance: instances.Instance) -> None:
         if not instance.alive:
             return
         self.do(instance, instance.decisions.tick)
         self.clock.after(TICK_S, lambda: self._tick(instance))
 
-    def _unpause(self, instance: Instance) -> None:
+    def _unpause(self, instance: instances.Instance) -> None:
         backlog, instance.backlog = instance.backlog, []
         for work in backlog:
             work()
 
-    def _pass_on(self, instance: Instance) -> None:
+    def _pass_on(self, instance: instances.Instance) -> None:
         for item in instance.decisions.drain(instance.local(self.now)):
             _pass_on(item, self, instance)
 
-    def act(self, instance: Instance, outcome: exchanges.Outcome, caller: typing.Any) -> None:
+    def act(
+        self, instance: instances.Instance, outcome: exchanges.Outcome, caller: typing.Any
+    ) -> None:
         """Carry out what an instance decided about a request."""
         self.callers[(instance.name, outcome.request_id)] = caller
         runs.act(outcome.action, self, instance, outcome, caller)
 
     def resume(
-        self, instance: Instance, request_id: str, part: typing.Any, caller: typing.Any
+        self, instance: instances.Instance, request_id: str, part: typing.Any, caller: typing.Any
     ) -> None:
         """Give an instance the first part of an attempt's answer."""
 
@@ -313,12 +279,12 @@
                 functools.partial(self.do, instance, functools.partial(_heard, instance, change)),
             )
 
-    def _store_passes(self, instance: Instance, *, back: bool) -> bool:
+    def _store_passes(self, instance: instances.Instance, *, back: bool) -> bool:
         ends = ((instance.name, instance.region), (network.STORE, network.STORE))
         source, target = ends[::-1] if back else ends
         return self.net.passes(source, target)
 
-    def call_store(self, instance: Instance, command: commands.StoreCall) -> None:
+    def call_store(self, instance: instances.Instance, command: commands.StoreCall) -> None:
         """Carry a call to the store and its reply back, or lose either."""
         self.store_calls += 1
         sent_at = instance.local(self.now)
@@ -346,7 +312,7 @@
         else:
             lost()
 
-    def call_peer(self, source: Instance, call: commands.PeerCall) -> None:
+    def call_peer(self, source: instances.Instance, call: commands.PeerCall) -> None:
         """Carry a message to a peer and its answer back, or lose either."""
         target = self.by_address(call.address)
         sent_at = source.local(self.now)
@@ -381,47 +347,47 @@
             self.clock.after(CALL_TIMEOUT_S, lambda: reply(None))
 
 
-def _heard(instance: Instance, change: store.Changed, now: float) -> None:
+def _heard(instance: instances.Instance, change: store.Changed, now: float) -> None:
     instance.decisions.config.changed(change, now)
 
 
 @functools.singledispatch
-def _pass_on(item: typing.Any, fleet: Fleet, instance: Instance) -> None:
+def _pass_on(item: typing.Any, fleet: Fleet, instance: instances.Instance) -> None:
     raise TypeError(type(item))
 
 
 @_pass_on.register
-def _(item: commands.StoreCall, fleet: Fleet, instance: Instance) -> None:
+def _(item: commands.StoreCall, fleet: Fleet, instance: instances.Instance) -> None:
     fleet.store_route(instance, item)
 
 
 @_pass_on.register
-def _(item: commands.PeerCall, fleet: Fleet, instance: Instance) -> None:
+def _(item: commands.PeerCall, fleet: Fleet, instance: instances.Instance) -> None:
     fleet.call_peer(instance, item)
 
 
 @_pass_on.register
-def _(item: commands.WatchStore, fleet: Fleet, instance: Instance) -> None:
+def _(item: commands.WatchStore, fleet: Fleet, instance: instances.Instance) -> None:
     instance.watch = item.prefix if item.active else None
 
 
 @_pass_on.register
-def _(item: commands.SendOrder, fleet: Fleet, instance: Instance) -> None:
+def _(item: commands.SendOrder, fleet: Fleet, instance: instances.Instance) -> None:
     fleet.engine.order(fleet, instance, item)
 
 
 @_pass_on.register
-def _(item: commands.Note, fleet: Fleet, instance: Instance) -> None:
+def _(item: commands.Note, fleet: Fleet, instance: instances.Instance) -> None:
     fleet.notes.append((fleet.now, instance.name, item))
 
 
 @_pass_on.register
-def _(item: commands.Wake, fleet: Fleet, instance: Instance) -> None:
+def _(item: commands.Wake, fleet: Fleet, instance: instances.Instance) -> None:
     fleet.tickets[item.request_id] = item.reply
 
 
 @_pass_on.register
-def _(item: exchanges.Outcome, fleet: Fleet, instance: Instance) -> None:
+def _(item: exchanges.Outcome, fleet: Fleet, instance: instances.Instance) -> None:
     caller = fleet.callers.get((instance.name, item.request_id))
     if caller is None:
         result = fleet.results.get(item.request_id)
--- a/fakes/runs.py
+++ b/fakes/runs.py
@@ -5,17 +5,55 @@
 import functools
 import typing
 
+from fakes import clockwork, instances
 from yuccahitch import errors
 from yuccahitch.codecs import peer as codec
 from yuccahitch.codecs.generated import peer_pb2
 from yuccahitch.messages import actions, answers, exchanges, requests
 
-if typing.TYPE_CHECKING:
-    from fakes import fleet as fleets
-
 BROKEN_S = 2.0
 
 
+class World(typing.Protocol):
+    """What requests need of the fleet that they are in."""
+
+    clock: clockwork.Clockwork
+    results: dict[str, Result]
+    forwards: list[tuple[str, str, str]]
+    callers: dict[tuple[str, str], typing.Any]
+    serve: typing.Callable[..., None]
+    on_admission: typing.Callable[[instances.Instance, str], None]
+
+    @property
+    def now(self) -> float:
+        """Return virtual time in seconds."""
+
+    def do(self, instance: instances.Instance, work: typing.Callable[[float], None]) -> None:
+        """Let an instance handle something now, or after its pause."""
+
+    def act(
+        self, instance: instances.Instance, outcome: exchanges.Outcome, caller: typing.Any
+    ) -> None:
+        """Carry out what an instance decided about a request."""
+
+    def resume(
+        self, instance: instances.Instance, request_id: str, part: typing.Any, caller: typing.Any
+    ) -> None:
+        """Give an instance the first part of an attempt's answer."""
+
+    def finish(self, instance: instances.Instance, request_id: str, **outcome: typing.Any) -> None:
+        """Tell an instance that a request is over."""
+
+    def reachable(self, source: instances.Instance, target: instances.Instance) -> bool:
+        """Return whether a message from one instance reaches another."""
+
+    def peer_delay(self, source: instances.Instance, target: instances.Instance) -> float:
+        """Return the delay of a message between two instances."""
+
+    def by_address(self, address: str) -> instances.Instance | None:
+        """Return the instance with a peer address."""
+
+
 class Result:
     """What became of a request.
 
@@ -64,7 +102,7 @@
 
     __slots__ = ("fleet", "instance", "result")
 
-    def __init__(self, fleet: fleets.Fleet, instance: fleets.Instance, result: Result) -> None:
+    def __init__(self, fleet: World, instance: instances.Instance, result: Result) -> None:
         self.fleet = fleet
         self.instance = instance
         self.result = result
@@ -102,10 +140,10 @@
 
     def __init__(
         self,
-        fleet: fleets.Fleet,
+        fleet: World,
         *,
-        source: fleets.Instance,
-        target: fleets.Instance,
+        source: instances.Instance,
+        target: instances.Instance,
         request_id: str,
         attempt: int,
         origin: typing.Any,
@@ -164,8 +202,8 @@
 
 
 def _end(
-    fleet: fleets.Fleet,
-    instance: fleets.Instance,
+    fleet: World,
+    instance: instances.Instance,
     request_id: str,
     usage: answers.Usage,
     caller: typing.Any,
@@ -176,8 +214,8 @@
 
 
 def serve_at_once(
-    fleet: fleets.Fleet,
-    instance: fleets.Instance,
+    fleet: World,
+    instance: instances.Instance,
     work: actions.Dispatch,
     report: typing.Callable[..., None],
 ) -> None:
@@ -190,8 +228,8 @@
 @functools.singledispatch
 def act(
     action: typing.Any,
-    fleet: fleets.Fleet,
-    instance: fleets.Instance,
+    fleet: World,
+    instance: instances.Instance,
     outcome: exchanges.Outcome,
     caller: typing.Any,
 ) -> None:
@@ -202,8 +240,8 @@
 @act.register(actions.Refuse)
 def _(
     action: actions.Refuse,
-    fleet: fleets.Fleet,
-    instance: fleets.Instance,
+    fleet: World,
+    instance: instances.Instance,
     outcome: exchanges.Outcome,
     caller: typing.Any,
 ) -> None:
@@ -220,8 +258,8 @@
 @act.register(actions.Replay)
 def _(
     action: actions.Replay,
-    fleet: fleets.Fleet,
-    instance: fleets.Instance,
+    fleet: World,
+    instance: instances.Instance,
     outcome: exchanges.Outcome,
     caller: typing.Any,
 ) -> None:
@@ -233,8 +271,8 @@
 @act.register(actions.Deliver)
 def _(
     action: actions.Deliver,
-    fleet: fleets.Fleet,
-    instance: fleets.Instance,
+    fleet: World,
+    instance: instances.Instance,
     outcome: exchanges.Outcome,
     caller: typing.Any,
 ) -> None:
@@ -244,8 +282,8 @@
 @act.register(actions.Perform)
 def _(
     action: actions.Perform,
-    fleet: fleets.Fleet,
-    instance: fleets.Instance,
+    fleet: World,
+    instance: instances.Instance,
     outcome: exchanges.Outcome,
     caller: typing.Any,
 ) -> None:
@@ -254,14 +292,14 @@
 
 @functools.singledispatch
 def _perform(
-    work: typing.Any, fleet: fleets.Fleet, instance: fleets.Instance, caller: typing.Any
+    work: typing.Any, fleet: World, instance: instances.Instance, caller: typing.Any
 ) -> None:
     raise TypeError(type(work))
 
 
 @_perform.register(actions.Dispatch)
 def _(
-    work: actions.Dispatch, fleet: fleets.Fleet, instance: fleets.Instance, caller: typing.Any
+    work: actions.Dispatch, fleet: World, instance: instances.Instance, caller: typing.Any
 ) -> None:
     caller.admitted()
     result = fleet.results.get(work.request.id)
@@ -299,7 +337,7 @@
 
 @_perform.register(actions.Forward)
 def _(
-    work: actions.Forward, fleet: fleets.Fleet, instance: fleets.Instance, caller: typing.Any
+    work: actions.Forward, fleet: World, instance: instances.Instance, caller: typing.Any
 ) -> None:
     caller.admitted()
     target = fleet.by_address(work.address)
--- a/fakes/services.py
+++ b/fakes/services.py
@@ -11,6 +11,7 @@
 
 if typing.TYPE_CHECKING:
     from fakes import fleet as fleets
+    from fakes import instances
 
 RUN_S = 0.1
 ANSWER_S = 0.05
@@ -41,7 +42,7 @@
     def serve(
         self,
         fleet: fleets.Fleet,
-        instance: fleets.Instance,
+        instance: instances.Instance,
         work: actions.Dispatch,
         report: typing.Callable[..., None],
     ) -> None:
@@ -102,7 +103,7 @@
         self.lose_answers = False
 
     def order(
-        self, fleet: fleets.Fleet, instance: fleets.Instance, message: commands.SendOrder
+        self, fleet: fleets.Fleet, instance: instances.Instance, message: commands.SendOrder
     ) -> None:
         """Take an order."""
         if self.fencing and message.fence < self.highest:
@@ -117,7 +118,7 @@
     def _answer(
         self,
         fleet: fleets.Fleet,
-        instance: fleets.Instance,
+        instance: instances.Instance,
         message: commands.SendOrder,
         after_s: float,
         run: errors.Run | None,
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from fakes import fleet as fleets
-from fakes import network, runs
+from fakes import instances, network, runs
 from tests import builders
 from yuccahitch import records
 from yuccahitch.messages import actions, answers
@@ -144,7 +144,7 @@
 
 def serve_part(
     fleet: fleets.Fleet,
-    instance: fleets.Instance,
+    instance: instances.Instance,
     work: actions.Dispatch,
     report: typing.Callable[..., None],
 ) -> None:
@@ -209,12 +209,12 @@
         self.busy = False
         self.fleet.run(20.0)
 
-    def pick(self, place: int) -> fleets.Instance | None:
+    def pick(self, place: int) -> instances.Instance | None:
         """Return a running instance, or None."""
         running = self.fleet.alive()
         return running[place % len(running)] if running else None
 
-    def replace(self, old: fleets.Instance) -> None:
+    def replace(self, old: instances.Instance) -> None:
         """Start an instance in the place of another."""
         self.replacements += 1
         fresh = self.fleet.add(f"{old.region}-n{self.replacements}", old.region)
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -19,6 +19,7 @@
     drain,
     feed,
     fleet,
+    in_flight,
     published,
     replicas,
     shares,
@@ -79,8 +80,7 @@
         "suspects",
         "budget",
         "shutdown",
-        "chains",
-        "exchanges",
+        "in_flight",
         "outbox",
     )
 
@@ -98,11 +98,10 @@
         self.settings = settings
         self.instance = instance
         self.rng = rng
-        self.exchanges: dict[str, exchange.Exchange] = {}
         self.outbox: list[commands.Command | exchanges.Outcome] = []
         self._make_state(keyspace, read_publication, read_upstream)
         self._make_policy(now)
-        self.chains = self._make_chains()
+        self.in_flight = in_flight.InFlight(self._make_chains(), in_use=errors.Code.OVERLOADED)
 
     def _make_state(
         self,
@@ -196,25 +195,15 @@
         self, request: requests.Request, hop: requests.Hop | None, now: float
     ) -> exchanges.Outcome | None:
         """Take a new request."""
-        item = exchange.Exchange(request, began=now, hop=hop)
-        if request.id in self.exchanges:
-            error = errors.GatewayError(
-                errors.Code.OVERLOADED, step="core", detail="the request id is in use"
-            )
-            return exchanges.Outcome(request.id, actions.Refuse(error))
-        self.exchanges[request.id] = item
-        return exchanges.Outcome(item.id, self._chain(item).begin(item, now))
+        return self.in_flight.begin(request, hop, now)
 
     def resume(self, request_id: str, reply: typing.Any, now: float) -> exchanges.Outcome | None:
         """Go on with a request that waited for a reply."""
-        item = self.exchanges.get(request_id)
-        if item is None:
-            return None
-        return exchanges.Outcome(item.id, self._chain(item).resume(item, reply, now))
+        return self.in_flight.resume(request_id, reply, now)
 
     def expire(self, request_id: str, now: float) -> exchanges.Outcome:
         """Return the final answer of a request whose time is up."""
-        item = self.exchanges.get(request_id)
+        item = self.in_flight.exchanges.get(request_id)
         sent = item is not None and item.sends > 0
         if sent and item.upstream:
             self.found.outcome(item.upstream, good=False, now=now)
@@ -230,12 +219,9 @@
 
     def finish(self, message: exchanges.Finished, now: float) -> exchange.Exchange | None:
         """Settle a request that is over; return its state."""
-        item = self.exchanges.pop(message.request_id, None)
-        if item is None:
-            return None
-        item.succeeded = message.succeeded
-        item.usage = message.usage
-        self._chain(item).finish(item, now)
+        item = self.in_flight.take(message)
+        if item is not None:
+            self.in_flight.settle(item, now)
         return item
 
     def begin_drain(self, now: float) -> None:
@@ -258,7 +244,7 @@
         self.found.expire(now)
         self.suspects.expire(now)
         self._tell(self.members.targets(now), now)
-        self.shutdown.advance(now, open_requests=len(self.exchanges), handed_over=True)
+        self.shutdown.advance(now, open_requests=len(self.in_flight.exchanges), handed_over=True)
 
     def on_watch(self, event: store.Changed | store.WatchLost, now: float) -> None:
         """Take in what a watch on the store saw."""
@@ -317,9 +303,6 @@
         found = (self.members.serving(now, region=region) for region in sorted(regions))
         return list(itertools.chain.from_iterable(found))
 
-    def _chain(self, item: exchange.Exchange) -> chain.Chain:
-        return self.chains["entry" if item.hop is None else "arrival"]
-
     def _tell(self, addresses: list[str], now: float) -> None:
         if not addresses:
             return
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -16,6 +16,8 @@
     configuration,
     directions,
     drain,
+    gossip,
+    in_flight,
     limits,
     membership,
     operations,
@@ -46,11 +48,7 @@
     rate_limit,
     residency,
 )
-from yuccahitch.messages import actions, commands, exchanges, peers, requests, store
-
-LOADS_PER_MESSAGE = 48
-FAR_LOADS = 16
-MAX_WARNED = 64
+from yuccahitch.messages import commands, exchanges, peers, requests, store
 
 
 class Gateway:
@@ -84,9 +82,8 @@
         "suspects",
         "budget",
         "shutdown",
-        "chains",
-        "exchanges",
-        "wanted_rows",
+        "in_flight",
+        "gossip",
         "outbox",
     )
 
@@ -104,12 +101,10 @@
         self.instance = instance
         self.time = time
         self.rng = rng
-        self.exchanges: dict[str, exchange.Exchange] = {}
-        self.wanted_rows: dict[str, list[int]] = {}
         self.outbox: list[commands.Command | exchanges.Outcome] = []
         self._make_state(new_id)
         self._make_policy(rules or policy.Rules())
-        self.chains = self._make_chains()
+        self.in_flight = in_flight.InFlight(self._make_chains(), in_use=errors.Code.PEER_INVALID)
 
     def _make_state(self, new_id: typing.Callable[[], str]) -> None:
         options = self.settings.instance
@@ -196,6 +191,13 @@
         )
         self.suspects = suspects.Suspects(crashes=options.poison_crashes, memory_s=options.poison_s)
         self.budget = retries.RetryBudget(share=options.retry_share, rules=rules)
+        self.gossip = gossip.Gossip(
+            members=self.members,
+            config=self.config,
+            states=self.states,
+            crashes=self.suspects,
+            rng=self.rng,
+        )
 
     def _make_chains(self) -> dict[str, chain.Chain]:
         callers = self.settings.callers
@@ -229,35 +231,22 @@
         self, request: requests.Request, hop: requests.Hop | None, now: float
     ) -> exchanges.Outcome | None:
         """Take a new request; None means that it waits and an Outcome follows."""
-        item = exchange.Exchange(request, began=now, hop=hop)
-        if request.id in self.exchanges:
-            error = errors.GatewayError(
-                errors.Code.PEER_INVALID, step="core", detail="the request id is in use"
-            )
-            return exchanges.Outcome(request.id, actions.Refuse(error))
-        self.exchanges[request.id] = item
-        return self._outcome(item, self._chain(item).begin(item, now))
+        return self.in_flight.begin(request, hop, now)
 
     def resume(self, request_id: str, reply: typing.Any, now: float) -> exchanges.Outcome | None:
         """Go on with a request that waited for a reply."""
-        item = self.exchanges.get(request_id)
-        if item is None:
-            return None
-        return self._outcome(item, self._chain(item).resume(item, reply, now))
+        return self.in_flight.resume(request_id, reply, now)
 
     def finish(self, message: exchanges.Finished, now: float) -> exchange.Exchange | None:
         """Settle a request that is over; return its state."""
-        item = self.exchanges.pop(message.request_id, None)
+        item = self.in_flight.take(message)
         if item is None:
             return None
-        item.succeeded = message.succeeded
-        item.usage = message.usage
-        item.recorded = message.recorded
         if message.crashed:
             self.suspects.seen(poison.fingerprint(item), message.crashed, now)
         elif message.error is not None and item.head is not None and item.upstream:
             self.states.failed(item.upstream, now)
-        self._chain(item).finish(item, now)
+        self.in_flight.settle(item, now)
         return item
 
     def begin_drain(self, now: float) -> None:
@@ -265,11 +254,11 @@
         self.shutdown.begin(now)
         self.members.own.leaving = True
         self.members.own.beat += 1
-        self._tell(self.members.alive(), now)
+        self.gossip.tell(self.members.alive(), now)
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        self._beat(now)
+        self.gossip.beat(now)
         self.members.own.leaving = self.shutdown.leaving
         self.members.own.ready = self.config.ready()
         self.members.own.config_age = int(min(65535, max(0.0, self.config.age(now))))
@@ -313,10 +302,10 @@
     def drain(self, now: float) -> list[commands.Command | exchanges.Outcome]:
         """Return what is to be done since the last call."""
         done: list[commands.Command | exchanges.Outcome] = []
-        self._warn(now)
+        self.gossip.warn(now)
         while batch := self._collect():
             for item in batch:
-                if type(item) is commands.Wake and item.request_id in self.exchanges:
+                if type(item) is commands.Wake and item.request_id in self.in_flight.exchanges:
                     outcome = self.resume(item.request_id, item.reply, now)
                     done.extend([outcome] if outcome is not None else [])
                 else:
@@ -344,50 +333,10 @@
             raise errors.GatewayError(code, step=authenticate.Authenticate.step)
         return key.account
 
-    def gossip(self, receiver: str, now: float) -> peers.Gossip:
-        """Return the heartbeat for a receiver."""
-        rows, beats = self.members.summary(receiver, now)
-        return peers.Gossip(
-            sender=self.members.own,
-            rows=rows,
-            beats=beats,
-            unknown=self.wanted_rows.pop(receiver, []),
-            digest=self.config.catalog.digest,
-            arrivals=self.config.catalog.arrivals,
-            loads=self._loads(receiver, now),
-            suspects=self.suspects.news(now),
-        )
-
-    def answer(self, gossip: peers.Gossip, now: float) -> peers.Gossip:
-        """Take in a heartbeat and return the answer; to a unknown_peer it tells everything."""
-        unknown_peer = self.members.find(gossip.sender.instance) is None
-        rows = self.hear(gossip, now)
-        if unknown_peer:
-            full = self.gossip(gossip.sender.instance, now)
-            full.rows.extend(rows)
-            return full
-        return peers.Gossip(
-            sender=self.members.own,
-            rows=rows,
-            beats=[],
-            unknown=self.wanted_rows.pop(gossip.sender.instance, []),
-            digest=self.config.catalog.digest,
-            arrivals=self.config.catalog.arrivals,
-            loads=[],
-            suspects=[],
-        )
-
-    def _chain(self, item: exchange.Exchange) -> chain.Chain:
-        return self.chains["entry" if item.hop is None else "arrival"]
-
-    def _outcome(self, item: exchange.Exchange, action: actions.Action) -> exchanges.Outcome | None:
-        if type(action) is actions.Perform and type(action.work) not in EXTERNAL:
-            return None
-        return exchanges.Outcome(item.id, action, operation=item.operation)
-
     def _collect(self) -> list[commands.Command | exchanges.Outcome]:
         sources = (
             self,
+            self.gossip,
             self.members,
             self.config,
             self.access,
@@ -405,70 +354,6 @@
             source.outbox.clear()
         return batch
 
-    def _beat(self, now: float) -> None:
-        if not self.members.due(now):
-            return
-        for instance, address in self.members.targets(now):
-            call = commands.PeerCall(
-                instance=instance,
-                address=address,
-                body=self.gossip(instance, now),
-                purpose=membership.HeartbeatSent(),
-            )
-            self.outbox.append(call)
-
-    def _warn(self, now: float) -> None:
-        """Tell the peers at once of a request that crashes upstreams, or of one that leaves."""
-        if self.suspects.announce:
-            self.suspects.announce = False
-            self._tell(self.members.alive(), now)
-        if self.states.announces(now):
-            self._tell(self.members.alive(region=self.settings.instance.region), now)
-
-    def tell_rows(self, receiver: peers.Row, rows: list[peers.Row], now: float) -> None:
-        """Send a peer the rows that it asked for."""
-        body = self.gossip(receiver.instance, now)
-        body.rows.extend(rows)
-        call = self.members.call(receiver, body)
-        self.outbox.append(call)
-
-    def _tell(self, rows: list[peers.Row], now: float) -> None:
-        """Send a heartbeat to peers, in large fleets to some, out of turn."""
-        self.outbox.extend(
-            self.members.call(row, self.gossip(row.instance, now)) for row in rows[:MAX_WARNED]
-        )
-
-    def _loads(self, receiver: str, now: float) -> list[peers.Load]:
-        names = [
-            spec.name
-            for replicas in self.config.catalog.replicas.values()
-            for spec in replicas.values()
-        ]
-        if len(names) > LOADS_PER_MESSAGE:
-            names = self._some_loads(names, receiver)
-        return self.states.reports(now, names)
-
-    def _some_loads(self, names: list[str], receiver: str) -> list[str]:
-        """Return the upstreams of the own zone for its instances, and some others for all."""
-        row, zone = self.members.find(receiver), self.members.own.zone
-        same_zone = row is not None and row.zone == zone
-        near = [n for n in names if self.config.catalog.upstream(n).zone == zone]
-        sample = self.rng.sample(names, FAR_LOADS)
-        return [*near[:LOADS_PER_MESSAGE], *sample] if same_zone else sample
-
-    def hear(self, body: peers.Gossip, now: float) -> list[peers.Row]:
-        """Take in a heartbeat and return the rows that the sender asked for."""
-        missed = self.members.hear(body, now)
-        if missed:
-            self.wanted_rows[body.sender.instance] = missed
-        else:
-            self.wanted_rows.pop(body.sender.instance, None)
-        self.config.compare(body, now=now)
-        for load in body.loads:
-            self.states.hear(load, now)
-        self.suspects.hear(body.suspects, now)
-        return self.members.rows_for(body.unknown)
-
     def _rate_changed(self, item: typing.Any) -> None:
         if item.kind == "rate" and item.spec is not None:
             self.slices.rate_added(item.name)
@@ -480,9 +365,6 @@
         if handing and self.limits.lending:
             self.limits.return_all(now)
         handed = handing and self.slices.leave(now)
-        self.shutdown.advance(now, open_requests=len(self.exchanges), handed_over=handed)
+        self.shutdown.advance(now, open_requests=len(self.in_flight.exchanges), handed_over=handed)
         if self.shutdown.phase is drain.Phase.DONE and not self.access.closed:
             self.access.close()
-
-
-EXTERNAL = frozenset((actions.Dispatch, actions.Forward))
--- /dev/null
+++ b/yuccahitch/controllers/in_flight.py
@@ -0,0 +1,70 @@
+"""The requests that an instance works on, each on its way through a chain."""
+
+from __future__ import annotations
+
+import typing
+
+from yuccahitch import errors
+from yuccahitch.filters import chain, exchange
+from yuccahitch.messages import actions, exchanges, requests
+
+EXTERNAL = frozenset((actions.Dispatch, actions.Forward))
+
+
+class InFlight:
+    """Begins requests, goes on with them and settles them.
+
+    Args:
+        chains: The chain for requests of callers, ``entry``, and for those that another instance
+            sent on, ``arrival``.
+        in_use: Code of the refusal when the id of a request is in use.
+
+    Attributes:
+        exchanges: The requests by their ids.
+    """
+
+    __slots__ = ("chains", "in_use", "exchanges")
+
+    def __init__(self, chains: dict[str, chain.Chain], *, in_use: errors.Code) -> None:
+        self.chains = chains
+        self.in_use = in_use
+        self.exchanges: dict[str, exchange.Exchange] = {}
+
+    def begin(
+        self, request: requests.Request, hop: requests.Hop | None, now: float
+    ) -> exchanges.Outcome | None:
+        """Take a new request; None means that it waits and an Outcome follows."""
+        if request.id in self.exchanges:
+            error = errors.GatewayError(self.in_use, step="core", detail="the request id is in use")
+            return exchanges.Outcome(request.id, actions.Refuse(error))
+        item = exchange.Exchange(request, began=now, hop=hop)
+        self.exchanges[request.id] = item
+        return self._outcome(item, self._chain(item).begin(item, now))
+
+    def resume(self, request_id: str, reply: typing.Any, now: float) -> exchanges.Outcome | None:
+        """Go on with a request that waited for a reply."""
+        item = self.exchanges.get(request_id)
+        if item is None:
+            return None
+        return self._outcome(item, self._chain(item).resume(item, reply, now))
+
+    def take(self, message: exchanges.Finished) -> exchange.Exchange | None:
+        """Take out a request that is over, with what became of it."""
+        item = self.exchanges.pop(message.request_id, None)
+        if item is not None:
+            item.succeeded = message.succeeded
+            item.usage = message.usage
+            item.recorded = message.recorded
+        return item
+
+    def settle(self, item: exchange.Exchange, now: float) -> None:
+        """Let every filter that a request passed settle it."""
+        self._chain(item).finish(item, now)
+
+    def _chain(self, item: exchange.Exchange) -> chain.Chain:
+        return self.chains["entry" if item.hop is None else "arrival"]
+
+    def _outcome(self, item: exchange.Exchange, action: actions.Action) -> exchanges.Outcome | None:
+        if type(action) is actions.Perform and type(action.work) not in EXTERNAL:
+            return None
+        return exchanges.Outcome(item.id, action, operation=item.operation)
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -272,7 +272,7 @@
 
 @told.register
 def _(message: BeginDrain, core: Core, now: float) -> None:
-    core.log.write(events.Event.DRAIN_BEGAN, open_requests=len(core.decisions.exchanges))
+    core.log.write(events.Event.DRAIN_BEGAN, open_requests=len(core.decisions.in_flight.exchanges))
     core.decisions.begin_drain(now)
 
 
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -186,7 +186,7 @@
     def _show_gauges(self) -> None:
         state, now = self.core.decisions, self.time.now
         self.figures.gauges.update(
-            open_requests=lambda: len(state.exchanges),
+            open_requests=lambda: len(state.in_flight.exchanges),
             live_instances=lambda: len(state.members.alive(now())) + 1,
             config_version=lambda: state.config.current.version if state.config.ready() else 0,
             store_age_seconds=lambda: min(
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -172,7 +172,7 @@
     def _show_gauges(self, decisions: gateway.Gateway) -> None:
         now = self.time.now
         self.figures.gauges.update(
-            open_requests=lambda: len(decisions.exchanges),
+            open_requests=lambda: len(decisions.in_flight.exchanges),
             waiting_requests=lambda: decisions.queue.size,
             live_instances=lambda: len(decisions.members.members) + 1,
             config_age_seconds=lambda: min(1e9, decisions.config.age(now())),
