Log each decision with its inputs; metrics by a library, with labels

New events 209, 210, 306, 307, 308, 505, 605; 301, 501, 502 also on the platform. The log pipe writes whole lines of at most PIPE_BUF bytes.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import sys
 import typing
@@ -117,11 +118,11 @@
         await until(known)
 
     async def metric(self, name: str, metric: str) -> float:
-        """Return a figure of an instance, 0 if it has none."""
+        """Return a figure of an instance, summed over its labels, 0 if it has none."""
         async with self.session.get(self.url(name) + "/metrics") as response:
             lines = (await response.text()).splitlines()
-        wanted = f"yuccahitch_{metric} "
-        return sum(float(line.split()[-1]) for line in lines if line.startswith(wanted))
+        wanted = re.compile(rf"yuccahitch_{metric}(_total)?({{.*}})? ")
+        return sum(float(line.split()[-1]) for line in lines if wanted.match(line))
 
     async def faults(self, url: str, **switches: typing.Any) -> None:
         """Switch faults of a stand-in."""
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -493,4 +493,4 @@
 
     lines = dict(line.rsplit(" ", 1) for line in run(context, work()).splitlines())
     assert float(lines["yuccahitch_log_lines_dropped"]) > 0, lines
-    assert float(lines["yuccahitch_requests"]) >= count, lines
+    assert float(lines["yuccahitch_requests_total"]) >= count, lines
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -307,7 +307,7 @@
         call(context, "GET", base + path)
         assert context.status == 200, context.body
     call(context, "GET", base + "/metrics")
-    assert 'yuccahitch_request_seconds{quantile="0.99"}' in context.body, context.body
+    assert 'quantile="0.99",route="ice-model"} ' in context.body, context.body
 
 
 @behave.then("the time line of all logs is in order and holds the request")
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -10,7 +10,7 @@
 import typing
 
 from yuccahitch import errors, records
-from yuccahitch.controllers import fleet, placement, rendezvous, replicas
+from yuccahitch.controllers import basis, fleet, placement, rendezvous, replicas
 from yuccahitch.messages import peers, pulses
 from yuccahitch.resources import service as services
 
@@ -154,17 +154,18 @@
         local = self._local(task, now)
         here_s, best = self._best(local, task, now)
         remote = None if task.local_only else self._remote(task, now)
+        seen = self._basis(task, local, here_s, best, remote, now)
         if remote is not None and (best is None or remote[0] + self.spill_gain_s < here_s):
             there_s, row = remote
             if there_s < task.left_s:
                 self._count_forward(row.region, task.service.name, now)
-                return placement.ToInstance(row, better_than_s=here_s if best else 0.0)
+                return placement.ToInstance(row, better_than_s=here_s if best else 0.0, basis=seen)
         if best is None:
-            return _refused(errors.Code.NO_UPSTREAM, "no upstream can take it now")
+            return _refused(errors.Code.NO_UPSTREAM, "no upstream can take it now", seen)
         if here_s > task.left_s:
-            return _refused(errors.Code.OVERLOADED, f"it would wait {here_s:.2f} s")
+            return _refused(errors.Code.OVERLOADED, f"it would wait {here_s:.2f} s", seen)
         self._take(best, task, now)
-        return placement.ToUpstream(best.upstream)
+        return placement.ToUpstream(best.upstream, seen)
 
     def began(self, request_id: str) -> None:
         """Note that an upstream has begun to answer a request."""
@@ -208,6 +209,29 @@
             rooms.append(room)
         return rooms
 
+    def _basis(
+        self,
+        task: Task,
+        local: list[replicas.Replica],
+        here_s: float,
+        best: replicas.Replica | None,
+        remote: tuple[float, peers.Row] | None,
+        now: float,
+    ) -> basis.Basis:
+        seen = basis.Basis(
+            known=self.found.count(task.service.name),
+            usable=len(local),
+            told_s=round(self.members.told_age(now), 3),
+        )
+        if best is not None:
+            seen.wait_s = round(here_s, 3)
+            seen.running = self._running(best, self.members.uses(now))
+            seen.slots = best.upstream.slots
+        if remote is not None:
+            seen.elsewhere_s = round(remote[0], 3)
+            seen.elsewhere = remote[1].region
+        return seen
+
     def _local(self, task: Task, now: float) -> list[replicas.Replica]:
         if task.regions is not None and self.region not in task.regions:
             return []
@@ -342,7 +366,6 @@
     return 0
 
 
-def _refused(code: errors.Code, detail: str) -> placement.Refused:
-    return placement.Refused(
-        errors.GatewayError(code, step=STEP, detail=detail, retry_after=RETRY_AFTER_S)
-    )
+def _refused(code: errors.Code, detail: str, seen: basis.Basis) -> placement.Refused:
+    error = errors.GatewayError(code, step=STEP, detail=detail, retry_after=RETRY_AFTER_S)
+    return placement.Refused(error, seen)
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -101,7 +101,9 @@
         self.outbox: list[commands.Command | exchanges.Outcome] = []
         self._make_state(keyspace, read_publication, read_upstream)
         self._make_policy(now)
-        self.in_flight = in_flight.InFlight(self._make_chains(), in_use=errors.Code.OVERLOADED)
+        self.in_flight = in_flight.InFlight(
+            self._make_chains(), in_use=errors.Code.OVERLOADED, beliefs=self._beliefs
+        )
 
     def _make_state(
         self,
@@ -215,13 +217,14 @@
         )
         if item is not None:
             item.runs += sent
+            self.in_flight.expire(item, now)
         return exchanges.Outcome(request_id, actions.Refuse(error))
 
     def finish(self, message: exchanges.Finished, now: float) -> exchange.Exchange | None:
         """Settle a request that is over; return its state."""
         item = self.in_flight.take(message)
         if item is not None:
-            self.in_flight.settle(item, now)
+            self.in_flight.settle(message, item, now)
         return item
 
     def begin_drain(self, now: float) -> None:
@@ -270,10 +273,12 @@
             self._tell(self.members.everyone(), now)
         sources = (
             self,
+            self.in_flight,
             self.members,
             self.config,
             self.found,
             self.feed,
+            self.meters,
             self.suspects,
         )
         batch = list(itertools.chain.from_iterable(source.outbox for source in sources))
@@ -303,6 +308,14 @@
         found = (self.members.serving(now, region=region) for region in sorted(regions))
         return list(itertools.chain.from_iterable(found))
 
+    def _beliefs(self, now: float) -> dict[str, typing.Any]:
+        heard_at = min(self.feed.heard_at.values(), default=None)
+        ready = self.config.ready()
+        return {
+            "version": self.config.current.version if ready else 0,
+            "store_age_s": None if heard_at is None else round(now - heard_at, 1),
+        }
+
     def _tell(self, addresses: list[str], now: float) -> None:
         if not addresses:
             return
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -45,16 +45,18 @@
         listed: Whether the entry is there.
         heard_at: When it was last known to live, in monotonic seconds.
         pulse: Its last pulse, or None.
+        lives: Whether it was last told to live, for the log.
         demands: What that pulse told of each account, by its name.
     """
 
-    __slots__ = ("row", "listed", "heard_at", "pulse", "demands")
+    __slots__ = ("row", "listed", "heard_at", "pulse", "lives", "demands")
 
     def __init__(self, row: peers.Row, now: float) -> None:
         self.row = row
         self.listed = True
         self.heard_at = now
         self.pulse: pulses.Pulse | None = None
+        self.lives = True
         self.demands: dict[str, pulses.Demand] = {}
 
 
@@ -182,6 +184,11 @@
             if not alive or self._lives(member, now)
         ]
 
+    def told_age(self, now: float) -> float:
+        """Return the age of the oldest pulse from a live instance of this region, in seconds."""
+        near = self.alive(now, region=self.own.region)
+        return max((now - member.heard_at for member in near), default=0.0)
+
     def uses(self, now: float) -> dict[str, tuple[int, int]]:
         """Return the requests and unread prompt tokens of near instances at each upstream."""
         total: dict[str, tuple[int, int]] = {}
@@ -267,11 +274,21 @@
             self.lease_due = now + 1.0
 
     def expire(self, now: float) -> None:
-        """Forget instances that are neither listed nor heard for long."""
+        """Note who fell silent or is heard again; forget who stays away and isn't listed."""
         for name, member in list(self.members.items()):
+            if member.lives is not self._lives(member, now):
+                self._tell_change(member, now)
             if not member.listed and now - member.heard_at > DEMAND_LIFETIME_S:
                 del self.members[name]
 
+    def _tell_change(self, member: Member, now: float) -> None:
+        member.lives = not member.lives
+        left = events.Event.MEMBER_LEFT if _leaving(member) else events.Event.MEMBER_LOST
+        event = events.Event.MEMBER_FOUND if member.lives else left
+        silent_s = round(now - member.heard_at, 3)
+        fields = {"member": member.row.instance, "silent_s": silent_s, "listed": member.listed}
+        self.outbox.append(commands.Note(event, **fields))
+
     def _lives(self, member: Member, now: float) -> bool:
         limit = LOST_S if member.row.region == self.own.region else FAR_LOST_S
         return now - member.heard_at < limit
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -50,6 +50,8 @@
 )
 from yuccahitch.messages import commands, exchanges, peers, requests, store
 
+MAX_AGE_S = 1e6
+
 
 class Gateway:
     """The decisions of one instance.
@@ -104,7 +106,9 @@
         self.outbox: list[commands.Command | exchanges.Outcome] = []
         self._make_state(new_id)
         self._make_policy(rules or policy.Rules())
-        self.in_flight = in_flight.InFlight(self._make_chains(), in_use=errors.Code.PEER_INVALID)
+        self.in_flight = in_flight.InFlight(
+            self._make_chains(), in_use=errors.Code.PEER_INVALID, beliefs=self._beliefs
+        )
 
     def _make_state(self, new_id: typing.Callable[[], str]) -> None:
         options = self.settings.instance
@@ -246,7 +250,7 @@
             self.suspects.seen(poison.fingerprint(item), message.crashed, now)
         elif message.error is not None and item.head is not None and item.upstream:
             self.states.failed(item.upstream, now)
-        self.in_flight.settle(item, now)
+        self.in_flight.settle(message, item, now)
         return item
 
     def begin_drain(self, now: float) -> None:
@@ -336,6 +340,7 @@
     def _collect(self) -> list[commands.Command | exchanges.Outcome]:
         sources = (
             self,
+            self.in_flight,
             self.gossip,
             self.members,
             self.config,
@@ -354,6 +359,9 @@
             source.outbox.clear()
         return batch
 
+    def _beliefs(self, now: float) -> dict[str, typing.Any]:
+        return {"config_age_s": round(min(self.config.age(now), MAX_AGE_S), 1)}
+
     def _rate_changed(self, item: typing.Any) -> None:
         if item.kind == "rate" and item.spec is not None:
             self.slices.rate_added(item.name)
--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -4,6 +4,7 @@
 
 from yuccahitch import errors, records
 from yuccahitch.controllers import (
+    basis,
     configuration,
     membership,
     queue,
@@ -104,12 +105,18 @@
 
 
 class ToUpstream(records.Record):
-    """Send the request to an upstream of this region; its place is taken."""
+    """Send the request to an upstream of this region; its place is taken.
 
-    __slots__ = ("upstream",)
+    Attributes:
+        upstream: The upstream.
+        basis: What it was decided on, or None.
+    """
+
+    __slots__ = ("upstream", "basis")
 
-    def __init__(self, item: upstream.Upstream) -> None:
+    def __init__(self, item: upstream.Upstream, basis: basis.Basis | None = None) -> None:
         self.upstream = item
+        self.basis = basis
 
 
 class ToInstance(records.Record):
@@ -118,13 +125,21 @@
     Attributes:
         row: The instance.
         better_than_s: First-token time here, in seconds; 0 if it can't be served here.
+        basis: What it was decided on, or None.
     """
 
-    __slots__ = ("row", "better_than_s")
+    __slots__ = ("row", "better_than_s", "basis")
 
-    def __init__(self, row: peers.Row, *, better_than_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        row: peers.Row,
+        *,
+        better_than_s: float = 0.0,
+        basis: basis.Basis | None = None,
+    ) -> None:
         self.row = row
         self.better_than_s = better_than_s
+        self.basis = basis
 
 
 class Wait(records.Record):
@@ -158,12 +173,18 @@
 
 
 class Refused(records.Record):
-    """The request can't be placed."""
+    """The request can't be placed.
+
+    Attributes:
+        error: The refusal.
+        basis: What it was decided on, or None.
+    """
 
-    __slots__ = ("error",)
+    __slots__ = ("error", "basis")
 
-    def __init__(self, error: errors.GatewayError) -> None:
+    def __init__(self, error: errors.GatewayError, basis: basis.Basis | None = None) -> None:
         self.error = error
+        self.basis = basis
 
 
 Choice = ToUpstream | ToInstance | Wait | Refused
--- a/yuccahitch/controllers/published.py
+++ b/yuccahitch/controllers/published.py
@@ -103,8 +103,15 @@
             note = commands.Note(events.Event.CONFIG_STALE, version=found.version)
             self.outbox.append(note)
             return
+        earlier = self.current.keys if self.current is not None else {}
         self.current = found
         note = commands.Note(
-            events.Event.CONFIG_APPLIED, version=found.version, revision=item.revision
+            events.Event.CONFIG_APPLIED,
+            version=found.version,
+            revision=item.revision,
+            routes=sum(len(routes) for routes in found.by_host.values()),
+            accounts=len(found.accounts),
+            keys_added=len(found.keys.keys() - earlier.keys()),
+            keys_withdrawn=len(earlier.keys() - found.keys.keys()),
         )
         self.outbox.append(note)
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing
 
@@ -16,6 +17,7 @@
 EJECT_S = 2.0
 COLD_OWNERS = 3
 PARTS_KEPT = 4096
+STATES = ("ready", "cold", "ejected", "evacuated", "leaving", "missing")
 
 
 class Replica:
@@ -24,6 +26,7 @@
     Attributes:
         upstream: Its entry.
         revision: Revision of the entry.
+        gone: Whether it got no more work as its entry stayed away.
         gone_at: When it stops getting work as its entry is missing, in monotonic seconds.
         cold_until: Until when it is cold, in monotonic seconds.
         warm_tokens: Requests that this instance may send it now while it is cold.
@@ -39,6 +42,7 @@
     __slots__ = (
         "upstream",
         "revision",
+        "gone",
         "gone_at",
         "cold_until",
         "warm_tokens",
@@ -54,6 +58,7 @@
     def __init__(self, item: upstream.Upstream, *, revision: int) -> None:
         self.upstream = item
         self.revision = revision
+        self.gone = False
         self.gone_at = math.inf
         self.cold_until = -math.inf
         self.warm_tokens = 0.0
@@ -127,6 +132,7 @@
             return
         known = self.table.get(key)
         if known is not None and item.revision <= known.revision:
+            known.gone = False
             known.gone_at = math.inf
             return
         try:
@@ -140,9 +146,22 @@
 
     def expire(self, now: float) -> None:
         """Forget upstreams whose entry stayed away."""
-        gone = [n for n, r in self.table.items() if now >= r.gone_at and not r.running]
-        for name in gone:
-            del self.table[name]
+        for name, replica in list(self.table.items()):
+            if replica.ejected_until <= now and replica.ejected_until > -math.inf:
+                replica.ejected_until = -math.inf
+                self._note(events.Event.UPSTREAM_RETURNED, name)
+            if now >= replica.gone_at and not replica.gone:
+                replica.gone = True
+                self._note(events.Event.UPSTREAM_GONE, name, running=replica.running)
+            if replica.gone and not replica.running:
+                del self.table[name]
+
+    def count(self, service: str) -> int:
+        """Return how many upstreams of a service are known in this region."""
+        return sum(
+            replica.upstream.service == service and replica.upstream.region == self.region
+            for replica in self.table.values()
+        )
 
     def usable(
         self, service: str, now: float, *, region: str | None = None, avoid: tuple[str, ...] = ()
@@ -158,6 +177,12 @@
             and self._serves(replica, now)
         ]
 
+    def states(self, now: float) -> dict[str, float]:
+        """Return how many upstreams of this region are in each state."""
+        own = [r for r in self.table.values() if r.upstream.region == self.region]
+        counted = collections.Counter(self._state(replica, now) for replica in own)
+        return {name: float(counted[name]) for name in STATES}
+
     def healthy(self, found: list[Replica], now: float) -> list[Replica]:
         """Return those that are not ejected, or all if every one is."""
         return [r for r in found if now >= r.ejected_until] or found
@@ -225,15 +250,25 @@
             replica.ejected_until = now + EJECT_S
             # One good answer after the pause is enough to stay.
             replica.success = EJECT_BELOW + OUTCOME_SHARE
-            note = commands.Note(events.Event.UPSTREAM_EJECTED, upstream=name, seconds=EJECT_S)
-            self.outbox.append(note)
+            self._note(events.Event.UPSTREAM_EJECTED, name, seconds=EJECT_S)
 
     def misdirected(self, name: str) -> None:
         """Note that another upstream answers at an upstream's address."""
         replica = self.table.get(name)
         if replica is not None:
             replica.misdirected = True
-            self.outbox.append(commands.Note(events.Event.UPSTREAM_LEAVING, upstream=name))
+            self._note(events.Event.UPSTREAM_LEAVING, name, reason="another answers there")
+
+    def _state(self, replica: Replica, now: float) -> str:
+        if replica.gone_at < math.inf:
+            return "missing"
+        if replica.upstream.leaving or replica.misdirected:
+            return "leaving"
+        if replica.upstream.zone in self.config.evacuated:
+            return "evacuated"
+        if now < replica.ejected_until:
+            return "ejected"
+        return "cold" if self.cold(replica, now) else "ready"
 
     def _serves(self, replica: Replica, now: float) -> bool:
         item = replica.upstream
@@ -255,19 +290,24 @@
         )
         if not same:
             known = self.table[key] = Replica(item, revision=revision)
-            self.outbox.append(
-                commands.Note(
-                    events.Event.UPSTREAM_FOUND,
-                    upstream=item.name,
-                    service=item.service,
-                    cold_s=item.cold_s,
-                )
+            self._note(
+                events.Event.UPSTREAM_FOUND,
+                item.name,
+                service=item.service,
+                zone=item.zone,
+                slots=item.slots,
+                cold_s=item.cold_s,
+                leaving=item.leaving,
+                revision=revision,
             )
         elif item.leaving and not known.upstream.leaving:
-            note = commands.Note(events.Event.UPSTREAM_LEAVING, upstream=item.name)
-            self.outbox.append(note)
+            reason = "its entry says so"
+            self._note(events.Event.UPSTREAM_LEAVING, item.name, reason=reason, revision=revision)
+        elif item.cold_s > 0 and now >= known.cold_until:
+            self._note(events.Event.UPSTREAM_COLD, item.name, cold_s=item.cold_s, revision=revision)
         known.upstream = item
         known.revision = revision
+        known.gone = False
         known.gone_at = math.inf
         if item.cold_s > 0:
             known.cold_until = now + item.cold_s
@@ -277,3 +317,7 @@
         if replica is not None and replica.gone_at == math.inf:
             # The store may have dropped the entry of a live upstream in an outage.
             replica.gone_at = now if replica.upstream.leaving else now + self.gone_after_s
+            self._note(events.Event.UPSTREAM_MISSING, key, used_s=replica.gone_at - now)
+
+    def _note(self, event: events.Event, name: str, **fields: typing.Any) -> None:
+        self.outbox.append(commands.Note(event, upstream=name, **fields))
--- a/yuccahitch/controllers/shares.py
+++ b/yuccahitch/controllers/shares.py
@@ -9,15 +9,18 @@
 
 import math
 
-from yuccahitch import records
+from yuccahitch import events, records
 from yuccahitch.controllers import fleet
-from yuccahitch.messages import pulses
+from yuccahitch.messages import commands, pulses
 from yuccahitch.resources import rate
 
 DEMAND_MEMORY_S = 2.0
 DEMAND_MIN = 1.0
 EVEN_SHARE = 0.1
 SAVED_FOLLOWS_S = 2.0
+# A share that moves by less, or sooner again, is not told in the log.
+SHARE_STEP = 0.2
+SHARE_NOTE_S = 2.0
 RETRY_MAX_S = 2.0
 # Parts of the burst and of the platform's tolerance that instances may be overdrawn by together.
 OVERDRAWN_BURST = 0.5
@@ -35,10 +38,22 @@
         share: Part of the rate that is this instance's.
         saved_share: Part of the burst that is, which follows more slowly: a large request moves
             the demand for a moment, and what was saved up must outlast that.
+        noted_share: Share that the log was told last.
+        noted_at: When it was told, in monotonic seconds.
         updated_at: When the others were brought up to date, in monotonic seconds.
     """
 
-    __slots__ = ("limit", "tokens", "demand", "told", "share", "saved_share", "updated_at")
+    __slots__ = (
+        "limit",
+        "tokens",
+        "demand",
+        "told",
+        "share",
+        "saved_share",
+        "noted_share",
+        "noted_at",
+        "updated_at",
+    )
 
     def __init__(self, limit: rate.Rate, now: float) -> None:
         self.limit = limit
@@ -47,6 +62,8 @@
         self.told = 0.0
         self.share = 0.0
         self.saved_share = 0.0
+        self.noted_share = 0.0
+        self.noted_at = -math.inf
         self.updated_at = now
 
 
@@ -61,7 +78,7 @@
         slack: Tokens that it tolerates beside that.
     """
 
-    __slots__ = ("members", "began", "window_s", "overage", "slack", "meters")
+    __slots__ = ("members", "began", "window_s", "overage", "slack", "meters", "outbox")
 
     def __init__(
         self,
@@ -78,6 +95,7 @@
         self.overage = overage
         self.slack = slack
         self.meters: dict[str, Meter] = {}
+        self.outbox: list[commands.Command] = []
 
     def spend(self, limit: rate.Rate, tokens: float, now: float) -> float:
         """Take tokens.
@@ -94,6 +112,11 @@
         pace = max(1e-9, limit.tokens_per_s * meter.share)
         return min(RETRY_MAX_S, max(0.05, (tokens - allowed) / pace))
 
+    def left(self, account: str) -> float:
+        """Return the tokens that an account has left here; below 0 it is overdrawn."""
+        meter = self.meters.get(account)
+        return meter.tokens if meter is not None else 0.0
+
     def refund(self, limit: rate.Rate, tokens: float, now: float) -> None:
         """Give back the tokens of a request that has not run."""
         meter = self._meter(limit, now)
@@ -107,6 +130,7 @@
             if demand > DEMAND_MIN or meter.tokens < 0:
                 self._update(meter, now)
                 meter.told = meter.demand
+                self._tell_share(meter, now)
                 overdrawn = max(0.0, -meter.tokens)
                 told.append(pulses.Demand(name, tokens_per_s=meter.demand, overdrawn=overdrawn))
         return told
@@ -131,6 +155,23 @@
         meter.tokens = min(meter.tokens + earned, self._kept(meter.limit, meter, now))
         meter.updated_at = now
 
+    def _tell_share(self, meter: Meter, now: float) -> None:
+        """Note a share that moved, now and then only."""
+        moved = abs(meter.share - meter.noted_share) >= SHARE_STEP
+        if not moved or now < meter.noted_at + SHARE_NOTE_S:
+            return
+        meter.noted_share = meter.share
+        meter.noted_at = now
+        note = commands.Note(
+            events.Event.SHARE_CHANGED,
+            account=meter.limit.name,
+            share=round(meter.share, 3),
+            demand=round(meter.demand),
+            tokens=round(meter.tokens),
+            instances=self.members.count(now),
+        )
+        self.outbox.append(note)
+
     def _kept(self, limit: rate.Rate, meter: Meter, now: float) -> float:
         """Return what may be saved up here.
 
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -30,11 +30,16 @@
     REQUEST_CUT = (205, "request-cut", "An answer ended before it was whole.")
     REQUEST_ABANDONED = (206, "request-abandoned", "The caller hung up.")
     REQUEST_RETRIED = (207, "request-retried", "A request is sent to another upstream.")
+    REQUEST_RESUMED = (209, "request-resumed", "A stream goes on at another upstream.")
+    REQUEST_EXPIRED = (210, "request-expired", "The time of a request is up; it is given up.")
     ANSWER_DROPPED = (208, "answer-dropped", "A late or crossed answer was dropped.")
     UPSTREAM_EJECTED = (300, "upstream-ejected", "An upstream failed and gets no work for a while.")
     UPSTREAM_RETURNED = (301, "upstream-returned", "An ejected upstream gets work again.")
     UPSTREAM_LEAVING = (302, "upstream-leaving", "An upstream gets no new work.")
     UPSTREAM_FOUND = (304, "upstream-found", "An upstream registered itself.")
+    UPSTREAM_MISSING = (306, "upstream-missing", "An upstream's entry vanished; used on a while.")
+    UPSTREAM_GONE = (307, "upstream-gone", "An upstream whose entry vanished gets no work.")
+    UPSTREAM_COLD = (308, "upstream-cold", "An upstream bears few requests for a while.")
     ENTRY_UNREADABLE = (305, "entry-unreadable", "An entry in the store can't be read; unused.")
     POISON_FOUND = (303, "poison-found", "A request crashed several upstreams.")
     CONFIG_APPLIED = (400, "config-applied", "Newer resources are in force.")
@@ -49,6 +54,7 @@
     MEMBER_JOINED = (500, "member-joined", "An instance was heard of for the first time.")
     MEMBER_LOST = (501, "member-lost", "An instance has not been heard of for its time-out.")
     MEMBER_LEFT = (502, "member-left", "An instance left gracefully.")
+    MEMBER_FOUND = (505, "member-found", "An instance that had fallen silent is heard again.")
     PEER_GARBAGE = (503, "peer-garbage", "A peer sent a message that can't be read.")
     PULSE_FAILED = (504, "pulse-failed", "A pulse to another instance could not be sent.")
     SLICE_CLAIMED = (600, "slice-claimed", "A part of a client account's rate was taken.")
@@ -56,6 +62,7 @@
     SLICE_RECLAIMED = (602, "slice-reclaimed", "A dead instance's part of a rate was taken over.")
     LOAN_GRANTED = (603, "loan-granted", "Tokens were lent to a peer.")
     LOAN_TAKEN = (604, "loan-taken", "Tokens were borrowed from a peer.")
+    SHARE_CHANGED = (605, "share-changed", "This instance's part of a client account's rate moved.")
     OPERATION_CLAIMED = (700, "operation-claimed", "An idempotency key was claimed.")
     OPERATION_REPLAYED = (701, "operation-replayed", "A repeated key got the first answer.")
     ORDER_SENT = (800, "order-sent", "An order was sent to an engine.")
@@ -97,18 +104,22 @@
     Args:
         instance: Name of the instance, in every line.
         stamp: The process's hybrid logical clock.
+
+    Attributes:
+        series: Events written, by name, as the metrics count them.
     """
 
-    __slots__ = ("instance", "stamp", "counts")
+    __slots__ = ("instance", "stamp", "series")
 
     def __init__(self, instance: str, stamp: Stamp) -> None:
         self.instance = instance
         self.stamp = stamp
-        self.counts: dict[str, int] = {}
+        self.series: dict[tuple[tuple[str, str], ...], int] = {}
 
     def write(self, event: Event, **fields: typing.Any) -> None:
         """Write one event with its fields; no field may hold a key."""
-        self.counts[event.label] = self.counts.get(event.label, 0) + 1
+        place = (("event", event.label),)
+        self.series[place] = self.series.get(place, 0) + 1
         eliot.log_message(
             message_type=event.label,
             number=event.number,
--- a/yuccahitch/filters/exchange.py
+++ b/yuccahitch/filters/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import errors
+from yuccahitch.controllers import basis
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import account, route, service
 
@@ -40,6 +41,8 @@
         sends: Times that it was sent on.
         began_attempt: Attempt whose answer began, or 0.
         last_event: Id of the last event that was passed on, or empty.
+        tokens_left: Tokens that its client account has left here, or None where none are counted.
+        basis: What its last placement was decided on, or None.
         entered: Filters entered, whose ``leave`` is owed.
     """
 
@@ -73,6 +76,8 @@
         "sends",
         "began_attempt",
         "last_event",
+        "tokens_left",
+        "basis",
         "entered",
     )
 
@@ -108,6 +113,8 @@
         self.sends = 0
         self.began_attempt = 0
         self.last_event = ""
+        self.tokens_left: float | None = None
+        self.basis: basis.Basis | None = None
         self.entered: list[str] = []
 
     @property
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -68,6 +68,7 @@
 @act.register
 def _(choice: placement.ToUpstream, item: exchange.Exchange) -> actions.Action:
     item.upstream = choice.upstream.name
+    item.basis = choice.basis
     return actions.Proceed()
 
 
@@ -75,6 +76,7 @@
 def _(choice: placement.ToInstance, item: exchange.Exchange) -> actions.Action:
     item.instance = choice.row.instance
     item.better_than_s = choice.better_than_s
+    item.basis = choice.basis
     return actions.Proceed()
 
 
@@ -85,6 +87,7 @@
 
 @act.register
 def _(choice: placement.Refused, item: exchange.Exchange) -> actions.Action:
+    item.basis = choice.basis
     # With no place for another attempt, the caller is told why the last one failed.
     return actions.Refuse(item.last_error or choice.error)
 
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -9,6 +9,7 @@
 
 from yuccahitch import clock, events, records
 from yuccahitch.controllers import configuration, gateway, notes, orders
+from yuccahitch.filters import exchange
 from yuccahitch.messages import commands, exchanges, peers, pulses
 from yuccahitch.tasks import mailbox, metrics
 
@@ -282,9 +283,7 @@
     item = core.decisions.finish(message, now)
     if item is None:
         return
-    _count(core, message, now - item.began)
-    note = notes.note_of(message, item)
-    core.log.write(note.event, **note.fields)
+    _count(core, message, item, now)
 
 
 @told.register
@@ -375,13 +374,19 @@
         ask.answer(item)
 
 
-def _count(core: Core, message: exchanges.Finished, seconds: float) -> None:
-    core.figures.record("request", seconds)
+def _count(core: Core, message: exchanges.Finished, item: exchange.Exchange, now: float) -> None:
+    event = notes.end_of(message, item)
+    route = item.route.name if item.route is not None else ""
+    rank = "" if item.account is None or item.route is None else str(exchange.rank(item))
+    reason = message.error.code.wire if message.error is not None else ""
+    outcome = event.label.removeprefix("request-")
+    core.figures.count("ends", route=route, rank=rank, outcome=outcome, reason=reason)
+    core.figures.record("request", now - item.began, route=route, outcome=outcome)
     if message.first_byte_s is not None:
-        core.figures.record("first_byte", message.first_byte_s)
+        core.figures.record("first_byte", message.first_byte_s, route=route)
     core.figures.count("output_tokens", by=message.usage.output)
     if message.error is not None:
-        core.figures.count("refusals", message.error.code.wire)
+        core.figures.count("refusals", code=reason)
 
 
 def _where(error: Exception) -> str:
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import pathlib
 import random
 import signal
 import sys
+import typing
 import uuid
 
 import eliot
@@ -185,16 +187,17 @@
 
     def _show_gauges(self) -> None:
         state, now = self.core.decisions, self.time.now
+        self.figures.counters["events"] = self.log.series
+        self.figures.counters["store_calls"] = self.store.series
         self.figures.gauges.update(
             open_requests=lambda: len(state.in_flight.exchanges),
+            waiting_messages=lambda: len(self.core.inbox),
             live_instances=lambda: len(state.members.alive(now())) + 1,
+            pulse_age_seconds=lambda: state.members.told_age(now()),
             config_version=lambda: state.config.current.version if state.config.ready() else 0,
-            store_age_seconds=lambda: min(
-                1e9, now() - min(state.feed.heard_at.values(), default=0)
-            ),
-            upstreams=lambda: len(state.found.table),
+            store_age_seconds=lambda: _age(now(), state.feed.heard_at.values()),
+            upstreams=lambda: state.found.states(now()),
             upstream_connections_opened=lambda: self.replicas.opened,
-            store_calls=lambda: self.store.calls,
             log_lines_dropped=lambda: self.pipe.dropped_total,
         )
 
@@ -219,3 +222,8 @@
     if place == "-":
         return sys.stdout.fileno()
     return os.open(place, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+
+def _age(now: float, heard_at: typing.Iterable[float]) -> float:
+    """Return the age of the oldest word, in seconds; infinity before the first one."""
+    return now - min(heard_at, default=-math.inf)
--- a/yuccahitch/tasks/log_pipe.py
+++ b/yuccahitch/tasks/log_pipe.py
@@ -10,6 +10,7 @@
 import collections
 import json
 import os
+import select
 import typing
 
 from yuccahitch import events
@@ -18,7 +19,8 @@
 # Above this part of the buffer ordinary lines are dropped.
 ORDINARY_SHARE = 0.5
 FLUSH_S = 0.05
-MAX_WRITE_BYTES = 65_536
+# A pipe takes so many bytes whole or not at all, so a reader never sees a torn line.
+MAX_WRITE_BYTES = select.PIPE_BUF
 ORDINARY = frozenset(
     event.label
     for event in (
@@ -134,7 +136,7 @@
             }
             batch += json.dumps(told).encode() + b"\n"
             self.dropped = {}
-        while self.lines and len(batch) < MAX_WRITE_BYTES:
+        while self.lines and (not batch or len(batch) + len(self.lines[0]) <= MAX_WRITE_BYTES):
             line = self.lines.popleft()
             self.size -= len(line)
             batch += line
--- a/yuccahitch/tasks/mailbox.py
+++ b/yuccahitch/tasks/mailbox.py
@@ -14,6 +14,9 @@
     def __init__(self) -> None:
         self.queue: asyncio.Queue[typing.Any] = asyncio.Queue()
 
+    def __len__(self) -> int:
+        return self.queue.qsize()
+
     def post(self, message: typing.Any) -> None:
         """Leave a message."""
         self.queue.put_nowait(message)
--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -128,7 +128,6 @@
 
     async def forward(self, work: actions.Forward, stream: answer_stream.AnswerStream) -> None:
         """Forward a request and bring its answer back."""
-        self.log.write(events.Event.REQUEST_FORWARDED, request=work.request.id, peer=work.instance)
         sent = False
         try:
             deadline = max(0.05, work.deadline_in)
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -171,6 +171,8 @@
 
     def _show_gauges(self, decisions: gateway.Gateway) -> None:
         now = self.time.now
+        self.figures.counters["events"] = self.log.series
+        self.figures.counters["store_calls"] = self.store.series
         self.figures.gauges.update(
             open_requests=lambda: len(decisions.in_flight.exchanges),
             waiting_requests=lambda: decisions.queue.size,
@@ -178,7 +180,6 @@
             config_age_seconds=lambda: min(1e9, decisions.config.age(now())),
             resources=lambda: len(decisions.config.catalog.entries),
             may_spend=lambda: float(decisions.access.may_spend(now())),
-            store_calls=lambda: self.store.calls,
             peer_messages=lambda: self.peers.messages,
             peer_bytes=lambda: self.peers.bytes,
             retries=lambda: decisions.budget.spent,
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -118,12 +118,6 @@
 
     async def attempt(self, work: actions.Dispatch, stream: answer_stream.AnswerStream) -> None:
         """Send a request and bring its answer back."""
-        self.log.write(
-            events.Event.REQUEST_DISPATCHED,
-            request=work.request.id,
-            upstream=work.upstream,
-            attempt=work.attempt,
-        )
         try:
             connection = await self._connection(work)
         except (OSError, TimeoutError) as error:
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -43,6 +43,9 @@
         rng: Source of jitter.
         dialect: Module that encodes calls and decodes replies.
         poll_wait_s: Longest wait of a call that waits for changes, in seconds.
+
+    Attributes:
+        series: Calls by kind and result, as the metrics count them.
     """
 
     __slots__ = (
@@ -62,7 +65,7 @@
         "failures",
         "watching",
         "slots",
-        "calls",
+        "series",
     )
 
     def __init__(
@@ -95,7 +98,7 @@
         self.failures = 0
         self.watching: dict[str, reactivex_abc.DisposableBase] = {}
         self.slots = asyncio.Semaphore(MAX_CALLS)
-        self.calls = 0
+        self.series: dict[tuple[tuple[str, str], ...], int] = {}
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -111,7 +114,7 @@
         """Make one call and return its reply or failure."""
         post = self.dialect.encode(_prefixed(call, self.prefix))
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
-        self.calls += 1
+        kind = type(call).__name__.lower()
         try:
             async with self.session.request(
                 post.method,
@@ -121,11 +124,14 @@
                 timeout=timeout,
             ) as response:
                 raw = await response.read()
+                self._count(kind, str(response.status))
                 reply = self.dialect.decode(call, response.status, raw)
                 return _unprefixed(reply, self.prefix)
         except aiohttp.ClientConnectorError as error:
+            self._count(kind, "unreachable")
             return store.Failed(sent=False, detail=type(error).__name__)
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
+            self._count(kind, "failed")
             return store.Failed(sent=True, detail=type(error).__name__)
 
     async def perform(self, command: commands.StoreCall) -> None:
@@ -215,11 +221,20 @@
     async def _changes_after(self, prefix: str, revision: int) -> tuple[int, bytes]:
         query = self.dialect.watch_query(self.prefix + prefix, revision, self.poll_wait_s)
         timeout = aiohttp.ClientTimeout(total=self.poll_wait_s + self.timeout_s)
-        self.calls += 1
-        async with self.session.get(
-            self.url + self.dialect.WATCH_PATH, params=query, timeout=timeout
-        ) as response:
-            return response.status, await response.read()
+        result = "failed"
+        try:
+            async with self.session.get(
+                self.url + self.dialect.WATCH_PATH, params=query, timeout=timeout
+            ) as response:
+                raw = await response.read()
+                result = str(response.status)
+                return response.status, raw
+        finally:
+            self._count("watch", result)
+
+    def _count(self, kind: str, result: str) -> None:
+        place = (("kind", kind), ("result", result))
+        self.series[place] = self.series.get(place, 0) + 1
 
     def _failed(self, detail: str) -> None:
         self.failures += 1
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -87,12 +87,6 @@
 
     async def attempt(self, work: actions.Dispatch, stream: answer_stream.AnswerStream) -> None:
         """Send a request to an upstream and bring its answer back."""
-        self.log.write(
-            events.Event.REQUEST_DISPATCHED,
-            request=work.request.id,
-            upstream=work.upstream,
-            attempt=work.attempt,
-        )
         meter = upstreams.Meter(
             stream=work.request.stream, prompt_tokens=work.request.prompt_tokens
         )
