Explain a request from the logs of all machines; more scenarios of the store in trouble

Change: yuccahitch explain REQUEST LOG... draws one time line, shifts clocks where a request was taken before it was sent, adds beliefs about upstreams, instances, account and store, and ends with the outcome. Scenarios: five kinds of failed request from id to cause, a request that another region answers, lost answers and late writes while an instance starts, a region turned away, twenty configurations in three seconds, all instances killed at once. A test over the catalogue: an event that no scenario causes fails the run. The stand-in's store turns machines away by the address called.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -61,7 +61,8 @@
         KINDS[kind](**given), access_log=None, shutdown_timeout=0.2, handler_cancellation=True
     )
     await runner.setup()
-    await web.TCPSite(runner, host, int(port)).start()
+    for place in host.split(","):
+        await web.TCPSite(runner, place, int(port)).start()
     return runner
 
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -20,7 +20,9 @@
 
 ROOT = deployment.ROOT
 TEMPLATE = ROOT / "deploy" / "settings.ini"
+# The store listens at an address for each region, so that it can turn one region's machines away.
 STORE = "127.30.0.1:7100"
+STORES = {"east": STORE, "west": "127.30.0.2:7100"}
 ZONES = {"east-a": "east", "west-a": "west"}
 NUMBERS = {"east-a": 1, "west-a": 2}
 MACHINES = {"edge-east-1": "east-a", "edge-east-2": "east-a", "edge-west-1": "west-a"}
@@ -67,7 +69,8 @@
         self.run_dir.mkdir(parents=True, exist_ok=True)
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
         self.session = aiohttp.ClientSession(connector=connector)
-        lines = [f"platform_store {_port(STORE)} host={_host(STORE)}"]
+        hosts = ",".join(_host(place) for place in STORES.values())
+        lines = [f"platform_store {_port(STORE)} host={hosts}"]
         lines += [
             f"replica {UPSTREAM_PORT} host={_host(address(name))} id={name} events={events}"
             for name, (_, _, events) in UPSTREAMS.items()
@@ -235,7 +238,7 @@
         },
         "internalPorts": [7104, 7109],
         "bounds": BOUNDS,
-        "provider": {"address": STORE},
+        "provider": {"address": STORES[ZONES[zone]]},
     }
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -130,7 +130,7 @@
         return await handler(request)
     state.calls[request.path] = state.calls.get(request.path, 0) + 1
     switches = state.faults
-    if switches["turn_away"] and request.remote == switches["turn_away"]:
+    if switches["turn_away"] and _called_at(request) == switches["turn_away"]:
         return web.Response(status=int(switches["turn_away_status"]))
     if switches["silent"]:
         await asyncio.sleep(MAX_WAIT_S)
@@ -149,6 +149,11 @@
     return response
 
 
+def _called_at(request: web.Request) -> str:
+    """Return the address of the store that was called: machines that are turned away have one."""
+    return request.transport.get_extra_info("sockname")[0]
+
+
 async def _key(request: web.Request) -> web.Response:
     state: PlatformStore = request.app["state"]
     item = state.items.get(request.query["key"])
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import itertools
+import json
 import os
 import pathlib
 import sys
@@ -14,16 +15,22 @@
 sys.path.insert(0, str(ROOT))
 
 from standins import deployment, platform_site  # noqa: E402
-from tests import builders  # noqa: E402
+from tests import builders, witness  # noqa: E402
 
 EXAMPLES = ("ice-works", "doors")
 SETTLE_S = 1.0
+RUN = ROOT / ".run"
+# Events that scenarios in virtual time caused.
+SEEN: set[str] = set()
 # Outlives the scenario, unlike what is set on its context.
 VERSIONS = itertools.count(1)
 
 
 def before_all(context) -> None:
-    """Make one event loop for all scenarios."""
+    """Make one event loop for all scenarios, and forget the logs of earlier runs."""
+    RUN.mkdir(exist_ok=True)
+    for log in RUN.rglob("*.log"):
+        log.unlink()
     os.environ[builders.SECRET_VARIABLE] = builders.SECRET
     context.loop = asyncio.new_event_loop()
     asyncio.set_event_loop(context.loop)
@@ -113,7 +120,8 @@
 
 
 def after_scenario(context, scenario) -> None:
-    """End what the scenario started."""
+    """End what the scenario started, and note the events that it caused."""
+    SEEN.update(witness.in_scenario(context))
     for close in reversed(getattr(context, "closers", [])):
         context.loop.run_until_complete(close())
     context.closers = []
@@ -127,7 +135,9 @@
 
 
 def after_all(context) -> None:
-    """Close the event loop."""
+    """Close the event loop, and write which events were caused."""
+    seen = sorted(SEEN | witness.in_logs(RUN))
+    (RUN / witness.FILE).write_text(json.dumps(seen))
     context.loop.close()
 
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -129,6 +129,34 @@
       | 0.5 s of delay                       |
       | mute watches, and forgets its history|
 
+  Scenario Outline: An instance starts while the store's writes are in trouble
+    When the platform kills edge-east-2
+    And the store begins the fault <fault>
+    Then edge-east-2 starts again and is ready
+    And every directory names edge-east-2 within 8 seconds
+
+    Examples:
+      | fault                |
+      | 4 lost answers       |
+      | 4 late writes        |
+
+  Scenario: The store turns the machines of one region away
+    Given the store has the fault turning west away
+    When version 2 drops the route status
+    And 3 s of real time pass
+    And a caller with the account's key asks edge-east-1 for GET /status/x
+    Then the answer is 404
+    When a caller with the account's key asks edge-west-1 for POST /book/x
+    Then the answer is 200
+    When the store has no fault any more
+    And 5 s of real time pass
+    And a caller with the account's key asks edge-west-1 for GET /status/x
+    Then the answer is 404
+
+  Scenario: Configurations in quick succession deny no proper request
+    When 20 versions come 0.15 seconds apart while every instance is asked for GET /status/x
+    Then none of at least 100 requests was answered with another status than 200
+
   Scenario: Configurations come into force and never go back
     When version 3 drops the route status
     And 3 s of real time pass
@@ -179,6 +207,32 @@
     Then all were answered 200 in less than 1 second each
     And its metrics tell of dropped log lines and of 2000 requests or more
 
+  Scenario: All instances are killed at once and start again
+    When all instances are killed at once and start again
+    And 3 s of real time pass
+    And 6 requests GET /status/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+    When 6 requests GET /status/x go to edge-west-1 over one connection
+    Then all answers are 200 and each belongs to its request
+
+  Scenario Outline: From the id of a failed request to its cause
+    Given <trouble>
+    When a caller with the account's key asks edge-east-1 for <method> <path>
+    Then its id leads over all logs to <outcome> with <code> at <step>, <run>
+    And the lines in between tell <inputs>
+
+    Examples:
+      | trouble                                 | method | path      | outcome         | code           | step   | run          | inputs                         |
+      | the upstreams have the fault reset      | POST   | /book/x   | request-refused | upstream-failed| send   | may-have-run | usable, known, store_age_s     |
+      | the upstreams have the fault cut once   | GET    | /ask/x    | request-cut     | upstream-failed| send   | may-have-run | running, slots, version        |
+      | the upstreams have the fault hang       | GET    | /brief/x  | request-refused | deadline       | core   | may-have-run | left_s, wait_s, waited_s       |
+      | every upstream of desk is draining      | POST   | /book/x   | request-refused | no-upstream    | place  | not-run      | usable=0, upstream-leaving     |
+      | the account may use 1 token a second    | POST   | /book/x   | request-refused | rate-exceeded  | quota  | not-run      | tokens_left, retry_after_s     |
+
+  Scenario: The time line of a request that another region answered
+    When a caller with the account's key asks edge-east-1 for GET /away/x
+    Then its id leads over all logs to a line of each instance, the entry's first
+
   Scenario: No configuration is known yet
     When all are killed, the store is empty and edge-east-1 starts
     And a caller with the account's key asks edge-east-1 for POST /book/x
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -10,9 +10,11 @@
 
 import aiohttp
 import behave
+from click import testing
 
 from standins import deployment, platform_site
 from tests import builders
+from yuccahitch import cli
 
 numbers = itertools.count(1)
 
@@ -298,9 +300,13 @@
     "silent": {"silent": True},
     "0.5 s of delay": {"delay_s": 0.5},
     "mute watches, and forgets its history": {"mute_watches": True},
+    "turning west away": {"turn_away": platform_site.STORES["west"].partition(":")[0]},
+    "4 lost answers": {"lose_answers": 4},
+    "4 late writes": {"late_writes": 4},
 }
 
 
+@behave.when("the store begins the fault {words}")
 @behave.given("the store has the fault {words}")
 def step_store_fault(context, words):
     context.forgets = "forgets" in words
@@ -494,3 +500,112 @@
     lines = dict(line.rsplit(" ", 1) for line in run(context, work()).splitlines())
     assert float(lines["yuccahitch_log_lines_dropped"]) > 0, lines
     assert float(lines["yuccahitch_requests_total"]) >= count, lines
+
+
+@behave.then("every directory names {name} within {seconds:d} seconds")
+def step_named_again(context, name, seconds):
+    region = platform_site.ZONES[platform_site.MACHINES[name]]
+
+    async def named():
+        asked = [n for n in context.site.processes if platform_site.MACHINES[n] == "east-a"]
+        lists = [await context.site.directory(n, region, builders.HOST) for n in asked]
+        return all(name in found for found in lists)
+
+    run(context, deployment.until(named, seconds))
+
+
+@behave.when(
+    "{count:d} versions come {gap:g} seconds apart while every instance is asked for GET {path}"
+)
+def step_storm(context, count, gap, path):
+    async def caller(session, name, ends):
+        replies = []
+        while time.monotonic() < ends:
+            replies.append(await ask(session, name, "GET", path))
+        return replies
+
+    async def work():
+        async with aiohttp.ClientSession() as session:
+            ends = time.monotonic() + count * gap + 1.0
+            callers = [
+                asyncio.ensure_future(caller(session, name, ends))
+                for name in context.site.processes
+            ]
+            for number in range(count):
+                document = builders.a_publication(context.version + 1 + number)
+                extra = builders.a_published_route(f"extra-{number}", f"/extra-{number}/")
+                document["routes"].append(extra)
+                await context.site.write("op/config", document)
+                await asyncio.sleep(gap)
+            return await asyncio.gather(*callers)
+
+    context.replies = list(itertools.chain.from_iterable(run(context, work())))
+
+
+@behave.then("none of at least {least:d} requests was answered with another status than {status:d}")
+def step_none_denied(context, least, status):
+    assert len(context.replies) >= least, len(context.replies)
+    assert {reply.status for reply in context.replies} == {status}
+
+
+@behave.when("all instances are killed at once and start again")
+def step_herd(context):
+    async def work():
+        names = list(context.site.processes)
+        await asyncio.gather(*(context.site.kill(name) for name in names))
+        await asyncio.gather(*(context.site.start(name) for name in names))
+        await context.site.until_ready(*names)
+
+    run(context, work())
+
+
+@behave.given("every upstream of desk is draining")
+def step_all_draining(context):
+    for name in ("desk-1", "desk-2", "desk-3"):
+        run(context, context.site.register(name, state="draining"))
+    run(context, asyncio.sleep(1.0))
+
+
+@behave.given("the account may use {rate:d} token a second")
+def step_poor(context, rate):
+    publish(context, 1, tenants=[builders.a_published_tenant(ratePerS=rate, burst=rate)])
+    run(context, asyncio.sleep(1.0))
+    for _ in range(50):
+        one(context, "edge-east-1", "POST", "/book/x")
+
+
+def explained(context):
+    """Return what ``yuccahitch explain`` draws for the request asked last."""
+    (reply,) = context.replies
+    logs = [str(path) for path in sorted(context.site.run_dir.glob("*.log"))]
+
+    def whole():
+        result = testing.CliRunner().invoke(cli.main, ["explain", reply.id, *logs])
+        return result.output if result.exit_code == 0 else ""
+
+    async def told():
+        context.drawn = whole()
+        return "outcome: no line" not in context.drawn and "outcome:" in context.drawn
+
+    run(context, deployment.until(told, 5.0))
+    return context.drawn
+
+
+@behave.then("its id leads over all logs to {outcome} with {code} at {step}, {ran}")
+def step_explained(context, outcome, code, step, ran):
+    verdict = explained(context).splitlines()[-1]
+    assert verdict.startswith(f"outcome: {outcome} after "), verdict
+    assert f" {code} at {step}" in verdict and f" {ran}: " in verdict, verdict
+
+
+@behave.then("the lines in between tell {inputs}")
+def step_inputs(context, inputs):
+    missing = [word for word in inputs.split(", ") if word not in context.drawn]
+    assert not missing, (missing, context.drawn)
+
+
+@behave.then("its id leads over all logs to a line of each instance, the entry's first")
+def step_both_instances(context):
+    lines = [line.split() for line in explained(context).splitlines() if line.startswith(">")]
+    instances = [words[2].partition("~")[0] for words in lines]
+    assert instances[0] == "edge-east-1" and "edge-west-1" in instances, lines
--- a/tests/run.py
+++ b/tests/run.py
@@ -14,6 +14,8 @@
 
 from behave import __main__ as behave_main
 
+from tests import witness
+
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_REASON_CHARACTERS = 1500
@@ -74,6 +76,10 @@
     for name in sorted(healed):
         print(f"listed in KNOWN-RED.txt but passes: {name}")
     bad = len(unexpected) + len(healed)
+    uncaused = [] if arguments else witness.missing(report.parent)
+    for name in uncaused:
+        print(f"FAILED: no scenario causes the event {name}")
+    bad += len(uncaused)
     if code and not failed:
         print("behave failed outside of a scenario")
         bad += 1
--- a/yuccahitch/cli/__init__.py
+++ b/yuccahitch/cli/__init__.py
@@ -5,7 +5,7 @@
 import click
 
 import yuccahitch
-from yuccahitch.cli import operate, run, show
+from yuccahitch.cli import explain, operate, run, show
 
 
 @click.group()
@@ -14,5 +14,5 @@
     """Run and operate yuccahitch, a multi-region inference gateway."""
 
 
-for command in (run.serve, run.check, run.edge, *operate.COMMANDS, show.timeline):
+for command in (run.serve, run.check, run.edge, *operate.COMMANDS, show.timeline, explain.explain):
     main.add_command(command)
--- a/yuccahitch/cli/show.py
+++ b/yuccahitch/cli/show.py
@@ -47,10 +47,10 @@
     def __lt__(self, other: Line) -> bool:
         return (self.stamp, self.instance) < (other.stamp, other.instance)
 
-    def text(self, began: int) -> str:
-        """Return the line as text, its time relative to the first event."""
+    def text(self, began: int, *, stamp: int | None = None) -> str:
+        """Return the line as text, its time, or another one, relative to the first event."""
         told = " ".join(f"{name}={value}" for name, value in self.fields.items())
-        seconds = (self.stamp - began) / 1e6
+        seconds = ((self.stamp if stamp is None else stamp) - began) / 1e6
         return f"{seconds:12.6f}  {self.instance:<24} {self.number} {self.name:<20} {told}"
 
 
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -293,7 +293,6 @@
             self._note(
                 events.Event.UPSTREAM_FOUND,
                 item.name,
-                service=item.service,
                 zone=item.zone,
                 slots=item.slots,
                 cold_s=item.cold_s,
@@ -320,4 +319,7 @@
             self._note(events.Event.UPSTREAM_MISSING, key, used_s=replica.gone_at - now)
 
     def _note(self, event: events.Event, name: str, **fields: typing.Any) -> None:
+        replica = self.table.get(name)
+        if replica is not None:
+            fields["service"] = replica.upstream.service
         self.outbox.append(commands.Note(event, upstream=name, **fields))
