--- /dev/null
+++ b/tests/features/steps/explain.py
@@ -0,0 +1,66 @@
+"""Steps about the way from a request's id to its cause."""
+
+from __future__ import annotations
+
+import asyncio
+
+import behave
+from click import testing
+
+from standins import deployment
+from tests import builders, platform_calls
+from yuccahitch import cli
+
+
+@behave.given("every upstream of desk is draining")
+def step_all_draining(context):
+    for name in ("desk-1", "desk-2", "desk-3"):
+        platform_calls.run(context, context.site.register(name, state="draining"))
+    platform_calls.run(context, asyncio.sleep(1.0))
+
+
+@behave.given("the account may use {rate:d} token a second")
+def step_poor(context, rate):
+    platform_calls.publish(
+        context, 1, tenants=[builders.a_published_tenant(ratePerS=rate, burst=rate)]
+    )
+    platform_calls.run(context, asyncio.sleep(1.0))
+    for _ in range(50):
+        platform_calls.one(context, "edge-east-1", "POST", "/book/x")
+
+
+def explained(context):
+    """Return what ``yuccahitch explain`` draws for the request asked last."""
+    (reply,) = context.replies
+    logs = [str(path) for path in sorted(context.site.run_dir.glob("*.log"))]
+
+    def whole():
+        result = testing.CliRunner().invoke(cli.main, ["explain", reply.id, *logs])
+        return result.output if result.exit_code == 0 else ""
+
+    async def told():
+        context.drawn = whole()
+        return "outcome: no line" not in context.drawn and "outcome:" in context.drawn
+
+    platform_calls.run(context, deployment.until(told, 5.0))
+    return context.drawn
+
+
+@behave.then("its id leads over all logs to {outcome} with {code} at {step}, {ran}")
+def step_explained(context, outcome, code, step, ran):
+    verdict = explained(context).splitlines()[-1]
+    assert verdict.startswith(f"outcome: {outcome} after "), verdict
+    assert f" {code} at {step}" in verdict and f" {ran}: " in verdict, verdict
+
+
+@behave.then("the lines in between tell {inputs}")
+def step_inputs(context, inputs):
+    missing = [word for word in inputs.split(", ") if word not in context.drawn]
+    assert not missing, (missing, context.drawn)
+
+
+@behave.then("its id leads over all logs to a line of each instance, the entry's first")
+def step_both_instances(context):
+    lines = [line.split() for line in explained(context).splitlines() if line.startswith(">")]
+    instances = [words[2].partition("~")[0] for words in lines]
+    assert instances[0] == "edge-east-1" and "edge-west-1" in instances, lines
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -10,85 +10,9 @@
 
 import aiohttp
 import behave
-from click import testing
 
 from standins import deployment, platform_site
-from tests import builders
-from yuccahitch import cli
-
-numbers = itertools.count(1)
-
-
-class Reply:
-    """An answer as a caller saw it; status 0 means that the connection broke."""
-
-    def __init__(self, status, headers, body, seconds, request_id):
-        self.status = status
-        self.headers = headers
-        self.body = body
-        self.seconds = seconds
-        self.id = request_id
-
-
-def run(context, work):
-    return context.loop.run_until_complete(work)
-
-
-async def ask(session, instance, method, path, *, body=b"", key=builders.PLATFORM_KEY, **headers):
-    """Send a request and return its reply."""
-    request_id = f"q{next(numbers)}"
-    sent = {"Host": builders.HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "4000"}
-    if key:
-        sent["Authorization"] = f"Token {key}"
-    sent |= {name.replace("_", "-"): value for name, value in headers.items()}
-    url = f"http://{platform_site.machine(instance)}:7101"
-    began = time.monotonic()
-    status, found, received = 0, {}, bytearray()
-    try:
-        target = aiohttp.client.URL(url + path, encoded=True)
-        async with session.request(method, target, headers=sent, data=body or None) as response:
-            status, found = response.status, response.headers
-            async for data in response.content.iter_any():
-                received += data
-    except aiohttp.ClientError:
-        status = -status if status else 0
-    return Reply(status, found, bytes(received), time.monotonic() - began, request_id)
-
-
-def one(context, instance, method, path, **options):
-    async def work():
-        async with aiohttp.ClientSession() as session:
-            return await ask(session, instance, method, path, **options)
-
-    context.replies = [run(context, work())]
-
-
-def seen(context):
-    """Return what all upstreams saw since the scenario began, each with its upstream's name."""
-
-    async def work():
-        found = []
-        for name in platform_site.UPSTREAMS:
-            told = (await context.site.seen(name))["seen"]
-            found += [entry | {"at": name} for entry in told[context.marks.get(name, 0) :]]
-        return found
-
-    return run(context, work())
-
-
-def mark(context):
-    """Forget what the upstreams saw so far."""
-
-    async def work():
-        return {n: len((await context.site.seen(n))["seen"]) for n in platform_site.UPSTREAMS}
-
-    context.marks = run(context, work())
-
-
-def publish(context, version, **fields):
-    document = builders.a_publication(context.version + version, **fields)
-    run(context, context.site.write("op/config", document))
-
+from tests import builders, platform_calls
 
 CALLERS = {
     "with the account's key": {},
@@ -109,7 +33,7 @@
 @behave.when("a caller {who} asks {instance} for {method} {path}")
 def step_asks(context, who, instance, method, path):
     body = {"body": b"x"} if method == "POST" else {}
-    one(context, instance, method, path, **(body | CALLERS[who]))
+    platform_calls.one(context, instance, method, path, **(body | CALLERS[who]))
 
 
 @behave.when("{count:d} requests {method} {path} go to {instance} over one connection")
@@ -119,24 +43,24 @@
         async with aiohttp.ClientSession(connector=connector) as session:
             replies = []
             for _ in range(count):
-                replies.append(await ask(session, instance, method, path))
+                replies.append(await platform_calls.ask(session, instance, method, path))
                 await asyncio.sleep(0.08)
             return replies
 
-    mark(context)
-    context.replies = run(context, work())
+    platform_calls.mark(context)
+    context.replies = platform_calls.run(context, work())
 
 
 @behave.when("a caller leaves {s:g} seconds after asking {instance} for {method} {path}")
 def step_leaves(context, s, instance, method, path):
     async def work():
         async with aiohttp.ClientSession() as session:
-            task = asyncio.ensure_future(ask(session, instance, method, path))
+            task = asyncio.ensure_future(platform_calls.ask(session, instance, method, path))
             await asyncio.sleep(s)
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
-    run(context, work())
+    platform_calls.run(context, work())
 
 
 @behave.then("the answer is 200, signed by an upstream, with its whole body")
@@ -150,13 +74,13 @@
 
 @behave.then("one upstream saw {method} {path} with the body {body}")
 def step_unchanged(context, method, path, body):
-    (entry,) = seen(context)
+    (entry,) = platform_calls.seen(context)
     assert (entry["method"], entry["path"], entry["body"]) == (method, path, body), entry
 
 
 @behave.then("it was told the account rinks, its own id, and at most the time that was left")
 def step_told(context):
-    (entry,) = seen(context)
+    (entry,) = platform_calls.seen(context)
     assert entry["headers"]["x-tenant-id"] == "rinks"
     assert entry["headers"]["x-expected-instance"] == entry["at"]
     assert 0 < int(entry["headers"]["x-deadline-ms"]) <= 4000
@@ -165,7 +89,7 @@
 
 @behave.then("it saw neither the key nor what only the gateway may set")
 def step_hidden(context):
-    (entry,) = seen(context)
+    (entry,) = platform_calls.seen(context)
     assert "authorization" not in entry["headers"] and "x-hold" not in entry["headers"]
     assert builders.PLATFORM_KEY not in json.dumps(entry)
     assert entry["headers"]["x-own"] == "kept"
@@ -174,7 +98,7 @@
 @behave.then("the answer is {status:d} and no upstream saw it")
 def step_refused(context, status):
     assert context.replies[0].status == status, context.replies[0].status
-    assert not seen(context)
+    assert not platform_calls.seen(context)
 
 
 @behave.then("the answer is {status:d}")
@@ -182,7 +106,7 @@
     (reply,) = context.replies
     assert reply.status == status, (reply.status, reply.body)
     if reply.status == 503:
-        assert not [entry for entry in seen(context) if entry["ran"]]
+        assert not [entry for entry in platform_calls.seen(context) if entry["ran"]]
 
 
 @behave.then("the answer is {status:d} within {low:g} to {high:g} seconds")
@@ -194,7 +118,7 @@
 
 @behave.then("it ran {times:d} times")
 def step_ran(context, times):
-    ran = [entry for entry in seen(context) if entry["ran"]]
+    ran = [entry for entry in platform_calls.seen(context) if entry["ran"]]
     assert len(ran) == times, ran
 
 
@@ -209,14 +133,14 @@
 
 @behave.then("only {name} ran them")
 def step_only(context, name):
-    places = [entry["at"] for entry in seen(context) if entry["ran"]]
+    places = [entry["at"] for entry in platform_calls.seen(context) if entry["ran"]]
     assert set(places) == {name}, places
 
 
 @behave.then("{name} ran none of them")
 @behave.then("{name} ran none of these")
 def step_none(context, name):
-    assert name not in {entry["at"] for entry in seen(context) if entry["ran"]}
+    assert name not in {entry["at"] for entry in platform_calls.seen(context) if entry["ran"]}
 
 
 @behave.then("no upstream works on it half a second later")
@@ -225,7 +149,7 @@
         await asyncio.sleep(0.5)
         return sum([(await context.site.seen(n))["running"] for n in platform_site.UPSTREAMS])
 
-    assert run(context, work()) == 0
+    assert platform_calls.run(context, work()) == 0
 
 
 @behave.then("the stream has each event from 1 to 6 once, in order")
@@ -233,7 +157,7 @@
     (reply,) = context.replies
     ids = [line for line in reply.body.decode().splitlines() if line.startswith("id:")]
     assert reply.status == 200 and ids == [f"id: {n}" for n in range(1, 7)], (reply.status, ids)
-    assert len({entry["at"] for entry in seen(context) if entry["ran"]}) == 2
+    assert len({entry["at"] for entry in platform_calls.seen(context) if entry["ran"]}) == 2
 
 
 @behave.then("the stream breaks off after whole events 1 to 3")
@@ -255,44 +179,44 @@
         for place in platform_site.UPSTREAMS:
             await context.site.faults(place, **{name: int(amount or 1)})
 
-    run(context, work())
+    platform_calls.run(context, work())
 
 
 @behave.given("{name} sheds every request")
 def step_sheds(context, name):
-    run(context, context.site.faults(name, shed=1000))
+    platform_calls.run(context, context.site.faults(name, shed=1000))
 
 
 @behave.given("the entry of {name} names the address of {other}")
 def step_wrong_address(context, name, other):
-    run(context, context.site.register(name, address=platform_site.address(other)))
-    run(context, asyncio.sleep(0.6))
+    platform_calls.run(context, context.site.register(name, address=platform_site.address(other)))
+    platform_calls.run(context, asyncio.sleep(0.6))
 
 
 @behave.when("{name} says that it is draining")
 def step_draining(context, name):
-    run(context, context.site.register(name, state="draining"))
+    platform_calls.run(context, context.site.register(name, state="draining"))
 
 
 @behave.when("{name} has its entry removed")
 def step_removed(context, name):
-    run(context, context.site.write(f"servers/{name}", None))
+    platform_calls.run(context, context.site.write(f"servers/{name}", None))
 
 
 @behave.when("{name} has an entry that can't be read")
 def step_unreadable(context, name):
-    run(context, context.site.write(f"servers/{name}", "\x01not json"))
+    platform_calls.run(context, context.site.write(f"servers/{name}", "\x01not json"))
 
 
 @behave.when("{name} has an entry of an unknown state")
 def step_unknown_state(context, name):
-    run(context, context.site.register(name, state="resting"))
+    platform_calls.run(context, context.site.register(name, state="resting"))
 
 
 @behave.when("{seconds:d} s of real time pass")
 @behave.given("{seconds:d} s of real time pass")
 def step_pass(context, seconds):
-    run(context, asyncio.sleep(seconds))
+    platform_calls.run(context, asyncio.sleep(seconds))
 
 
 STORE_FAULTS = {
@@ -310,36 +234,40 @@
 @behave.given("the store has the fault {words}")
 def step_store_fault(context, words):
     context.forgets = "forgets" in words
-    run(context, context.site.faults("store", **STORE_FAULTS[words]))
+    platform_calls.run(context, context.site.faults("store", **STORE_FAULTS[words]))
 
 
 @behave.when("the store has no fault any more")
 def step_store_well(context):
-    run(context, context.site.faults("store"))
+    platform_calls.run(context, context.site.faults("store"))
     if context.forgets:
-        run(context, context.site.call_store("POST", "/admin/compact"))
+        platform_calls.run(context, context.site.call_store("POST", "/admin/compact"))
 
 
 @behave.when("version {version:d} drops the route status")
 def step_drop(context, version):
     routes = [r for r in builders.a_publication()["routes"] if r["name"] != "status"]
-    publish(context, version, routes=routes)
+    platform_calls.publish(context, version, routes=routes)
 
 
 @behave.when("an older version 2 and a broken one are written")
 def step_older(context):
-    publish(context, 2)
-    run(context, context.site.write("op/config", "{"))
+    platform_calls.publish(context, 2)
+    platform_calls.run(context, context.site.write("op/config", "{"))
 
 
 @behave.when("version {version:d} takes the account's key away")
 def step_withdraw(context, version):
-    publish(context, version, tenants=[builders.a_published_tenant(apiKeys=["another-key"])])
+    platform_calls.publish(
+        context, version, tenants=[builders.a_published_tenant(apiKeys=["another-key"])]
+    )
 
 
 @behave.given("version {version:d} gives the account {rate:d} tokens a second and a burst of {b:d}")
 def step_rate(context, version, rate, b):
-    publish(context, version, tenants=[builders.a_published_tenant(ratePerS=rate, burst=b)])
+    platform_calls.publish(
+        context, version, tenants=[builders.a_published_tenant(ratePerS=rate, burst=b)]
+    )
 
 
 @behave.when(
@@ -353,21 +281,23 @@
             for _ in range(count * seconds):
                 tasks += [
                     asyncio.ensure_future(
-                        ask(session, name, "GET", "/status/x", X_Token_Usage=f"{tokens},0")
+                        platform_calls.ask(
+                            session, name, "GET", "/status/x", X_Token_Usage=f"{tokens},0"
+                        )
                     )
                     for name in platform_site.MACHINES
                 ]
                 await asyncio.sleep(1 / count)
             return await asyncio.gather(*tasks)
 
-    mark(context)
+    platform_calls.mark(context)
     context.tokens = tokens
-    context.replies = run(context, work())
+    context.replies = platform_calls.run(context, work())
 
 
 @behave.then("at most {most:d} tokens ran, and at least {least:d}")
 def step_tokens(context, most, least):
-    ran = {entry["id"] for entry in seen(context) if entry["ran"]}
+    ran = {entry["id"] for entry in platform_calls.seen(context) if entry["ran"]}
     used = len(ran) * context.tokens
     assert least <= used <= most, used
     refused = {reply.status for reply in context.replies} - {200}
@@ -376,12 +306,12 @@
 
 @behave.when("the zone {zone} is evacuated")
 def step_evacuate(context, zone):
-    run(context, context.site.write(f"op/evacuate/{zone}", {}))
+    platform_calls.run(context, context.site.write(f"op/evacuate/{zone}", {}))
 
 
 @behave.when("the zone {zone} is taken back")
 def step_take_back(context, zone):
-    run(context, context.site.write(f"op/evacuate/{zone}", None))
+    platform_calls.run(context, context.site.write(f"op/evacuate/{zone}", None))
 
 
 @behave.when("requests run over kept connections at {name} and it is told to stop")
@@ -390,7 +320,7 @@
         replies = []
         while time.monotonic() < ends:
             method, path = next(calls)
-            replies.append(await ask(session, name, method, path, body=b"x"))
+            replies.append(await platform_calls.ask(session, name, method, path, body=b"x"))
             if replies[-1].headers.get("Connection") == "close":
                 break
         return replies
@@ -407,7 +337,7 @@
             code = await context.site.stop(name)
             return code, await asyncio.gather(*callers)
 
-    context.code, found = run(context, work())
+    context.code, found = platform_calls.run(context, work())
     context.replies = list(itertools.chain.from_iterable(found))
     context.stopped = name
 
@@ -421,7 +351,7 @@
 
 @behave.when("the platform kills {name}")
 def step_kill(context, name):
-    run(context, context.site.kill(name))
+    platform_calls.run(context, context.site.kill(name))
 
 
 @behave.then("no directory names {name} within {seconds:d} seconds")
@@ -436,13 +366,13 @@
         ]
         return all(found and name not in found for found in lists)
 
-    run(context, deployment.until(gone, seconds))
+    platform_calls.run(context, deployment.until(gone, seconds))
 
 
 @behave.then("{name} starts again and is ready")
 def step_again(context, name):
-    run(context, context.site.start(name))
-    run(context, context.site.until_ready(name))
+    platform_calls.run(context, context.site.start(name))
+    platform_calls.run(context, context.site.until_ready(name))
 
 
 @behave.when("all are killed, the store is empty and {name} starts")
@@ -454,7 +384,7 @@
         await context.site.start(name)
         await asyncio.sleep(2.0)
 
-    run(context, work())
+    platform_calls.run(context, work())
 
 
 @behave.when("{name} starts again with a log that nobody reads")
@@ -466,13 +396,16 @@
         await asyncio.sleep(1.0)
 
     context.asked = name
-    run(context, work())
+    platform_calls.run(context, work())
 
 
 @behave.when("it is asked {count:d} times for {method} {path}")
 def step_many_asked(context, count, method, path):
     async def caller(session):
-        each = [await ask(session, context.asked, method, path) for _ in range(count // 10)]
+        each = [
+            await platform_calls.ask(session, context.asked, method, path)
+            for _ in range(count // 10)
+        ]
         return each
 
     async def work():
@@ -481,7 +414,7 @@
             found = await asyncio.gather(*(caller(session) for _ in range(10)))
             return list(itertools.chain.from_iterable(found))
 
-    context.replies = run(context, work())
+    context.replies = platform_calls.run(context, work())
 
 
 @behave.then("all were answered {status:d} in less than {seconds:d} second each")
@@ -497,7 +430,7 @@
         async with context.site.session.get(url) as response:
             return await response.text()
 
-    lines = dict(line.rsplit(" ", 1) for line in run(context, work()).splitlines())
+    lines = dict(line.rsplit(" ", 1) for line in platform_calls.run(context, work()).splitlines())
     assert float(lines["yuccahitch_log_lines_dropped"]) > 0, lines
     assert float(lines["yuccahitch_requests_total"]) >= count, lines
 
@@ -511,7 +444,7 @@
         lists = [await context.site.directory(n, region, builders.HOST) for n in asked]
         return all(name in found for found in lists)
 
-    run(context, deployment.until(named, seconds))
+    platform_calls.run(context, deployment.until(named, seconds))
 
 
 @behave.when(
@@ -521,7 +454,7 @@
     async def caller(session, name, ends):
         replies = []
         while time.monotonic() < ends:
-            replies.append(await ask(session, name, "GET", path))
+            replies.append(await platform_calls.ask(session, name, "GET", path))
         return replies
 
     async def work():
@@ -539,7 +472,7 @@
                 await asyncio.sleep(gap)
             return await asyncio.gather(*callers)
 
-    context.replies = list(itertools.chain.from_iterable(run(context, work())))
+    context.replies = list(itertools.chain.from_iterable(platform_calls.run(context, work())))
 
 
 @behave.then("none of at least {least:d} requests was answered with another status than {status:d}")
@@ -556,56 +489,4 @@
         await asyncio.gather(*(context.site.start(name) for name in names))
         await context.site.until_ready(*names)
 
-    run(context, work())
-
-
-@behave.given("every upstream of desk is draining")
-def step_all_draining(context):
-    for name in ("desk-1", "desk-2", "desk-3"):
-        run(context, context.site.register(name, state="draining"))
-    run(context, asyncio.sleep(1.0))
-
-
-@behave.given("the account may use {rate:d} token a second")
-def step_poor(context, rate):
-    publish(context, 1, tenants=[builders.a_published_tenant(ratePerS=rate, burst=rate)])
-    run(context, asyncio.sleep(1.0))
-    for _ in range(50):
-        one(context, "edge-east-1", "POST", "/book/x")
-
-
-def explained(context):
-    """Return what ``yuccahitch explain`` draws for the request asked last."""
-    (reply,) = context.replies
-    logs = [str(path) for path in sorted(context.site.run_dir.glob("*.log"))]
-
-    def whole():
-        result = testing.CliRunner().invoke(cli.main, ["explain", reply.id, *logs])
-        return result.output if result.exit_code == 0 else ""
-
-    async def told():
-        context.drawn = whole()
-        return "outcome: no line" not in context.drawn and "outcome:" in context.drawn
-
-    run(context, deployment.until(told, 5.0))
-    return context.drawn
-
-
-@behave.then("its id leads over all logs to {outcome} with {code} at {step}, {ran}")
-def step_explained(context, outcome, code, step, ran):
-    verdict = explained(context).splitlines()[-1]
-    assert verdict.startswith(f"outcome: {outcome} after "), verdict
-    assert f" {code} at {step}" in verdict and f" {ran}: " in verdict, verdict
-
-
-@behave.then("the lines in between tell {inputs}")
-def step_inputs(context, inputs):
-    missing = [word for word in inputs.split(", ") if word not in context.drawn]
-    assert not missing, (missing, context.drawn)
-
-
-@behave.then("its id leads over all logs to a line of each instance, the entry's first")
-def step_both_instances(context):
-    lines = [line.split() for line in explained(context).splitlines() if line.startswith(">")]
-    instances = [words[2].partition("~")[0] for words in lines]
-    assert instances[0] == "edge-east-1" and "edge-west-1" in instances, lines
+    platform_calls.run(context, work())
