Say may-have-run when an upstream's failure can't be made good; a cancelled forward is abandoned

The first: a safe request answered 500 was sent again without noting why; when no other upstream was there it was refused 503 as not run, though it had run. The second: a forwarded request whose sender left was counted as refused.

Change: the 500 is noted as the last error, with may-have-run; a cancelled run counts as abandoned.

--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -67,6 +67,11 @@
     When 400 requests of the shared route come in
     Then the first service gets from 250 to 350 of them
 
+  Scenario: A failure of an upstream is not called "not run" when no other upstream can take over
+    Given an instance with configuration 1 and upstreams u1
+    When a request for /status/x is answered 500 by the only upstream
+    Then it ends as may-have-run, and its last error tells of status 500
+
   Scenario: A request that crashes upstreams is refused, and the others hear of it
     Given 2 instances of one region with upstreams u1, u2 and u3
     When the same request has crashed three upstreams at the first instance
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -210,6 +210,21 @@
     assert repeats > 0
 
 
+@behave.when("a request for {path} is answered 500 by the only upstream")
+def step_only_fails(context, path):
+    (edge,) = context.edges
+    context.outcome = edge.ask(path)
+    request_id = context.outcome.request_id
+    context.outcome = edge.reply(request_id, builders.a_head(request_id, status=500))
+
+
+@behave.then("it ends as may-have-run, and its last error tells of status 500")
+def step_truthful(context):
+    error = context.outcome.action.error
+    assert error.run is errors.Run.MAY_HAVE_RUN, error
+    assert "500" in error.detail, error
+
+
 @behave.when("a request for {path} fails at each upstream, {how}")
 def step_fails(context, path, how):
     (edge,) = context.edges
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -124,6 +124,13 @@
     item.reached = True
     failed = reply.status >= SERVER_ERROR
     if failed and item.head is None and item.idempotent and _may_send(step, item, now):
+        item.last_error = errors.GatewayError(
+            errors.Code.UPSTREAM_FAILED,
+            step=step.step,
+            peer=reply.source,
+            detail=f"status {reply.status}",
+            run=errors.Run.MAY_HAVE_RUN,
+        )
         _tried(step, item, now)
         return actions.Rewind(balance.STEP)
     if item.head is not None and reply.status != item.head.status:
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -123,6 +123,9 @@
                 outcome = await self.mailboxes.core.ask(exchanges.Begin(self.request, hop))
                 while outcome is not None:
                     outcome = await _act(outcome.action, outcome, self)
+        except asyncio.CancelledError:
+            self.listening = False
+            raise
         except TimeoutError:
             await self._expired()
         except ConnectionError:
