--- a/tests/builders.py
+++ b/tests/builders.py
@@ -402,7 +402,7 @@
     def hear(self, other: EdgeUnderTest) -> None:
         """Hear the pulse of another instance, as it is on the wire."""
         other.decisions.outbox.clear()
-        other.decisions._tell(["127.0.0.1:1"], other.now)
+        other.decisions.tell(["127.0.0.1:1"], other.now)
         message = other.decisions.outbox.pop()
         pulse = pulse_codec.decode(pulse_codec.encode(message.pulse))
         self.decisions.on_pulse(pulse, self.now)
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -231,7 +231,7 @@
         """Begin a graceful shutdown, and let the peers know at once."""
         self.shutdown.begin(now)
         self.members.own.leaving = True
-        self._tell(self.members.everyone(), now)
+        self.tell(self.members.everyone(), now)
         if self.members.lease:
             call = store.RevokeLease(self.members.lease)
             self.outbox.append(commands.StoreCall(call, LeaseEnded()))
@@ -246,7 +246,7 @@
         self.members.expire(now)
         self.found.expire(now)
         self.suspects.expire(now)
-        self._tell(self.members.targets(now), now)
+        self.tell(self.members.targets(now), now)
         self.shutdown.advance(now, open_requests=len(self.in_flight.exchanges), handed_over=True)
 
     def on_watch(self, event: store.Changed | store.WatchLost, now: float) -> None:
@@ -270,7 +270,7 @@
         """Return what is to be done since the last call."""
         if self.suspects.announce:
             self.suspects.announce = False
-            self._tell(self.members.everyone(), now)
+            self.tell(self.members.everyone(), now)
         sources = (
             self,
             self.in_flight,
@@ -316,7 +316,8 @@
             "store_age_s": None if heard_at is None else round(now - heard_at, 1),
         }
 
-    def _tell(self, addresses: list[str], now: float) -> None:
+    def tell(self, addresses: list[str], now: float) -> None:
+        """Tell other instances what this one sees."""
         if not addresses:
             return
         self.members.number += 1
