--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -62,6 +62,18 @@
       | /plan/x   | after it ran          | 2     |
       | /ask/x    | after it ran          | 1     |
 
+  Scenario Outline: A region is handed only what it can serve
+    Given instances in west, east, with <where> for the requests that east gets
+    When east gets a request
+    Then it is <what>
+
+    Examples:
+      | where                            | what                      |
+      | an upstream in west              | handed to west            |
+      | no upstream at all               | refused with no-upstream  |
+      | a leaving upstream in west       | refused with no-upstream  |
+      | an upstream in an evacuated zone | refused with no-upstream  |
+
   Scenario: Services that share a published route get requests by their weights
     Given an instance and a published route shared 3 to 1 by two services
     When 400 requests of the shared route come in
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -290,6 +290,47 @@
     assert second.ask("/book/poison").action.error.code is errors.Code.POISON
 
 
+PLACES = {
+    "an upstream in west": {"zone": "west-a"},
+    "no upstream at all": None,
+    "a leaving upstream in west": {"zone": "west-a", "state": "draining"},
+    "an upstream in an evacuated zone": {"zone": "west-a"},
+}
+
+
+@behave.given("instances in west, east, with {where} for the requests that east gets")
+def step_far_upstream(context, where):
+    east = builders.EdgeUnderTest("edge-0", region="east")
+    west = builders.EdgeUnderTest("edge-1", region="west")
+    context.edges = [east, west]
+    for edge in context.edges:
+        edge.publish(builders.a_publication())
+        if PLACES[where] is not None:
+            edge.register("u1", **PLACES[where])
+        if "evacuated" in where:
+            edge.decisions.config.changed(
+                "evacuate/west-a", edge.item("evacuate/west-a", {}), edge.now
+            )
+    east.meet(west)
+
+
+@behave.when("east gets a request")
+def step_east_asked(context):
+    context.outcome = context.edges[0].ask()
+
+
+@behave.then("it is handed to west")
+def step_handed(context):
+    work = context.outcome.action.work
+    assert work.instance == context.edges[1].decisions.instance, work
+
+
+@behave.then("it is refused with no-upstream")
+def step_none_left(context):
+    assert type(context.outcome.action) is actions.Refuse, context.outcome.action
+    assert context.outcome.action.error.code is errors.Code.NO_UPSTREAM
+
+
 @behave.given("an instance and a published route shared {first:d} to {second:d} by two services")
 def step_shared_route(context, first, second):
     context.edge = builders.EdgeUnderTest()
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -310,6 +310,8 @@
             regions &= task.regions
         options = []
         for region in sorted(regions):
+            if not self.found.usable(task.service.name, now, region=region):
+                continue
             rows = [
                 row
                 for row in self.members.serving(now, region=region)
