Scenarios for the lines of the log: beliefs, inputs of decisions, drops, faults, reload

Cause: the test over the catalogue of events showed events that no scenario causes; operation-replayed was in the catalogue and never written.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -429,9 +429,17 @@
         """Let a part of an answer, or a failure, come back."""
         return self.decisions.resume(request_id, part, self.now)
 
-    def finish(self, request_id: str, *, succeeded: bool = True) -> None:
+    def finish(
+        self,
+        request_id: str,
+        *,
+        succeeded: bool = True,
+        error: errors.GatewayError | None = None,
+    ) -> None:
         """Let a request end."""
-        message = exchanges.Finished(request_id, succeeded=succeeded, usage=answers.Usage())
+        message = exchanges.Finished(
+            request_id, succeeded=succeeded, usage=answers.Usage(), error=error
+        )
         self.decisions.finish(message, self.now)
 
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -207,6 +207,25 @@
     Then all were answered 200 in less than 1 second each
     And its metrics tell of dropped log lines and of 2000 requests or more
 
+  Scenario Outline: The settings file changes
+    When the settings of edge-west-1 <change> and it gets SIGHUP
+    And 1 s of real time pass
+    Then the log file of edge-west-1 holds <what>
+    When a caller with the account's key asks edge-west-1 for POST /book/x
+    Then the answer is 200
+
+    Examples:
+      | change                     | what               |
+      | name the store's other address | reloaded, store=127.30.0.1:7100 |
+      | have a mistake             | reloaded, mistakes |
+
+  Scenario: An instance's entry names a place where nothing can be sent
+    When the store holds an instance at port 0
+    And 2 s of real time pass
+    Then the log file of edge-east-1 holds pulse-failed
+    When a caller with the account's key asks edge-east-1 for POST /book/x
+    Then the answer is 200
+
   Scenario: All instances are killed at once and start again
     When all instances are killed at once and start again
     And 3 s of real time pass
--- a/tests/features/steps/explain.py
+++ b/tests/features/steps/explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 
 import behave
 from click import testing
@@ -10,6 +11,9 @@
 from standins import deployment
 from tests import builders, platform_calls
 from yuccahitch import cli
+from yuccahitch.cli import show
+from yuccahitch.controllers import fleet
+from yuccahitch.messages import peers
 
 
 @behave.given("every upstream of desk is draining")
@@ -64,3 +68,45 @@
     lines = [line.split() for line in explained(context).splitlines() if line.startswith(">")]
     instances = [words[2].partition("~")[0] for words in lines]
     assert instances[0] == "edge-east-1" and "edge-west-1" in instances, lines
+
+
+CHANGES = {
+    "name the store's other address": ("127.30.0.2:7100", "127.30.0.1:7100"),
+    "have a mistake": ("[store]", "[stores]"),
+}
+
+
+@behave.when("the settings of {name} {change} and it gets SIGHUP")
+def step_settings(context, name, change):
+    path = context.site.run_dir / f"{name}.ini"
+    before, after = CHANGES[change]
+    path.write_text(path.read_text().replace(before, after))
+    context.site.processes[name].send_signal(signal.SIGHUP)
+
+
+@behave.when("the store holds an instance at port 0")
+def step_port_zero(context):
+    row = peers.Row(
+        instance="ghost~1",
+        region="east",
+        zone="east-a",
+        host="127.30.1.99",
+        caller_port=7101,
+        peer_port=0,
+        wan_address="127.30.1.99:0",
+    )
+    key = fleet.PREFIX + "ghost"
+
+    async def forget():
+        await context.site.write(key, None)
+
+    platform_calls.run(context, context.site.write(key, row.as_dict()))
+    context.closers = [forget]
+
+
+@behave.then("the log file of {name} holds {words}")
+def step_log_tells(context, name, words):
+    label, _, field = words.partition(", ")
+    lines = show.read(context.site.run_dir / f"{name}.log")
+    told = [line.text(0) for line in lines if line.name == label]
+    assert told and field in told[-1], told
--- /dev/null
+++ b/tests/features/steps/logs.py
@@ -0,0 +1,256 @@
+"""Steps about the lines of the log."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+
+import behave
+import eliot
+
+from tests import builders
+from yuccahitch import clock, errors, events
+from yuccahitch.messages import commands
+from yuccahitch.tasks import core, log_pipe, mailbox, metrics
+
+FAILURES = 10
+EJECTED_S = 3.0
+SILENT_S = 6.0
+
+
+@behave.given("a log of {size:d} bytes into a pipe that nobody reads")
+def step_pipe(context, size):
+    context.ends = os.pipe()
+    context.pipe = log_pipe.LogPipe(context.ends[1], max_bytes=size)
+
+
+@behave.when(
+    "{ordinary:d} lines about ordinary requests and {refused:d} about refusals are written"
+)
+def step_lines(context, ordinary, refused):
+    async def work():
+        context.pipe.start(asyncio.get_running_loop())
+        for number in range(ordinary):
+            context.pipe({"message_type": events.Event.REQUEST_ENDED.label, "n": number})
+            if number % (ordinary // refused) == 0:
+                context.pipe({"message_type": events.Event.REQUEST_REFUSED.label, "n": number})
+            if number % 100 == 0:
+                await asyncio.sleep(0.01)
+
+    context.loop.run_until_complete(work())
+
+
+@behave.when("the reader comes back")
+def step_reader(context):
+    async def work():
+        os.set_blocking(context.ends[0], False)
+        raw = bytearray()
+        for _ in range(20):
+            await asyncio.sleep(0.05)
+            try:
+                raw += os.read(context.ends[0], 1 << 20)
+            except BlockingIOError:
+                continue
+        return bytes(raw)
+
+    context.lines = [
+        json.loads(line) for line in context.loop.run_until_complete(work()).splitlines()
+    ]
+    context.loop.remove_writer(context.ends[1])
+    for end in context.ends:
+        os.close(end)
+    context.caused = {line["message_type"] for line in context.lines}
+
+
+@behave.then("all {count:d} refusals are there")
+def step_refusals(context, count):
+    label = events.Event.REQUEST_REFUSED.label
+    assert sum(line["message_type"] == label for line in context.lines) == count
+
+
+@behave.then("one line tells how many ordinary lines were dropped, and none is torn")
+def step_dropped(context):
+    ended = events.Event.REQUEST_ENDED.label
+    told = [line for line in context.lines if line["message_type"] == "log-dropped"]
+    kept = sum(line["message_type"] == ended for line in context.lines)
+    assert sum(line["lines"][ended] for line in told) == 3000 - kept, (told, kept)
+
+
+@behave.given("a core task of an instance")
+def step_core(context):
+    context.written = []
+    eliot.add_destinations(context.written.append)
+    boxes = {name: mailbox.Mailbox() for name in ("store", "peers", "upstreams")}
+    time = clock.SystemClock()
+    context.core = core.Core(
+        builders.EdgeUnderTest().decisions,
+        time=time,
+        log=events.Log("i", events.Stamp(time.wall)),
+        figures=metrics.Metrics(),
+        **boxes,
+    )
+
+
+@behave.when("it gets a message that it does not know, and then a question")
+def step_unknown(context):
+    async def work():
+        task = asyncio.get_running_loop().create_task(context.core.run())
+        context.core.inbox.post(object())
+        question = core.Query(lambda state: state.instance)
+        try:
+            return await asyncio.wait_for(context.core.inbox.ask(question), 2.0)
+        finally:
+            task.cancel()
+            eliot.remove_destination(context.written.append)
+
+    context.answer = context.loop.run_until_complete(work())
+
+
+@behave.then("the question is answered")
+def step_answered(context):
+    assert context.answer == context.core.decisions.instance
+
+
+@behave.then("the log has a fault with the place in the code")
+def step_fault(context):
+    (line,) = [item for item in context.written if item.get("message_type") == "fault"]
+    assert "handle:" in line["where"] and line["task"] == "core", line
+    context.caused = {line["message_type"]}
+
+
+@behave.given("an instance that knows upstream u1")
+def step_knows(context):
+    context.edge = builders.EdgeUnderTest()
+    context.edge.publish(builders.a_publication())
+    context.edge.register("u1")
+    context.edge.decisions.drain(context.edge.now)
+
+
+def notes(context, edge):
+    """Return what an edge asked to log since the last call, and keep it for the catalogue."""
+    batch = edge.decisions.drain(edge.now)
+    found = [item for item in batch if type(item) is commands.Note]
+    context.caused = getattr(context, "caused", set()) | {item.event.label for item in found}
+    return found
+
+
+def passes(edge, seconds):
+    """Let time pass for an instance, with its ticks."""
+    ends = edge.now + seconds
+    while edge.now < ends:
+        edge.now += 0.1
+        edge.decisions.tick(edge.now)
+
+
+def fail(edge, count):
+    for _ in range(count):
+        edge.decisions.found.outcome("u1", good=False, now=edge.now)
+
+
+CHANGES = {
+    "its entry says that it is draining": lambda edge: edge.register("u1", state="draining"),
+    "its entry vanishes": lambda edge: edge.decisions.found.changed("u1", None, edge.now),
+    "its entry says that it is cold again": lambda edge: edge.register("u1", warmupLeftMs=2000),
+    "it fails ten requests": lambda edge: fail(edge, FAILURES),
+}
+WAITS = {" and stays away": EJECTED_S, " and 3 seconds pass": EJECTED_S}
+
+
+@behave.when("what is known of it changes: {words}")
+def step_upstream_change(context, words):
+    wait = next((text for text in WAITS if words.endswith(text)), "")
+    CHANGES[words.removesuffix(wait)](context.edge)
+    passes(context.edge, WAITS.get(wait, 0.0))
+
+
+@behave.then("the log tells {event} of u1")
+def step_tells(context, event):
+    found = notes(context, context.edge)
+    assert any(n.event.label == event and n.fields["upstream"] == "u1" for n in found), found
+
+
+@behave.given("two instances that know each other")
+def step_two(context):
+    context.edges = [builders.EdgeUnderTest(f"edge-{n}") for n in range(2)]
+    first, second = context.edges
+    first.meet(second)
+    first.decisions.drain(first.now)
+
+
+@behave.when("the second falls silent")
+def step_silent_member(context):
+    passes(context.edges[0], SILENT_S)
+
+
+@behave.when("the second leaves")
+def step_leaving_member(context):
+    first, second = context.edges
+    second.decisions.members.own.leaving = True
+    first.hear(second)
+    passes(first, SILENT_S)
+
+
+@behave.when("the second falls silent and speaks again")
+def step_back_member(context):
+    first, second = context.edges
+    passes(first, SILENT_S)
+    first.hear(second)
+    passes(first, 0.1)
+
+
+@behave.then("the log of the first tells {event} of the second")
+def step_member_told(context, event):
+    first, second = context.edges
+    told = [n for n in notes(context, first) if n.event.label == event]
+    assert [n.fields["member"] for n in told] == [second.decisions.instance], told
+
+
+def sent(context, path="/status/x", **headers):
+    context.outcome = context.edge.ask(path, **headers)
+    return context.outcome.request_id
+
+
+@behave.when("a request is sent")
+def step_sent(context):
+    sent(context)
+
+
+@behave.when("a request fails and is sent again")
+def step_again(context):
+    request_id = sent(context)
+    context.edge.register("u2")
+    failure = builders.a_failure(request_id, errors.Code.UPSTREAM_FAILED, peer="u1")
+    context.edge.reply(request_id, failure)
+
+
+def over(context, request_id):
+    error = context.outcome.action.error
+    context.edge.finish(request_id, succeeded=False, error=error)
+
+
+@behave.when("a request finds no upstream")
+def step_none(context):
+    context.edge.register("u1", state="draining")
+    over(context, sent(context))
+
+
+@behave.when("a request is over its account's rate")
+def step_over(context):
+    poor = builders.a_published_tenant(ratePerS=1, burst=1)
+    context.edge.publish(builders.a_publication(2, tenants=[poor]))
+    over(context, sent(context, X_Token_Usage="9000,9000"))
+
+
+@behave.when("a request runs out of time")
+def step_time(context):
+    request_id = sent(context)
+    context.outcome = context.edge.decisions.expire(request_id, context.edge.now)
+    over(context, request_id)
+
+
+@behave.then("the line {event} tells {inputs}")
+def step_line(context, event, inputs):
+    (note,) = [n for n in notes(context, context.edge) if n.event.label == event]
+    missing = [name for name in inputs.split(", ") if name not in note.fields]
+    assert not missing, (missing, note.fields)
--- a/yuccahitch/controllers/notes.py
+++ b/yuccahitch/controllers/notes.py
@@ -13,7 +13,9 @@
 
 
 def decisions(action: actions.Action, item: exchange.Exchange, now: float) -> list[commands.Note]:
-    """Return the events of a decision to send a request on; other decisions end it."""
+    """Return the events of a decision to send a request on or to replay an answer."""
+    if type(action) is actions.Replay:
+        return [commands.Note(events.Event.OPERATION_REPLAYED, **_about(item))]
     if type(action) is not actions.Perform:
         return []
     sent = _sent(action.work, item, now)
