--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -13,8 +13,6 @@
 import uuid
 
 import eliot
-import reactivex
-from reactivex.scheduler import eventloop
 
 from yuccahitch import clock, events
 from yuccahitch import settings as config_file
@@ -24,6 +22,7 @@
 from yuccahitch.tasks import (
     core,
     front_server,
+    life,
     log_pipe,
     mailbox,
     metrics,
@@ -35,7 +34,6 @@
     store_client,
 )
 
-TICK_S = 0.1
 SWEEP_S = 1.0
 PEER_TIMEOUT_S = 2.0
 # The platform hands out no secret: its network alone keeps others from the peer port.
@@ -116,30 +114,16 @@
         await self.front.start()
         place = self.settings.instance
         self.log.write(events.Event.STARTED, region=place.region, zone=place.zone)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.core.inbox.post, core.BeginDrain())
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-        scheduler = eventloop.AsyncIOScheduler(loop)
-        ticks = reactivex.interval(TICK_S, scheduler=scheduler)
-        sweeps = reactivex.interval(SWEEP_S, scheduler=scheduler)
-        subscriptions = [
-            ticks.subscribe(on_next=lambda _: self.core.inbox.post(core.Tick())),
-            sweeps.subscribe(on_next=lambda _: self.replicas.sweep(self.time.now())),
-        ]
-        self.core.inbox.post(core.Tick())
-        drained = self.children.start(self.core.drained.wait())
-        await asyncio.wait([drained, *tasks], return_when=asyncio.FIRST_COMPLETED)
-        for subscription in subscriptions:
-            subscription.dispose()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._reload)
+        sweeps = (SWEEP_S, lambda: self.replicas.sweep(self.time.now()))
+        await life.until_drained(self.core, tasks, children=self.children, rhythms=[sweeps])
         await self.front.stop()
         await self.peer_server.stop()
         self.log.write(events.Event.STOPPED)
-        failed = [task for task in tasks if task.done() and task.exception() is not None]
-        await self.children.stop()
-        self.pipe.close()
-        for task in failed:
-            raise task.exception()
+        try:
+            await life.end(tasks, children=self.children)
+        finally:
+            self.pipe.close()
 
     def _make_core(self, rng: random.Random) -> None:
         decisions = edge.Edge(
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -5,13 +5,10 @@
 import asyncio
 import os
 import random
-import signal
 import sys
 import uuid
 
 import eliot
-import reactivex
-from reactivex.scheduler import eventloop
 
 from yuccahitch import clock, events
 from yuccahitch import settings as config_file
@@ -20,6 +17,7 @@
 from yuccahitch.tasks import (
     caller_server,
     core,
+    life,
     mailbox,
     metrics,
     operator_server,
@@ -31,8 +29,6 @@
     upstream_client,
 )
 
-TICK_S = 0.1
-
 
 class Process:
     """All tasks of one instance.
@@ -92,23 +88,13 @@
         await self.operators.start()
         await self.callers.start()
         self.log.write(events.Event.STARTED, region=place.region, zone=place.zone)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.core.inbox.post, core.BeginDrain())
-        ticks = reactivex.interval(TICK_S, scheduler=eventloop.AsyncIOScheduler(loop))
-        subscription = ticks.subscribe(on_next=lambda _: self.core.inbox.post(core.Tick()))
-        drained = self.children.start(self.core.drained.wait())
-        await asyncio.wait([drained, *tasks], return_when=asyncio.FIRST_COMPLETED)
-        subscription.dispose()
+        await life.until_drained(self.core, tasks, children=self.children)
         await self._leave()
         await self.callers.stop()
         await self.operators.stop()
         await self.peer_server.stop()
         self.log.write(events.Event.STOPPED)
-        failed = [task for task in tasks if task.done() and task.exception() is not None]
-        await self.children.stop()
-        for task in failed:
-            raise task.exception()
+        await life.end(tasks, children=self.children)
 
     def _make_core(self, rng: random.Random) -> core.Core:
         decisions = gateway.Gateway(
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -210,8 +210,8 @@
             await self._fail(errors.Code.UPSTREAM_FAILED, problem, ran=True)
             return True
         if answer.headers.get("content-type", "").startswith(wire_form.EVENT_STREAM):
-            return await self._stream(answer)
-        return await self._whole(answer)
+            return await self._pass_on(answer, _whole_events)
+        return await self._pass_on(answer, _long_part)
 
     async def _head(self, request: h11.Request) -> Answer:
         """Return the head of the request's own answer, past stray ones."""
@@ -239,54 +239,23 @@
                 raise ConnectionResetError("the answer ended early")
             body += event.data
 
-    async def _whole(self, answer: Answer) -> bool:
-        """Pass an answer on once it is whole; a long one as it comes."""
+    async def _pass_on(self, answer: Answer, ready: typing.Callable[[bytearray], int]) -> bool:
+        """Pass an answer on, each time as much as is ready; its head goes with the first part."""
         held = bytearray()
-        begun = False
-        while True:
+        begun = ended = False
+        while not ended:
             event = await self.connection.next_event()
-            if type(event) is h11.EndOfMessage:
-                break
-            if type(event) is not h11.Data:
+            ended = type(event) is h11.EndOfMessage
+            if not ended and type(event) is not h11.Data:
                 raise ConnectionResetError("the answer ended early")
-            held += event.data
-            if len(held) > MAX_WHOLE_BYTES:
-                if not begun:
-                    await self.stream.put(self._begin(answer))
+            held += b"" if ended else event.data
+            size = len(held) if ended else ready(held)
+            if (size or ended) and not begun:
                 begun = True
-                await self._chunk(bytes(held))
-                held.clear()
-        if not begun:
-            await self.stream.put(self._begin(answer))
-        if held:
-            await self._chunk(bytes(held))
-        await self._end()
-        return True
-
-    async def _stream(self, answer: Answer) -> bool:
-        """Pass whole events on as they come; the first brings the head with it."""
-        held = bytearray()
-        begun = False
-        while True:
-            event = await self.connection.next_event()
-            if type(event) is h11.EndOfMessage:
-                break
-            if type(event) is not h11.Data:
-                raise ConnectionResetError("the stream ended early")
-            held += event.data
-            cut = held.rfind(b"\n\n") + 2
-            if cut < 2:
-                continue
-            if not begun:
                 await self.stream.put(self._begin(answer))
-            begun = True
-            data = bytes(held[:cut])
-            del held[:cut]
-            await self._chunk(data, event_id=_last_id(data))
-        if not begun:
-            await self.stream.put(self._begin(answer))
-        if held:
-            await self._chunk(bytes(held))
+            if size:
+                await self._chunk(bytes(held[:size]))
+                del held[:size]
         await self._end()
         return True
 
@@ -299,12 +268,12 @@
             source=self.work.upstream,
         )
 
-    async def _chunk(self, data: bytes, *, event_id: str = "") -> None:
+    async def _chunk(self, data: bytes) -> None:
         part = answers.Chunk(
             request_id=self.work.request.id,
             attempt=self.work.attempt,
             data=data,
-            event_id=event_id,
+            event_id=_last_id(data),
         )
         await self.stream.put(part)
 
@@ -329,6 +298,16 @@
     message.stream.producer = child
 
 
+def _whole_events(held: bytearray) -> int:
+    """Return the size of the whole events in what came of a stream."""
+    return held.rfind(b"\n\n") + 2 if b"\n\n" in held else 0
+
+
+def _long_part(held: bytearray) -> int:
+    """Return how much of an answer is passed on before it is whole: none, unless it is long."""
+    return len(held) if len(held) > MAX_WHOLE_BYTES else 0
+
+
 def _last_id(data: bytes) -> str:
     """Return the id of the last event in some whole events, or no text."""
     lines = (line for line in reversed(data.split(b"\n")) if line.startswith(b"id:"))
