Tell inputs of placements on the own interface too; choices stand in a module of their own

Change: controllers/choices.py holds what a placement can decide; the own placement gives its basis.

--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -38,6 +38,12 @@
       | the second leaves                        | member-left  |
       | the second falls silent and speaks again | member-found |
 
+  Scenario: On the own interface too, a line about a decision tells its inputs
+    Given a fleet of one instance with one account
+    When it serves a request and refuses one without an upstream
+    Then on the own interface request-dispatched tells usable, known, running, slots, wait_s, left_s
+    And on the own interface request-refused tells usable, known, code, config_age_s
+
   Scenario Outline: A line about a decision tells its inputs
     Given an instance that knows upstream u1
     When a request <request>
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -254,3 +254,28 @@
     (note,) = [n for n in notes(context, context.edge) if n.event.label == event]
     missing = [name for name in inputs.split(", ") if name not in note.fields]
     assert not missing, (missing, note.fields)
+
+
+@behave.given("a fleet of one instance with one account")
+def step_small_fleet(context):
+    context.fleet = builders.a_fleet(regions=("muscat-a",), per_region=1)
+
+
+@behave.when("it serves a request and refuses one without an upstream")
+def step_fleet_requests(context):
+    (instance,) = context.fleet.alive()
+    for target in ("ice-model", "ice-model"):
+        deadline = instance.local(context.fleet.now) + 10.0
+        context.fleet.request(instance, builders.a_request(target=target, deadline=deadline))
+        context.fleet.run(1.0)
+        leaving = [builders.an_upstream(f"ice-muscat-a-{n}", leaving=True) for n in range(2)]
+        entries = [builders.an_entry(spec, version=9) for spec in leaving]
+        instance.decisions.config.take(entries)
+
+
+@behave.then("on the own interface {event} tells {inputs}")
+def step_fleet_line(context, event, inputs):
+    found = [note for *_, note in context.fleet.notes if note.event.label == event]
+    assert len(found) == 1, found
+    missing = [name for name in inputs.split(", ") if name not in found[0].fields]
+    assert not missing, (missing, found[0].fields)
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -10,11 +10,11 @@
 import typing
 
 from yuccahitch import errors, records
-from yuccahitch.controllers import basis, fleet, placement, rendezvous, replicas
+from yuccahitch.controllers import basis, choices, fleet, rendezvous, replicas
 from yuccahitch.messages import peers, pulses
 from yuccahitch.resources import service as services
 
-STEP = placement.STEP
+STEP = choices.STEP
 PREFILL_TOKENS_PER_S = 60_000.0
 FIRST_TOKEN_S = 0.05
 CROWDING_S = 0.15
@@ -149,7 +149,7 @@
 
     def place(
         self, task: Task, now: float
-    ) -> placement.ToUpstream | placement.ToInstance | placement.Refused:
+    ) -> choices.ToUpstream | choices.ToInstance | choices.Refused:
         """Choose for a request."""
         local = self._local(task, now)
         here_s, best = self._best(local, task, now)
@@ -159,13 +159,13 @@
             there_s, row = remote
             if there_s < task.left_s:
                 self._count_forward(row.region, task.service.name, now)
-                return placement.ToInstance(row, better_than_s=here_s if best else 0.0, basis=seen)
+                return choices.ToInstance(row, better_than_s=here_s if best else 0.0, basis=seen)
         if best is None:
             return _refused(errors.Code.NO_UPSTREAM, "no upstream can take it now", seen)
         if here_s > task.left_s:
             return _refused(errors.Code.OVERLOADED, f"it would wait {here_s:.2f} s", seen)
         self._take(best, task, now)
-        return placement.ToUpstream(best.upstream, seen)
+        return choices.ToUpstream(best.upstream, seen)
 
     def began(self, request_id: str) -> None:
         """Note that an upstream has begun to answer a request."""
@@ -368,6 +368,6 @@
     return 0
 
 
-def _refused(code: errors.Code, detail: str, seen: basis.Basis) -> placement.Refused:
+def _refused(code: errors.Code, detail: str, seen: basis.Basis) -> choices.Refused:
     error = errors.GatewayError(code, step=STEP, detail=detail, retry_after=RETRY_AFTER_S)
-    return placement.Refused(error, seen)
+    return choices.Refused(error, seen)
--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -5,6 +5,7 @@
 from yuccahitch import errors, records
 from yuccahitch.controllers import (
     basis,
+    choices,
     configuration,
     membership,
     queue,
@@ -17,7 +18,6 @@
 from yuccahitch.messages import commands, peers
 from yuccahitch.resources import upstream
 
-STEP = "place"
 LONG_TOKENS = 600
 ASK_FULL_S = 2.0
 ASK_PAUSE_S = 1.0
@@ -104,53 +104,6 @@
         return max(1.0, self.output_tokens + self.prompt_tokens * PROMPT_WEIGHT)
 
 
-class ToUpstream(records.Record):
-    """Send the request to an upstream of this region; its place is taken.
-
-    Attributes:
-        upstream: The upstream.
-        basis: What it was decided on, or None.
-    """
-
-    __slots__ = ("upstream", "basis")
-
-    def __init__(self, item: upstream.Upstream, basis: basis.Basis | None = None) -> None:
-        self.upstream = item
-        self.basis = basis
-
-
-class ToInstance(records.Record):
-    """Forward the request to an instance of another region.
-
-    Attributes:
-        row: The instance.
-        better_than_s: First-token time here, in seconds; 0 if it can't be served here.
-        basis: What it was decided on, or None.
-    """
-
-    __slots__ = ("row", "better_than_s", "basis")
-
-    def __init__(
-        self,
-        row: peers.Row,
-        *,
-        better_than_s: float = 0.0,
-        basis: basis.Basis | None = None,
-    ) -> None:
-        self.row = row
-        self.better_than_s = better_than_s
-        self.basis = basis
-
-
-class Wait(records.Record):
-    """The request was put in the queue."""
-
-    __slots__ = ("until",)
-
-    def __init__(self, until: float) -> None:
-        self.until = until
-
-
 class Remote(records.Record):
     """What another region offers a request.
 
@@ -172,24 +125,6 @@
         self.upstream = item
 
 
-class Refused(records.Record):
-    """The request can't be placed.
-
-    Attributes:
-        error: The refusal.
-        basis: What it was decided on, or None.
-    """
-
-    __slots__ = ("error", "basis")
-
-    def __init__(self, error: errors.GatewayError, basis: basis.Basis | None = None) -> None:
-        self.error = error
-        self.basis = basis
-
-
-Choice = ToUpstream | ToInstance | Wait | Refused
-
-
 class Placement:
     """Places requests and serves the queue.
 
@@ -255,7 +190,7 @@
         """Return the region of this instance."""
         return self.members.own.region
 
-    def place(self, task: Task, now: float) -> Choice:
+    def place(self, task: Task, now: float) -> choices.Choice:
         """Choose for a request that has just come to this step."""
         local_allowed = task.regions is None or self.region in task.regions
         candidates = self._candidates(task, now) if local_allowed else []
@@ -268,16 +203,36 @@
             # All are ejected and there is nowhere else to go.
             candidates = self._local(task.service, now, avoid=task.avoid)
             best = self._best_local(candidates, task, now)
+        seen = self._basis(task, candidates, here_s, remote, now)
         if not candidates:
-            return self._without_local(task, remote, local_allowed)
+            return self._without_local(task, remote, local_allowed, seen)
         if remote is not None and self._spills(here_s, remote.estimate_s):
-            return self._forward(remote, better_than_s=here_s)
+            return self._forward(remote, seen, better_than_s=here_s)
         if best is not None:
+            seen.slots = best.slots
+            seen.running = round(self.states.occupancy(best, now))
             self._take(best.name, task)
-            return ToUpstream(best)
+            return choices.ToUpstream(best, seen)
         if 0 < task.better_than_s < here_s:
-            return Refused(_refusal(errors.Code.OVERLOADED, "the wait here is longer"))
-        return self._enqueue(task, here_s, now)
+            detail = "the wait here is longer"
+            return choices.Refused(_refusal(errors.Code.OVERLOADED, detail), seen)
+        return self._enqueue(task, here_s, seen, now)
+
+    def _basis(
+        self,
+        task: Task,
+        candidates: list[upstream.Upstream],
+        here_s: float,
+        remote: Remote | None,
+        now: float,
+    ) -> basis.Basis:
+        return basis.Basis(
+            known=len(self._present(task.service, now, ())),
+            usable=len(candidates),
+            wait_s=round(here_s, 3) if candidates else None,
+            elsewhere=remote.upstream.region if remote is not None else "",
+            elsewhere_s=round(remote.estimate_s, 3) if remote is not None else None,
+        )
 
     def declined(self, instance: str, account: str, now: float) -> None:
         """Note that an instance had no place: the account does not ask its region for a moment."""
@@ -333,7 +288,7 @@
         task = self.tasks.pop(item.request_id)
         chosen = self._choose(room, task, now)
         self._take(chosen.name, task)
-        self.outbox.append(commands.Wake(item.request_id, ToUpstream(chosen)))
+        self.outbox.append(commands.Wake(item.request_id, choices.ToUpstream(chosen)))
         return True
 
     def _candidates(self, task: Task, now: float) -> list[upstream.Upstream]:
@@ -444,27 +399,32 @@
                 found.setdefault(item.region, []).append(item)
         return found
 
-    def _forward(self, remote: Remote, *, better_than_s: float = 0.0) -> Choice:
+    def _forward(
+        self, remote: Remote, seen: basis.Basis, *, better_than_s: float = 0.0
+    ) -> choices.Choice:
         # Reports of the other region come late: what is sent there counts at once.
         self.states.forwarded(remote.upstream.name)
-        return ToInstance(remote.row, better_than_s=better_than_s)
+        return choices.ToInstance(remote.row, better_than_s=better_than_s, basis=seen)
 
     def _spills(self, here_s: float, there_s: float) -> bool:
         return self.rules.spill and here_s > there_s + self.spill_gain_s
 
-    def _without_local(self, task: Task, remote: Remote | None, local_allowed: bool) -> Choice:
+    def _without_local(
+        self, task: Task, remote: Remote | None, local_allowed: bool, seen: basis.Basis
+    ) -> choices.Choice:
         if remote is not None:
-            return self._forward(remote)
+            return self._forward(remote, seen)
         if task.regions is not None and not local_allowed and not task.local_only:
             allowed = ", ".join(sorted(task.regions))
             detail = f"the data may only reside in {allowed}, where nothing is reachable"
-            return Refused(_refusal(errors.Code.PEER_UNREACHABLE, detail))
-        return Refused(_refusal(errors.Code.NO_UPSTREAM, ""))
+            return choices.Refused(_refusal(errors.Code.PEER_UNREACHABLE, detail), seen)
+        return choices.Refused(_refusal(errors.Code.NO_UPSTREAM, ""), seen)
 
-    def _enqueue(self, task: Task, here_s: float, now: float) -> Choice:
+    def _enqueue(self, task: Task, here_s: float, seen: basis.Basis, now: float) -> choices.Choice:
         if self.rules.early_refusal and now + here_s > task.deadline:
             detail = f"the first token would take about {here_s:.1f} s"
-            return Refused(_refusal(errors.Code.OVERLOADED, detail, retry_after=here_s))
+            error = _refusal(errors.Code.OVERLOADED, detail, retry_after=here_s)
+            return choices.Refused(error, seen)
         item = queue.Waiting(
             request_id=task.request_id,
             account=task.account,
@@ -475,11 +435,10 @@
             until=task.deadline,
         )
         if not self.waiting.add(item):
-            return Refused(
-                _refusal(errors.Code.OVERLOADED, "the queue is full", retry_after=here_s)
-            )
+            error = _refusal(errors.Code.OVERLOADED, "the queue is full", retry_after=here_s)
+            return choices.Refused(error, seen)
         self.tasks[task.request_id] = task
-        return Wait(task.deadline)
+        return choices.Wait(task.deadline, seen)
 
     def _take(self, name: str, task: Task) -> None:
         self.places[task.request_id] = (name, task.long)
@@ -490,5 +449,8 @@
     code: errors.Code, detail: str, *, retry_after: float = RETRY_AFTER_S
 ) -> errors.GatewayError:
     return errors.GatewayError(
-        code, step=STEP, detail=detail, retry_after=max(RETRY_AFTER_S, min(retry_after, 60.0))
+        code,
+        step=choices.STEP,
+        detail=detail,
+        retry_after=max(RETRY_AFTER_S, min(retry_after, 60.0)),
     )
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -7,9 +7,9 @@
 
 from yuccahitch import errors
 from yuccahitch.controllers import (
+    choices,
     configuration,
     membership,
-    placement,
     retries,
     suspects,
     upstreams,
@@ -78,7 +78,7 @@
     def _to_upstream(self, item: exchange.Exchange) -> actions.Action:
         chosen = self.config.catalog.upstream(item.upstream)
         if chosen is None:
-            return actions.Rewind(placement.STEP)
+            return actions.Rewind(choices.STEP)
         work = actions.Dispatch(
             upstream=chosen.name,
             address=chosen.address,
@@ -93,7 +93,7 @@
     def _to_instance(self, item: exchange.Exchange, now: float) -> actions.Action:
         row = self.members.find(item.instance)
         if row is None:
-            return actions.Rewind(placement.STEP)
+            return actions.Rewind(choices.STEP)
         work = _forwarding.forward(item, row, members=self.members, now=now, owned=False)
         return actions.Perform(work)
 
@@ -121,7 +121,7 @@
         # Nothing was tried yet: the request goes back to its own region's queue.
         item.declined = True
         item.last_error = reply.error
-        return actions.Rewind(placement.STEP)
+        return actions.Rewind(choices.STEP)
     item.reached = item.reached or reached
     if reply.crashed:
         step.crashes.seen(poison.fingerprint(item), reply.error.peer, now)
@@ -136,7 +136,7 @@
     if step.crashes.refused_for(poison.fingerprint(item), now) > 0:
         return actions.Refuse(poison.refusal(item, step.crashes, now))
     if _may_retry(reply, step, item, now):
-        return actions.Rewind(placement.STEP)
+        return actions.Rewind(choices.STEP)
     return actions.Refuse(reply.error)
 
 
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -5,7 +5,7 @@
 import functools
 import typing
 
-from yuccahitch.controllers import placement
+from yuccahitch.controllers import choices, placement
 from yuccahitch.filters import chain, exchange
 from yuccahitch.messages import actions, commands
 
@@ -18,7 +18,7 @@
     """
 
     __slots__ = ("policy",)
-    step = placement.STEP
+    step = choices.STEP
 
     def __init__(self, policy: placement.Placement) -> None:
         self.policy = policy
@@ -66,14 +66,15 @@
 
 
 @act.register
-def _(choice: placement.ToUpstream, item: exchange.Exchange) -> actions.Action:
+def _(choice: choices.ToUpstream, item: exchange.Exchange) -> actions.Action:
     item.upstream = choice.upstream.name
-    item.basis = choice.basis
+    # A request that waited keeps what its waiting was decided on.
+    item.basis = choice.basis or item.basis
     return actions.Proceed()
 
 
 @act.register
-def _(choice: placement.ToInstance, item: exchange.Exchange) -> actions.Action:
+def _(choice: choices.ToInstance, item: exchange.Exchange) -> actions.Action:
     item.instance = choice.row.instance
     item.better_than_s = choice.better_than_s
     item.basis = choice.basis
@@ -81,12 +82,13 @@
 
 
 @act.register
-def _(choice: placement.Wait, item: exchange.Exchange) -> actions.Action:
+def _(choice: choices.Wait, item: exchange.Exchange) -> actions.Action:
+    item.basis = choice.basis
     return actions.Perform(actions.AwaitTurn(until=choice.until))
 
 
 @act.register
-def _(choice: placement.Refused, item: exchange.Exchange) -> actions.Action:
+def _(choice: choices.Refused, item: exchange.Exchange) -> actions.Action:
     item.basis = choice.basis
     # With no place for another attempt, the caller is told why the last one failed.
     return actions.Refuse(item.last_error or choice.error)
