Tell other regions what a whole region asks, not one instance's part

Change: far pulses carry the demands of the sender's whole region; the newest word of a region counts.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -401,12 +401,13 @@
 
     def hear(self, other: EdgeUnderTest) -> None:
         """Hear the pulse of another instance, as it is on the wire."""
-        self.hear_raw(other.told())
+        far = other.decisions.members.own.region != self.decisions.members.own.region
+        self.hear_raw(other.told(wide=far))
 
-    def told(self) -> bytes:
+    def told(self, *, wide: bool = False) -> bytes:
         """Return what the instance tells now, as it is on the wire."""
         self.decisions.outbox.clear()
-        self.decisions.tell(["127.0.0.1:1"], self.now)
+        self.decisions.tell(["127.0.0.1:1"], self.now, wide=wide)
         return pulse_codec.encode(self.decisions.outbox.pop().pulse)
 
     def hear_raw(self, raw: bytes) -> None:
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -96,6 +96,12 @@
     Then in no 8 seconds more than 9900 tokens were taken
     And at least 12000 tokens were taken
 
+  Scenario: Instances of other regions know what a whole region asks, whoever of it told last
+    Given 3 instances in east, of which each is asked for 100 tokens a second, and one in west
+    When all of east tell each other, and one of them tells west
+    Then west knows of 3 times what one of east is asked for
+    And a pulse of another of east to west changes that by less than a tenth
+
   Scenario Outline: Many instances are asked at the same moment, and hear of each other later
     Given <count> instances and an account with 1000 tokens a second and a burst of 1000
     When <before>, and then all are asked for 40 tokens 25 times a second for 8 seconds
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -390,6 +390,53 @@
         advance(edges, STEP_S)
 
 
+@behave.given(
+    "{count:d} instances in east, of which each is asked for {rate:d} tokens a second,"
+    " and one in west"
+)
+def step_regions_demand(context, count, rate):
+    east = [builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
+    west = builders.EdgeUnderTest("edge-west", region="west")
+    context.edges = [*east, west]
+    limited = builders.a_published_tenant(ratePerS=1e6, burst=1e6)
+    for edge in context.edges:
+        edge.publish(builders.a_publication(tenants=[limited]))
+        edge.register("u1", capacity=1000)
+    meet_all(context.edges)
+    context.taken = []
+    for _ in range(100):
+        for edge in east:
+            take(context, edge, rate // 10)
+        advance(context.edges, 0.1)
+
+
+def known_in_west(context):
+    west = context.edges[-1]
+    found = west.decisions.members.demands("rinks", west.now)
+    return sum(demand.tokens_per_s for demand in found)
+
+
+@behave.when("all of east tell each other, and one of them tells west")
+def step_tell_west(context):
+    *east, west = context.edges
+    pulse_all(east)
+    west.hear(east[0])
+
+
+@behave.then("west knows of {count:d} times what one of east is asked for")
+def step_knows_all(context, count):
+    (own,) = context.edges[0].decisions.meters.demands(context.edges[0].now)
+    context.known = known_in_west(context)
+    assert abs(context.known - count * own.tokens_per_s) < 0.1 * context.known, context.known
+
+
+@behave.then("a pulse of another of east to west changes that by less than a tenth")
+def step_knows_same(context):
+    *east, west = context.edges
+    west.hear(east[1])
+    assert abs(known_in_west(context) - context.known) < 0.1 * context.known
+
+
 @behave.when(
     "{before}, and then all are asked for {tokens:d} tokens {rate:d} times a second"
     " for {total:d} seconds"
--- a/yuccahitch/codecs/pulses.py
+++ b/yuccahitch/codecs/pulses.py
@@ -36,6 +36,7 @@
             for s in pulse.suspects
         ],
         version=pulse.version,
+        wide=pulse.wide,
     ).SerializeToString()
 
 
@@ -75,4 +76,5 @@
             for s in found.suspects
         ],
         version=found.version,
+        wide=found.wide,
     )
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -246,7 +246,9 @@
         self.members.expire(now)
         self.found.expire(now)
         self.suspects.expire(now)
-        self.tell(self.members.targets(now), now)
+        near, far = self.members.targets(now)
+        self.tell(near, now)
+        self.tell(far, now, wide=True)
         self.shutdown.advance(now, open_requests=len(self.in_flight.exchanges), handed_over=True)
 
     def on_watch(self, event: store.Changed | store.WatchLost, now: float) -> None:
@@ -316,8 +318,8 @@
             "store_age_s": None if heard_at is None else round(now - heard_at, 1),
         }
 
-    def tell(self, addresses: list[str], now: float) -> None:
-        """Tell other instances what this one sees."""
+    def tell(self, addresses: list[str], now: float, *, wide: bool = False) -> None:
+        """Tell other instances what this one sees, other regions what its whole region asks."""
         if not addresses:
             return
         self.members.number += 1
@@ -334,11 +336,12 @@
                 for name, r in self.found.table.items()
                 if r.running
             ],
-            demands=self.meters.demands(now),
+            demands=self.meters.region_demands(now) if wide else self.meters.demands(now),
             rooms=self.policy.rooms(services, now),
             heard=self.members.ages(now),
             suspects=self.suspects.news(now),
             version=self.config.current.version if self.config.ready() else 0,
+            wide=wide,
         )
         self.outbox.append(pulses.SendPulse(addresses, pulse))
 
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -60,6 +60,21 @@
         self.demands: dict[str, pulses.Demand] = {}
 
 
+class Region:
+    """What another region's instances ask for together, as one of them told last.
+
+    Attributes:
+        heard_at: When it was told, in monotonic seconds.
+        demands: What each account asks, by its name.
+    """
+
+    __slots__ = ("heard_at", "demands")
+
+    def __init__(self, heard_at: float, demands: dict[str, pulses.Demand]) -> None:
+        self.heard_at = heard_at
+        self.demands = demands
+
+
 class Fleet:
     """Keeps the other instances and this one's place among them.
 
@@ -76,6 +91,7 @@
         "lease_s",
         "rng",
         "members",
+        "regions",
         "lease",
         "lease_due",
         "near_due",
@@ -90,6 +106,7 @@
         self.lease_s = lease_s
         self.rng = rng
         self.members: dict[str, Member] = {}
+        self.regions: dict[str, Region] = {}
         self.lease = 0
         self.lease_due = -math.inf
         self.near_due = -math.inf
@@ -134,8 +151,12 @@
         if member is None or (member.pulse is not None and pulse.number <= member.pulse.number):
             return
         member.pulse = pulse
-        member.demands = {demand.account: demand for demand in pulse.demands}
         member.heard_at = now
+        demands = {demand.account: demand for demand in pulse.demands}
+        if pulse.region == self.own.region:
+            member.demands = demands
+        elif pulse.wide:
+            self.regions[pulse.region] = Region(now, demands)
         for name, age in pulse.heard.items():
             if name in self.members:
                 near = self.members[name]
@@ -170,24 +191,39 @@
         return 1 + len(recent)
 
     def demands(self, account: str, now: float, *, alive: bool = False) -> list[pulses.Demand]:
-        """Return what an account asks of each other instance.
+        """Return what an account asks of each other instance here and of each other region.
 
         Args:
             account: Name of the client account.
             now: Monotonic seconds.
             alive: Leave out instances that fell silent; else they count for a while.
         """
-        return [
+        near = [
             member.demands[account]
             for member in self.members.values()
             if account in member.demands and now - member.heard_at < DEMAND_LIFETIME_S
             if not alive or self._lives(member, now)
         ]
+        lifetime_s = FAR_LOST_S if alive else DEMAND_LIFETIME_S
+        far = [
+            region.demands[account]
+            for region in self.regions.values()
+            if account in region.demands and now - region.heard_at < lifetime_s
+        ]
+        return near + far
+
+    def near_demands(self, now: float) -> list[pulses.Demand]:
+        """Return what every account asks of the other instances here, silent ones for a while."""
+        recent = [m for m in self.members.values() if now - m.heard_at < DEMAND_LIFETIME_S]
+        return [demand for member in recent for demand in member.demands.values()]
 
     def unheard(self, now: float) -> int:
-        """Return how many other instances are known that told nothing yet."""
+        """Return how many other instances are known of whose demand nothing was told yet."""
+        own = self.own.region
         recent = [m for m in self.members.values() if now - m.heard_at < DEMAND_LIFETIME_S]
-        return sum(member.pulse is None for member in recent)
+        near = sum(m.pulse is None for m in recent if m.row.region == own)
+        unknown = {m.row.region for m in recent} - {own, *self.regions}
+        return near + sum(m.row.region in unknown for m in recent)
 
     def told_age(self, now: float) -> float:
         """Return the age of the oldest pulse from a live instance of this region, in seconds."""
@@ -214,9 +250,9 @@
         ]
         return max(told, key=lambda pair: pair[0])[1] if told else None
 
-    def targets(self, now: float) -> list[str]:
-        """Return the peer addresses that a pulse is due for."""
-        addresses = []
+    def targets(self, now: float) -> tuple[list[str], list[str]]:
+        """Return the peer addresses here and in other regions that a pulse is due for."""
+        addresses, away = [], []
         near = self.alive(now, region=self.own.region)
         if now >= self.near_due:
             self.near_due = now + max(NEAR_PERIOD_S, NEAR_PERIOD_PER_PEER_S * len(near))
@@ -230,8 +266,8 @@
                 known = self.alive(now, region=region) or [
                     m for m in self.members.values() if m.row.region == region
                 ]
-                addresses.append(address(self.rng.choice(known).row))
-        return addresses
+                away.append(address(self.rng.choice(known).row))
+        return addresses, away
 
     def everyone(self) -> list[str]:
         """Return the peer addresses of all other instances."""
--- a/yuccahitch/controllers/shares.py
+++ b/yuccahitch/controllers/shares.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import math
 
 from yuccahitch import events, records
@@ -27,7 +28,7 @@
 RETRY_MAX_S = 2.0
 # Parts of the burst and of the platform's tolerance that instances may be overdrawn by together.
 OVERDRAWN_BURST = 0.5
-OVERDRAWN_TOLERANCE = 0.4
+OVERDRAWN_TOLERANCE = 0.6
 
 
 class Meter(records.Record):
@@ -144,6 +145,18 @@
                 told.append(pulses.Demand(name, tokens_per_s=meter.demand, overdrawn=overdrawn))
         return told
 
+    def region_demands(self, now: float) -> list[pulses.Demand]:
+        """Return what each account asks for in this region, as far as is known."""
+        totals: dict[str, pulses.Demand] = {}
+        for demand in itertools.chain(self.demands(now), self.members.near_demands(now)):
+            known = totals.get(demand.account)
+            if known is None:
+                known = pulses.Demand(demand.account, tokens_per_s=0.0, overdrawn=0.0)
+                totals[demand.account] = known
+            known.tokens_per_s += demand.tokens_per_s
+            known.overdrawn += demand.overdrawn
+        return list(totals.values())
+
     def _meter(self, limit: rate.Rate, now: float) -> Meter:
         meter = self.meters.get(limit.name)
         if meter is None:
--- a/yuccahitch/messages/pulses.py
+++ b/yuccahitch/messages/pulses.py
@@ -74,6 +74,7 @@
         heard: Instances of its region and the seconds since they were heard.
         suspects: Requests that crashed upstreams.
         version: Version of the configuration in force there.
+        wide: Whether the demands are those of the sender's whole region.
     """
 
     __slots__ = (
@@ -88,6 +89,7 @@
         "heard",
         "suspects",
         "version",
+        "wide",
     )
 
     def __init__(
@@ -104,6 +106,7 @@
         heard: dict[str, float],
         suspects: list[peers.Suspect],
         version: int = 0,
+        wide: bool = False,
     ) -> None:
         self.instance = instance
         self.region = region
@@ -116,6 +119,7 @@
         self.heard = heard
         self.suspects = suspects
         self.version = version
+        self.wide = wide
 
 
 class SendPulse(records.Record):
