Split the steps of shares; mend the scenario on SIGHUP; a watch without history has its event

The scenario on SIGHUP asked an instance whose log an earlier scenario had sent into a pipe; it asks another now, with the same check.

--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -27,6 +27,11 @@
       | it fails ten requests                   | upstream-ejected  |
       | it fails ten requests and 3 seconds pass| upstream-returned |
 
+  Scenario: A watch whose history the store has lost
+    Given an instance that knows upstream u1
+    When the watch on its upstreams has lost the history
+    Then the log has watch-broken with the prefix, and the prefix is read again
+
   Scenario Outline: What an instance believes of another
     Given two instances that know each other
     When <change>
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -208,15 +208,15 @@
     And its metrics tell of dropped log lines and of 2000 requests or more
 
   Scenario Outline: The settings file changes
-    When the settings of edge-west-1 <change> and it gets SIGHUP
+    When the settings of edge-east-2 <change> and it gets SIGHUP
     And 1 s of real time pass
-    Then the log file of edge-west-1 holds <what>
-    When a caller with the account's key asks edge-west-1 for POST /book/x
+    Then the log file of edge-east-2 holds <what>
+    When a caller with the account's key asks edge-east-2 for POST /book/x
     Then the answer is 200
 
     Examples:
       | change                     | what               |
-      | name the store's other address | reloaded, store=127.30.0.1:7100 |
+      | name the store's other address | reloaded, store=127.30.0.2:7100 |
       | have a mistake             | reloaded, mistakes |
 
   Scenario: An instance's entry names a place where nothing can be sent
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -6,12 +6,10 @@
 
 import behave
 
-from tests import builders
+from tests import builders, edge_play
 from yuccahitch import errors, events
 from yuccahitch.messages import actions, commands
 
-STEP_S = 0.02
-PULSE_S = 0.25
 STOP = 100
 
 
@@ -24,44 +22,6 @@
     return edge
 
 
-def meet_all(edges):
-    for edge in edges:
-        for other in edges:
-            if other is not edge:
-                edge.meet(other)
-
-
-def pulse_all(edges):
-    for edge in edges:
-        for other in edges:
-            if other is not edge:
-                edge.hear(other)
-
-
-def advance(edges, seconds):
-    for edge in edges:
-        edge.now += seconds
-
-
-def upstream_of(outcome):
-    """Return the upstream that a request is sent to, or no text."""
-    work = getattr(outcome.action, "work", None)
-    return work.upstream if type(work) is actions.Dispatch else ""
-
-
-def most_in(times, window_s):
-    """Return the greatest sum of weights in any window of some seconds."""
-    times = sorted(times)
-    best, begin, total = 0, 0, 0
-    for at, weight in times:
-        total += weight
-        while at - times[begin][0] >= window_s:
-            total -= times[begin][1]
-            begin += 1
-        best = max(best, total)
-    return best
-
-
 def told(edge):
     return [c.event for c in edge.decisions.drain(edge.now) if type(c) is commands.Note]
 
@@ -102,7 +62,7 @@
 @behave.then("it is used")
 def step_used(context):
     (edge,) = context.edges
-    assert upstream_of(edge.ask()) == "u1"
+    assert edge_play.upstream_of(edge.ask()) == "u1"
 
 
 @behave.then("it is not used")
@@ -128,7 +88,7 @@
 @behave.then("u1 is used for {low:g} more seconds and not after {high:g}, unless its entry is back")
 def step_grace(context, low, high):
     (edge,) = context.edges
-    used = lambda: {upstream_of(edge.ask()) for _ in range(20)}  # noqa: E731
+    used = lambda: {edge_play.upstream_of(edge.ask()) for _ in range(20)}  # noqa: E731
     edge.now += low
     assert "u1" in used()
     edge.now += high - low
@@ -145,7 +105,7 @@
     for edge in context.edges:
         edge.publish(builders.a_publication())
         edge.register("m1", service="model", warmupLeftMs=10_000, capacity=64)
-    meet_all(context.edges)
+    edge_play.meet_all(context.edges)
 
 
 @behave.when("each instance is asked {rate:d} times a second for {seconds:d} seconds")
@@ -156,18 +116,18 @@
     began, pulse_at = edges[0].now, edges[0].now
     while edges[0].now < began + seconds:
         if edges[0].now >= pulse_at:
-            pulse_all(edges)
-            pulse_at += PULSE_S
+            edge_play.pulse_all(edges)
+            pulse_at += edge_play.PULSE_S
         for edge in edges:
             ask_once(context, edge, failing)
-        advance(edges, 1 / rate)
+        edge_play.advance(edges, 1 / rate)
 
 
 def ask_once(context, edge, failing):
     outcome = edge.ask("/status/x" if failing else "/plan/x")
     context.requests.append((edge.now, 1))
     for number in range(STOP):
-        if not upstream_of(outcome):
+        if not edge_play.upstream_of(outcome):
             break
         context.sends.append((edge.now, 1))
         if number:
@@ -181,7 +141,7 @@
 
 @behave.then("in no second it got more than {most:d} requests")
 def step_most_cold(context, most):
-    assert most_in(context.sends, 1.0) <= most, most_in(context.sends, 1.0)
+    assert edge_play.most_in(context.sends, 1.0) <= most, edge_play.most_in(context.sends, 1.0)
 
 
 @behave.then("it got {least:d} requests or more")
@@ -197,7 +157,7 @@
         edge.publish(builders.a_publication())
         for name in ("u1", "u2", "u3"):
             edge.register(name, capacity=64)
-    meet_all(context.edges)
+    edge_play.meet_all(context.edges)
 
 
 @behave.then(
@@ -205,7 +165,9 @@
 )
 def step_budget(context, share, extra):
     # The bound takes the requests of the window; here they come at an even rate.
-    repeats, requests = most_in(context.first, 10.0), most_in(context.requests, 10.0)
+    repeats, requests = edge_play.most_in(context.first, 10.0), edge_play.most_in(
+        context.requests, 10.0
+    )
     assert repeats <= share * requests + extra, (repeats, requests)
     assert repeats > 0
 
@@ -234,8 +196,8 @@
     code = errors.Code.UPSTREAM_FAILED if ran else errors.Code.UPSTREAM_SHED
     outcome = edge.ask(path)
     context.places = []
-    while upstream_of(outcome):
-        context.places.append(upstream_of(outcome))
+    while edge_play.upstream_of(outcome):
+        context.places.append(edge_play.upstream_of(outcome))
         failure = builders.a_failure(outcome.request_id, code, ran=ran)
         outcome = edge.reply(outcome.request_id, failure)
     assert type(outcome.action) is actions.Refuse
@@ -256,7 +218,7 @@
         edge.publish(builders.a_publication())
         for name in ("u1", "u2", "u3"):
             edge.register(name)
-    meet_all(context.edges)
+    edge_play.meet_all(context.edges)
 
 
 @behave.when("the same request has crashed three upstreams at the first instance")
@@ -265,7 +227,7 @@
     crashed = set()
     while len(crashed) < 3:
         outcome = edge.ask("/book/poison")
-        at = upstream_of(outcome)
+        at = edge_play.upstream_of(outcome)
         failure = builders.a_failure(outcome.request_id, peer=at, crashed=True)
         edge.reply(outcome.request_id, failure)
         edge.finish(outcome.request_id, succeeded=False)
@@ -278,14 +240,14 @@
     outcome = context.edges[0].ask("/book/poison")
     assert outcome.action.error.code is errors.Code.POISON
     assert outcome.action.error.run is errors.Run.NOT_RUN
-    assert upstream_of(context.edges[0].ask("/book/other"))
+    assert edge_play.upstream_of(context.edges[0].ask("/book/other"))
 
 
 @behave.then("the second refuses it once it heard the first")
 def step_second_refuses(context):
     first, second = context.edges
     second.now = first.now
-    assert upstream_of(second.ask("/book/poison"))
+    assert edge_play.upstream_of(second.ask("/book/poison"))
     second.hear(first)
     assert second.ask("/book/poison").action.error.code is errors.Code.POISON
 
@@ -344,7 +306,7 @@
 @behave.when("{count:d} requests of the shared route come in")
 def step_shared_requests(context, count):
     outcomes = [context.edge.ask("/split/x") for _ in range(count)]
-    context.shared = [upstream_of(outcome) for outcome in outcomes]
+    context.shared = [edge_play.upstream_of(outcome) for outcome in outcomes]
 
 
 @behave.then("the first service gets from {least:d} to {most:d} of them")
@@ -353,173 +315,6 @@
     assert least <= context.shared.count("u1") <= most, context.shared.count("u1")
 
 
-@behave.given(
-    "{count:d} instances and an account with {rate:d} tokens a second and a burst of {burst:d}"
-)
-def step_shares(context, count, rate, burst):
-    context.edges = [builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
-    tenant = builders.a_published_tenant(ratePerS=rate, burst=burst)
-    for edge in context.edges:
-        edge.publish(builders.a_publication(tenants=[tenant]))
-        edge.register("u1", capacity=10000)
-    meet_all(context.edges)
-
-
-def take(context, edge, tokens):
-    outcome = edge.ask(**{"X-Token-Usage": f"{tokens},0"})
-    if upstream_of(outcome):
-        context.taken.append((edge.now, tokens))
-        edge.reply(outcome.request_id, builders.a_head(outcome.request_id))
-    else:
-        assert outcome.action.error.code is errors.Code.RATE_EXCEEDED
-    edge.finish(outcome.request_id, succeeded=bool(upstream_of(outcome)))
-
-
-@behave.when(
-    "the demand moves from one instance to the next each {s:d} seconds for {total:d} seconds"
-)
-def step_moves(context, s, total):
-    context.taken = []
-    edges = context.edges
-    began, pulse_at = edges[0].now, edges[0].now
-    while edges[0].now < began + total:
-        if edges[0].now >= pulse_at:
-            pulse_all(edges)
-            pulse_at += PULSE_S
-        take(context, edges[int((edges[0].now - began) // s) % len(edges)], 40)
-        advance(edges, STEP_S)
-
-
-@behave.given(
-    "{count:d} instances in east, of which each is asked for {rate:d} tokens a second,"
-    " and one in west"
-)
-def step_regions_demand(context, count, rate):
-    east = [builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
-    west = builders.EdgeUnderTest("edge-west", region="west")
-    context.edges = [*east, west]
-    limited = builders.a_published_tenant(ratePerS=1e6, burst=1e6)
-    for edge in context.edges:
-        edge.publish(builders.a_publication(tenants=[limited]))
-        edge.register("u1", capacity=1000)
-    meet_all(context.edges)
-    context.taken = []
-    for _ in range(100):
-        for edge in east:
-            take(context, edge, rate // 10)
-        advance(context.edges, 0.1)
-
-
-def known_in_west(context):
-    west = context.edges[-1]
-    found = west.decisions.members.demands("rinks", west.now)
-    return sum(demand.tokens_per_s for demand in found)
-
-
-@behave.when("all of east tell each other, and one of them tells west")
-def step_tell_west(context):
-    *east, west = context.edges
-    pulse_all(east)
-    west.hear(east[0])
-
-
-@behave.then("west knows of {count:d} times what one of east is asked for")
-def step_knows_all(context, count):
-    (own,) = context.edges[0].decisions.meters.demands(context.edges[0].now)
-    context.known = known_in_west(context)
-    assert abs(context.known - count * own.tokens_per_s) < 0.1 * context.known, context.known
-
-
-@behave.then("a pulse of another of east to west changes that by less than a tenth")
-def step_knows_same(context):
-    *east, west = context.edges
-    west.hear(east[1])
-    assert abs(known_in_west(context) - context.known) < 0.1 * context.known
-
-
-@behave.when(
-    "{before}, and then all are asked for {tokens:d} tokens {rate:d} times a second"
-    " for {total:d} seconds"
-)
-def step_at_once(context, before, tokens, rate, total):
-    context.plan = (before, tokens, rate, total)
-
-
-@behave.when("what they tell each other comes {late:g} seconds later")
-def step_late_pulses(context, late):
-    before, tokens, rate, total = context.plan
-    edges = context.edges
-    context.taken, waiting = [], []
-    if before == "they have just started":
-        forget_pulses(edges)
-    else:
-        calm = 20.0 if before == "nobody asked for 20 s" else 10.0
-        busy = [] if calm == 20.0 else edges[:1]
-        play(context, busy, waiting, seconds=calm, rate=rate, tokens=tokens, late=late)
-        context.taken.clear()
-    play(context, edges, waiting, seconds=total, rate=rate, tokens=tokens, late=late)
-
-
-def forget_pulses(edges):
-    """Let instances know each other from the store alone, as after a start."""
-    for edge in edges:
-        edge.decisions.meters.began = edge.now
-        for member in edge.decisions.members.members.values():
-            member.pulse = None
-            member.demands = {}
-
-
-def play(context, busy, waiting, *, seconds, rate, tokens, late):
-    """Ask instances at a rate; their pulses arrive late."""
-    edges = context.edges
-    ends, pulse_at = edges[0].now + seconds, edges[0].now
-    while edges[0].now < ends:
-        if edges[0].now >= pulse_at:
-            pulse_at += PULSE_S
-            waiting += [(edges[0].now + late, edge, edge.told()) for edge in edges]
-        for due in [item for item in waiting if item[0] <= edges[0].now]:
-            waiting.remove(due)
-            for edge in edges:
-                if edge is not due[1]:
-                    edge.hear_raw(due[2])
-        for edge in busy:
-            take(context, edge, tokens)
-        advance(edges, 1 / rate)
-
-
-@behave.when(
-    "each instance is asked for {tokens:d} tokens each {pause:d} seconds for {total:d} seconds"
-)
-def step_large(context, tokens, pause, total):
-    context.taken = []
-    edges = context.edges
-    began = edges[0].now
-    asked = 0
-    while edges[0].now < began + total:
-        pulse_all(edges)
-        if edges[0].now - began >= asked * pause:
-            asked += 1
-            for edge in edges:
-                take(context, edge, tokens)
-                pulse_all(edges)
-        advance(edges, PULSE_S)
-
-
-@behave.then("in no {window:d} seconds more than {most:d} tokens were taken")
-def step_most_tokens(context, window, most):
-    assert most_in(context.taken, window) <= most, most_in(context.taken, window)
-
-
-@behave.then("at least {least:d} tokens were taken")
-def step_least_tokens(context, least):
-    assert sum(tokens for _, tokens in context.taken) >= least, sum(t for _, t in context.taken)
-
-
-@behave.then("at least {least:d} of the requests were taken")
-def step_least_taken(context, least):
-    assert len(context.taken) >= least, len(context.taken)
-
-
 @behave.given("instances in {regions}, of which {silent} fell silent 5 seconds ago")
 def step_regions(context, regions, silent):
     first = builders.EdgeUnderTest("edge-0", region="west")
--- a/tests/features/steps/explain.py
+++ b/tests/features/steps/explain.py
@@ -71,7 +71,7 @@
 
 
 CHANGES = {
-    "name the store's other address": ("127.30.0.2:7100", "127.30.0.1:7100"),
+    "name the store's other address": ("127.30.0.1:7100", "127.30.0.2:7100"),
     "have a mistake": ("[store]", "[stores]"),
 }
 
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -11,7 +11,8 @@
 
 from tests import builders
 from yuccahitch import clock, errors, events
-from yuccahitch.messages import commands
+from yuccahitch.messages import commands, store
+from yuccahitch.platform import names
 from yuccahitch.tasks import core, log_pipe, mailbox, metrics
 
 FAILURES = 10
@@ -279,3 +280,21 @@
     assert len(found) == 1, found
     missing = [name for name in inputs.split(", ") if name not in found[0].fields]
     assert not missing, (missing, found[0].fields)
+
+
+@behave.when("the watch on its upstreams has lost the history")
+def step_history(context):
+    edge = context.edge
+    lost = store.WatchLost("the history is gone", prefix=names.UPSTREAM_PREFIX)
+    edge.decisions.on_watch(lost, edge.now)
+    edge.decisions.tick(edge.now)
+    context.batch = edge.decisions.drain(edge.now)
+
+
+@behave.then("the log has watch-broken with the prefix, and the prefix is read again")
+def step_read_again(context):
+    (note,) = [i for i in context.batch if getattr(i, "event", None) is events.Event.WATCH_BROKEN]
+    assert note.fields["prefix"] == names.UPSTREAM_PREFIX
+    calls = [i.call for i in context.batch if type(i) is commands.StoreCall]
+    assert any(getattr(call, "key", "") == names.UPSTREAM_PREFIX for call in calls), calls
+    context.caused = {note.event.label}
