Let large requests use the common overdraft again

Small accounts could overdraw their part alone, which holds one long prompt.

Change: a request over a tenth of the whole overdraft may use what is left of it.

--- a/yuccahitch/controllers/shares.py
+++ b/yuccahitch/controllers/shares.py
@@ -29,6 +29,8 @@
 # Parts of the burst and of the platform's tolerance that instances may be overdrawn by together.
 OVERDRAWN_BURST = 0.5
 OVERDRAWN_TOLERANCE = 0.6
+# Part of what may be overdrawn in all from which a request counts as large.
+LARGE_SHARE = 0.1
 
 
 class Meter(records.Record):
@@ -208,7 +210,8 @@
         """Return by how much this instance may be overdrawn for a request.
 
         What others have overdrawn, as far as it is known, is not there for this one. Beyond its own
-        part it goes only for a request that its part never holds, and not while it is overdrawn.
+        part it goes only for a large request, and not while it is overdrawn: of small ones many
+        can come at all instances before they hear of each other.
         """
         limit = meter.limit
         allowance = limit.tokens_per_s * self.window_s + limit.burst_tokens
@@ -218,7 +221,8 @@
         share = min(meter.share, meter.saved_share)
         own = whole * share
         holds = own + (1 - OVERDRAWN_BURST) * limit.burst_tokens * share
-        most = own if tokens <= holds or meter.tokens < 0 else whole
+        large = tokens > min(holds, LARGE_SHARE * whole)
+        most = whole if large and meter.tokens >= 0 else own
         return max(0.0, min(whole - taken, most))
 
     def _share(self, account: str, meter: Meter, now: float) -> float:
