Lend large requests their tokens; small ones of the account go on

Change: what a large request takes beyond the part is a loan, one at a time, paid back first; small ones have the part's own overdraft meanwhile.

--- a/yuccahitch/controllers/shares.py
+++ b/yuccahitch/controllers/shares.py
@@ -25,6 +25,7 @@
 # A share that moves by less, or sooner again, is not told in the log.
 SHARE_STEP = 0.2
 SHARE_NOTE_S = 2.0
+RETRY_MIN_S = 0.05
 RETRY_MAX_S = 2.0
 # Parts of the burst and of the platform's tolerance that instances may be overdrawn by together.
 OVERDRAWN_BURST = 0.5
@@ -38,7 +39,8 @@
 
     Attributes:
         limit: Rate and burst of the account over the whole fleet.
-        tokens: Tokens that may be used now.
+        tokens: Tokens that may be used now; below 0 when overdrawn.
+        loan: Tokens that a large request took beyond this instance's part.
         demand: Tokens a second asked for, smoothed.
         told: Demand that the others were told and when, the oldest as old as what they go by.
         asked_at: When requests came after a calm, in monotonic seconds.
@@ -54,6 +56,7 @@
     __slots__ = (
         "limit",
         "tokens",
+        "loan",
         "demand",
         "told",
         "asked_at",
@@ -67,6 +70,7 @@
     def __init__(self, limit: rate.Rate, now: float) -> None:
         self.limit = limit
         self.tokens = 0.0
+        self.loan = 0.0
         self.demand = 0.0
         self.told: collections.deque[tuple[float, float]] = collections.deque()
         self.asked_at = now
@@ -117,33 +121,34 @@
         if meter.demand <= DEMAND_MIN:
             meter.asked_at = now
         meter.demand += tokens / DEMAND_MEMORY_S
-        allowed = meter.tokens + self._overdraft(meter, tokens, now)
-        if allowed >= tokens:
-            meter.tokens -= tokens
+        missing = self._take(meter, tokens, now)
+        if missing <= 0:
             return 0.0
         pace = max(1e-9, limit.tokens_per_s * meter.share)
-        return min(RETRY_MAX_S, max(0.05, (tokens - allowed) / pace))
+        return min(RETRY_MAX_S, max(RETRY_MIN_S, missing / pace))
 
     def left(self, account: str) -> float:
         """Return the tokens that an account has left here; below 0 it is overdrawn."""
         meter = self.meters.get(account)
-        return meter.tokens if meter is not None else 0.0
+        return meter.tokens - meter.loan if meter is not None else 0.0
 
     def refund(self, limit: rate.Rate, tokens: float, now: float) -> None:
         """Give back the tokens of a request that has not run."""
         meter = self._meter(limit, now)
-        meter.tokens = min(meter.tokens + tokens, limit.burst_tokens * meter.saved_share)
+        repaid = min(meter.loan, tokens)
+        meter.loan -= repaid
+        meter.tokens = min(meter.tokens + tokens - repaid, limit.burst_tokens * meter.saved_share)
 
     def demands(self, now: float) -> list[pulses.Demand]:
         """Return what each account asks for here, and bring those meters up to date."""
         told = []
         for name, meter in self.meters.items():
             demand = meter.demand * math.exp(-(now - meter.updated_at) / DEMAND_MEMORY_S)
-            if demand > DEMAND_MIN or meter.tokens < 0:
+            if demand > DEMAND_MIN or meter.tokens < 0 or meter.loan > 0:
                 self._update(meter, now)
                 _note_told(meter, now)
                 self._tell_share(meter, now)
-                overdrawn = max(0.0, -meter.tokens)
+                overdrawn = max(0.0, -meter.tokens) + meter.loan
                 told.append(pulses.Demand(name, tokens_per_s=meter.demand, overdrawn=overdrawn))
         return told
 
@@ -176,7 +181,9 @@
         followed = 1.0 - math.exp(-passed / SAVED_FOLLOWS_S)
         meter.saved_share += (meter.share - meter.saved_share) * followed
         earned = passed * meter.limit.tokens_per_s * min(meter.share, meter.saved_share)
-        meter.tokens = min(meter.tokens + earned, self._kept(meter.limit, meter, now))
+        repaid = min(meter.loan, earned)
+        meter.loan -= repaid
+        meter.tokens = min(meter.tokens + earned - repaid, self._kept(meter.limit, meter, now))
         meter.updated_at = now
 
     def _tell_share(self, meter: Meter, now: float) -> None:
@@ -206,24 +213,31 @@
         owed = sum(demand.overdrawn for demand in told)
         return ((1 - OVERDRAWN_BURST) * limit.burst_tokens + owed) * meter.saved_share
 
-    def _overdraft(self, meter: Meter, tokens: float, now: float) -> float:
-        """Return by how much this instance may be overdrawn for a request.
+    def _take(self, meter: Meter, tokens: float, now: float) -> float:
+        """Take tokens, overdrawn if need be; return 0, or how many are missing.
 
         What others have overdrawn, as far as it is known, is not there for this one. Beyond its own
-        part it goes only for a large request, and not while it is overdrawn: of small ones many
-        can come at all instances before they hear of each other.
+        part it goes only for a large request, one at a time: of small ones many can come at all
+        instances before they hear of each other.
         """
         limit = meter.limit
         allowance = limit.tokens_per_s * self.window_s + limit.burst_tokens
         tolerance = allowance * self.overage + self.slack
         whole = OVERDRAWN_BURST * limit.burst_tokens + OVERDRAWN_TOLERANCE * tolerance
         taken = sum(demand.overdrawn for demand in self.members.demands(limit.name, now))
+        left = max(0.0, whole - taken - meter.loan)
         share = min(meter.share, meter.saved_share)
-        own = whole * share
-        holds = own + (1 - OVERDRAWN_BURST) * limit.burst_tokens * share
+        if meter.tokens + min(left, whole * share) >= tokens:
+            meter.tokens -= tokens
+            return 0.0
+        saved = max(0.0, meter.tokens)
+        holds = (whole + (1 - OVERDRAWN_BURST) * limit.burst_tokens) * share
         large = tokens > min(holds, LARGE_SHARE * whole)
-        most = whole if large and meter.tokens >= 0 else own
-        return max(0.0, min(whole - taken, most))
+        if large and meter.loan <= 0 and meter.tokens + left >= tokens:
+            meter.loan = tokens - saved
+            meter.tokens -= saved
+            return 0.0
+        return tokens - meter.tokens - min(left, whole * share)
 
     def _share(self, account: str, meter: Meter, now: float) -> float:
         even = 1.0 / self.members.count(now)
