--- a/tests/builders.py
+++ b/tests/builders.py
@@ -450,6 +450,12 @@
         self.decisions.finish(message, self.now)
 
 
+def a_line(instance: str, stamp_us: int, name: str, number: int, **fields: typing.Any) -> str:
+    """Return a line of a log, its stamp after a fixed moment."""
+    told = {"instance": instance, "stamp": 1_700_000_000_000_000 + stamp_us, "number": number}
+    return json.dumps(told | {"message_type": name} | fields)
+
+
 def a_failure(
     request_id: str,
     code: errors.Code = errors.Code.UPSTREAM_FAILED,
--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -62,3 +62,14 @@
       | finds no upstream              | request-refused    | usable, code, step, retry_after_s              |
       | is over its account's rate     | request-refused    | tokens_left, code, retry_after_s               |
       | runs out of time               | request-expired    | waited_s, attempt, upstream                    |
+
+  Scenario Outline: A time line over machines whose clocks differ
+    Given logs of a request that one instance hands to another, whose clock is <ahead> s ahead
+    When the request is explained
+    Then the line of the second's beginning comes right after the first sent it
+    And a shift of <shift> s is told, and the belief of the second moves along
+
+    Examples:
+      | ahead | shift |
+      | 0     | no    |
+      | -7.5  | 7.5   |
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -5,12 +5,15 @@
 import asyncio
 import json
 import os
+import pathlib
+import tempfile
 
 import behave
 import eliot
+from click import testing
 
 from tests import builders
-from yuccahitch import clock, errors, events
+from yuccahitch import cli, clock, errors, events
 from yuccahitch.messages import commands, store
 from yuccahitch.platform import names
 from yuccahitch.tasks import core, log_pipe, mailbox, metrics
@@ -298,3 +301,62 @@
     calls = [i.call for i in context.batch if type(i) is commands.StoreCall]
     assert any(getattr(call, "key", "") == names.UPSTREAM_PREFIX for call in calls), calls
     context.caused = {note.event.label}
+
+
+@behave.given(
+    "logs of a request that one instance hands to another, whose clock is {ahead:g} s ahead"
+)
+def step_two_logs(context, ahead):
+    first, second = "edge-1~a", "edge-2~b"
+    ahead_us = int(ahead * 1e6)
+    context.logs = {
+        "1.log": [
+            builders.a_line(first, 100, "request-began", 200, request="r1", forwarded_by=""),
+            builders.a_line(first, 200, "request-forwarded", 202, request="r1", peer=second),
+            builders.a_line(first, 50_000, "request-ended", 203, request="r1", seconds=0.05),
+        ],
+        "2.log": [
+            builders.a_line(second, 200 + ahead_us, "upstream-cold", 308, upstream="u1"),
+            builders.a_line(
+                second, 900 + ahead_us, "request-began", 200, request="r1", forwarded_by=first
+            ),
+            builders.a_line(
+                second, 950 + ahead_us, "request-dispatched", 201, request="r1", upstream="u1"
+            ),
+        ],
+    }
+
+
+@behave.when("the request is explained")
+def step_explained(context):
+    with tempfile.TemporaryDirectory() as folder:
+        paths = [pathlib.Path(folder) / name for name in context.logs]
+        for path in paths:
+            path.write_text("\n".join(context.logs[path.name]) + "\n")
+        result = testing.CliRunner().invoke(cli.main, ["explain", "r1", *map(str, paths)])
+    assert result.exit_code == 0, result.output
+    context.drawn = result.output.splitlines()
+
+
+@behave.then("the line of the second's beginning comes right after the first sent it")
+def step_order(context):
+    marked = [line.split()[4] for line in context.drawn if line.startswith(">")]
+    assert marked == [
+        "request-began",
+        "request-forwarded",
+        "request-began",
+        "request-dispatched",
+        "request-ended",
+    ], context.drawn
+
+
+@behave.then("a shift of {shift} s is told, and the belief of the second moves along")
+def step_shift(context, shift):
+    told = [line for line in context.drawn if line.startswith("clock of edge-2~b")]
+    if shift == "no":
+        assert not told, told
+    else:
+        added = float(told[0].split(": ")[1].split()[0])
+        assert abs(added - float(shift)) < 0.01, told
+    (belief,) = [line for line in context.drawn if "upstream-cold" in line]
+    assert abs(float(belief.split()[0])) < 0.01, belief
