Ask for a loan of the tokens that a request lacks behind earlier ones

Ruled out: frozen instances counted by the check (the record itself was over the whole, and stayed so when none was paused). A loan request for nothing or less is logged as unreadable and counts for nothing.

--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -8,6 +8,30 @@
     Then in no window did the usage exceed burst plus rate times the window
     And the spendable parts and tokens never exceeded the rate and burst
 
+  Scenario: Histories that once created parts of a rate out of nothing stay within the rate
+    A request that waited behind a larger one asked to borrow fewer than 0 tokens; the lender then
+    moved more parts than it held.
+    When the 25 random histories of the seed 516611d911db5c6e373940990dcda46b881bed9acfd7eb4ec02af8ecc5e0b0331de68dc591a4c699e24b77b7c2fe9309 are played
+    Then in no window did the usage exceed burst plus rate times the window
+    And the spendable parts and tokens never exceeded the rate and burst
+
+  Scenario: An instance that pauses twice under traffic leaves the parts of the rate as they were
+    Given a fleet of 2 instances in each of 2 regions whose clocks lose 0.0001 of the time
+    When instance 3 pauses twice for 2 seconds under traffic
+    Then the spendable parts and tokens never exceeded the rate and burst
+    And all parts are held by live instances
+
+  Scenario: A request that waits behind a larger one asks for its own tokens
+    Given a settled fleet with 2 instances in each of 1 regions
+    When requests for 0.9 and 0.2 of the burst arrive at instance 1 at the same time
+    Then each loan request that instance 1 sends is for more than 0 tokens
+
+  Scenario: A loan of fewer than 0 tokens is refused and moves no parts
+    Given a settled fleet with 2 instances in each of 1 regions
+    When instance 2 asks instance 1 for a loan of -50 tokens
+    Then instance 1 lends nothing and records no demand of instance 2
+    And the message of instance 2 is logged as unreadable
+
   Scenario: Replacing every instance keeps the whole rate of the account available, and no more
     Given a settled fleet with 3 instances in each of 2 regions
     When every instance is replaced gracefully, one after the other
--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -5,14 +5,11 @@
 import collections
 
 import behave
-import hypothesis
-from hypothesis import strategies
 
 from fakes import network
-from tests import builders, histories, history_checks
+from tests import builders, histories, history_checks, limited_fleets
 from yuccahitch.controllers import _bucket, _holding, reclaim, slice_record
 from yuccahitch.messages import commands, peers, store
-from yuccahitch.resources import rate as rates
 
 # Seed of the random cases. Without it hypothesis derives them from the source of the test, so any
 # edit of the source would change the cases.
@@ -22,78 +19,24 @@
     16,
 )
 
-RATE = 100.0  # tokens a second
-BURST = 200.0  # tokens
-PARTS = _bucket.PARTS_PER_RATE
-CHECK_INTERVAL_S = 0.1  # between two checks of a fleet, in virtual time
-DEFAULT_HORIZON_S = 5400.0
-
-
-class SpendableMonitor:
-    """Records the highest numbers of parts and tokens that a fleet could spend at one time."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.peak_parts = 0
-        self.peak_tokens = 0.0
-        self.sample()
-
-    def sample(self):
-        parts, tokens = history_checks.spendable_now(self.fleet, "rinks")
-        self.peak_parts = max(self.peak_parts, parts)
-        self.peak_tokens = max(self.peak_tokens, tokens)
-        self.fleet.clock.schedule_after(CHECK_INTERVAL_S, self.sample)
-
-
-def a_site(regions):
-    """Return resources with a small burst and upstreams that never run out of capacity."""
-    site = builders.a_site(regions=regions)
-    for spec in site:
-        if type(spec) is rates.Rate:
-            spec.tokens_per_s, spec.burst_tokens = RATE, BURST
-    for name in ("slots", "max_output_tokens"):
-        for spec in site:
-            if hasattr(spec, name):
-                setattr(spec, name, 10000)
-    return site
-
 
 @behave.when("{count:d} random histories are played")
 def step_play_random_histories(context, count):
-    context.excess = []
-    context.spendable_monitors = []
-
-    @hypothesis.seed(RANDOM_CASES_SEED)
-    @hypothesis.settings(histories.PROFILE, max_examples=count)
-    @hypothesis.given(
-        histories.histories(),
-        strategies.integers(0, 1000),
-        strategies.lists(strategies.floats(1 - 1e-4, 1 + 1e-4), min_size=4, max_size=4),
-    )
-    def play(history, seed, clocks):
-        fleet = builders.a_fleet(
-            seed,
-            regions=histories.REGIONS,
-            specs=a_site(histories.REGIONS),
-            clocks=clocks,
-            serve=histories.serve_partial_usage,
-        )
-        context.spendable_monitors.append(SpendableMonitor(fleet))
-        player = histories.HistoryPlayer(fleet, seed=seed)
-        player.start_traffic(tokens_per_s=4 * RATE, mean_tokens=20, max_request_tokens=150)
-        player.play(history)
-        used = history_checks.admitted_usage(player.results)
-        context.excess.append(history_checks.worst_excess(used, rate=RATE, burst=BURST))
+    limited_fleets.play_random_histories(context, count, RANDOM_CASES_SEED)
 
-    play()
-    assert len(context.excess) >= count / 2
+
+@behave.when("the {count:d} random histories of the seed {seed} are played")
+def step_play_histories_of_seed(context, count, seed):
+    limited_fleets.play_random_histories(context, count, int(seed, 16))
 
 
 @behave.then("in no window did the usage exceed burst plus rate times the window")
 def step_usage_within_bound(context):
     if hasattr(context, "player"):
         used = history_checks.admitted_usage(context.player.results)
-        context.excess = [history_checks.worst_excess(used, rate=RATE, burst=BURST)]
+        context.excess = [
+            history_checks.worst_excess(used, rate=limited_fleets.RATE, burst=limited_fleets.BURST)
+        ]
     assert max(context.excess) == 0, context.excess
 
 
@@ -103,19 +46,23 @@
         max(monitor.peak_parts for monitor in context.spendable_monitors),
         max(monitor.peak_tokens for monitor in context.spendable_monitors),
     )
-    assert peaks[0] <= PARTS and peaks[1] <= BURST + 0.01, peaks
+    assert peaks[0] <= limited_fleets.PARTS and peaks[1] <= limited_fleets.BURST + 0.01, peaks
 
 
 @behave.given("a settled fleet with {count:d} instances in each of {regions:d} regions")
 def step_start_settled_fleet(context, count, regions):
     names = histories.REGIONS[:regions]
     context.fleet = builders.a_fleet(
-        7, regions=names, per_region=count, specs=a_site(names), serve=histories.serve_partial_usage
+        7,
+        regions=names,
+        per_region=count,
+        specs=limited_fleets.a_site(names),
+        serve=histories.serve_partial_usage,
     )
     holders = recorded_parts(context)
     assert len(holders) >= min(2, count), holders
     context.members = sorted(context.fleet.alive(), key=lambda item: item.name not in holders)
-    context.spendable_monitors = [SpendableMonitor(context.fleet)]
+    context.spendable_monitors = [limited_fleets.SpendableMonitor(context.fleet)]
 
 
 def recorded_parts(context):
@@ -124,13 +71,8 @@
     return slice_record.from_item(item).holders
 
 
-def member(context, number):
-    """Return the instance with a number that starts at 1."""
-    return context.members[int(number) - 1]
-
-
 def may_spend(context, number):
-    instance = member(context, number)
+    instance = limited_fleets.member(context, number)
     return instance.decisions.store_session.may_spend(instance.local_time(context.fleet.now))
 
 
@@ -155,7 +97,7 @@
 def step_live_instances_hold_all(context):
     names = {instance.name for instance in context.fleet.alive()}
     holders = recorded_parts(context)
-    assert set(holders) <= names and sum(holders.values()) == PARTS, (holders, names)
+    assert set(holders) <= names and sum(holders.values()) == limited_fleets.PARTS, (holders, names)
 
 
 @behave.then("after {seconds:g} seconds all parts are held by live instances")
@@ -166,18 +108,18 @@
 
 @behave.when("instance {number:d} crashes")
 def step_crash_instance(context, number):
-    context.fleet.kill(member(context, number))
+    context.fleet.kill(limited_fleets.member(context, number))
 
 
 @behave.then("after {seconds:g} seconds instance 1 still holds its slice in the store")
 def step_crashed_keeps_slice(context, seconds):
     context.fleet.run(seconds)
-    assert recorded_parts(context).get(member(context, 1).name, 0) > 0
+    assert recorded_parts(context).get(limited_fleets.member(context, 1).name, 0) > 0
 
 
 @behave.when("instance {number:d} is cut off from the store and its peers")
 def step_cut_store_and_peers(context, number):
-    name = member(context, number).name
+    name = limited_fleets.member(context, number).name
     for other in [network.STORE, *(item.name for item in context.members)]:
         if other != name:
             context.fleet.net.cut(name, other)
@@ -185,7 +127,7 @@
 
 @behave.when("instance {number:d} is cut off from the store")
 def step_cut_store(context, number):
-    context.fleet.net.cut(member(context, number).name, network.STORE)
+    context.fleet.net.cut(limited_fleets.member(context, number).name, network.STORE)
 
 
 @behave.when("instances 1 and 2 are cut off from the store")
@@ -196,13 +138,13 @@
 
 @behave.when("instance {number:d} reconnects to the store")
 def step_reconnect_to_store(context, number):
-    name = member(context, number).name
+    name = limited_fleets.member(context, number).name
     context.fleet.net.cuts = {pair for pair in context.fleet.net.cuts if name not in pair}
 
 
 @behave.when("the others are cut off from instance 1")
 def step_cut_peers_of_first(context):
-    name = member(context, 1).name
+    name = limited_fleets.member(context, 1).name
     for other in context.members[1:]:
         context.fleet.net.cut(name, other.name)
 
@@ -221,7 +163,9 @@
 @behave.then("after {seconds:g} seconds instance {number:d} holds nothing in the store")
 def step_no_recorded_parts_after(context, seconds, number):
     context.fleet.run(seconds)
-    assert member(context, number).name not in recorded_parts(context), recorded_parts(context)
+    assert limited_fleets.member(context, number).name not in recorded_parts(
+        context
+    ), recorded_parts(context)
 
 
 @behave.when("the cuts heal")
@@ -237,21 +181,23 @@
 
 @behave.then("for {seconds:g} seconds instances 1 and 2 may spend")
 def step_both_may_spend_for(context, seconds):
-    for _ in range(int(seconds / CHECK_INTERVAL_S)):
-        context.fleet.run(CHECK_INTERVAL_S)
+    for _ in range(int(seconds / limited_fleets.CHECK_INTERVAL_S)):
+        context.fleet.run(limited_fleets.CHECK_INTERVAL_S)
         assert may_spend(context, 1) and may_spend(context, 2), context.fleet.now
 
 
 @behave.then("for {seconds:g} seconds instance {number:d} may spend")
 def step_may_spend_for(context, seconds, number):
-    for _ in range(int(seconds / CHECK_INTERVAL_S)):
-        context.fleet.run(CHECK_INTERVAL_S)
+    for _ in range(int(seconds / limited_fleets.CHECK_INTERVAL_S)):
+        context.fleet.run(limited_fleets.CHECK_INTERVAL_S)
         assert may_spend(context, number), context.fleet.now
 
 
 @behave.then("instances 1 and 2 hold their parts in the store")
 def step_both_hold_parts(context):
-    assert {member(context, 1).name, member(context, 2).name} <= set(recorded_parts(context))
+    assert {limited_fleets.member(context, 1).name, limited_fleets.member(context, 2).name} <= set(
+        recorded_parts(context)
+    )
 
 
 def start_half_transfer(context):
@@ -305,7 +251,9 @@
 @behave.when("instance 1 is paused for {seconds:g} seconds under traffic")
 def step_pause_under_traffic(context, seconds):
     context.player = histories.HistoryPlayer(context.fleet, seed=3)
-    context.player.start_traffic(tokens_per_s=4 * RATE, mean_tokens=20, max_request_tokens=100)
+    context.player.start_traffic(
+        tokens_per_s=4 * limited_fleets.RATE, mean_tokens=20, max_request_tokens=100
+    )
     context.player.play([histories.Pause(0, seconds), histories.Wait(seconds + 5)])
 
 
@@ -314,22 +262,16 @@
     for other in {*histories.REGIONS, network.STORE} - {region}:
         context.fleet.net.cut(region, other)
     for instance in context.members:
-        instance.decisions.store_session.horizon_s = DEFAULT_HORIZON_S
-
-
-def send_request(context, instance, tokens):
-    """Send a request for up to ``tokens`` tokens that uses one; return its result record."""
-    now = instance.local_time(context.fleet.now)
-    body = b'{"used": 1}'
-    request = builders.a_request(
-        prompt_tokens=0, max_tokens=int(tokens), body=body, deadline=now + 20
-    )
-    return context.fleet.request(instance, request)
+        instance.decisions.store_session.horizon_s = limited_fleets.DEFAULT_HORIZON_S
 
 
 @behave.then("each instance of {region} serves a request")
 def step_region_serves_requests(context, region):
-    requests = [send_request(context, i, 5) for i in context.fleet.alive() if i.region == region]
+    requests = [
+        limited_fleets.send_request(context, i, 5)
+        for i in context.fleet.alive()
+        if i.region == region
+    ]
     context.fleet.run(2.0)
     assert requests and all(r.error is None and r.finished_at for r in requests), requests[0].error
 
@@ -345,7 +287,7 @@
 
 @behave.then("a request is refused with {code} and run status {run}")
 def step_request_refused(context, code, run):
-    result = send_request(context, context.fleet.alive()[0], 5)
+    result = limited_fleets.send_request(context, context.fleet.alive()[0], 5)
     context.fleet.run(2.0)
     assert (result.error.code.wire, result.error.run.value) == (code, run), result.error
 
@@ -363,7 +305,7 @@
 def step_run_traffic(context, share, skew):
     context.player = histories.HistoryPlayer(context.fleet, seed=5)
     context.player.start_traffic(
-        tokens_per_s=share * RATE, mean_tokens=10, max_request_tokens=60, skew=skew
+        tokens_per_s=share * limited_fleets.RATE, mean_tokens=10, max_request_tokens=60, skew=skew
     )
     context.player.play([histories.Wait(60.0)])
 
@@ -375,14 +317,18 @@
     results = context.player.results
     refused = sum(result.error is not None for result in results)
     times_and_tokens = [(r.requested_at, float(r.request.max_tokens)) for r in results]
-    expected = history_checks.single_bucket_refusals(times_and_tokens, rate=RATE, burst=BURST)
+    expected = history_checks.single_bucket_refusals(
+        times_and_tokens, rate=limited_fleets.RATE, burst=limited_fleets.BURST
+    )
     context.wrongful = max(0, refused - expected)
     assert context.wrongful * 100 < bound * len(results), (refused, expected, len(results))
 
 
 @behave.when("a request for {share:g} of the burst is sent to instance 1")
 def step_send_large_request(context, share):
-    context.result = send_request(context, member(context, 1), share * BURST)
+    context.result = limited_fleets.send_request(
+        context, limited_fleets.member(context, 1), share * limited_fleets.BURST
+    )
     context.fleet.run(2.0)
 
 
@@ -395,7 +341,9 @@
 def step_create_bucket(context, burst, rate):
     context.bucket = _bucket.Bucket(0.0)
     context.bucket.level = burst
-    context.accrue = lambda now: context.bucket.accrue(now, rate=rate, burst=burst, parts=PARTS)
+    context.accrue = lambda now: context.bucket.accrue(
+        now, rate=rate, burst=burst, parts=limited_fleets.PARTS
+    )
 
 
 @behave.when("100 tokens are reserved at 0 s and 50 tokens are reserved at 50 s")
@@ -443,7 +391,7 @@
 @behave.given("an instance whose session has been absent for {absent:g} s, with an electorate of 3")
 def step_track_absent_instance(context, absent):
     context.fleet = builders.a_fleet(
-        7, regions=("muscat-a",), per_region=2, specs=a_site(("muscat-a",))
+        7, regions=("muscat-a",), per_region=2, specs=limited_fleets.a_site(("muscat-a",))
     )
     claimant, attester = context.fleet.alive()
     context.slice_reclaimer = claimant.decisions.reclaimer
@@ -482,7 +430,7 @@
         )
     )
     for number in (5, 6, 7):
-        context.fleet.kill(member(context, number))
+        context.fleet.kill(limited_fleets.member(context, number))
         context.fleet.run(0.6)
 
 
--- a/yuccahitch/controllers/limits.py
+++ b/yuccahitch/controllers/limits.py
@@ -224,6 +224,15 @@
         may_spend_own = self.may_lend and self.store_session.may_spend(now)
         if holding is None or not may_spend_own or request.loan_id in holding.outgoing_loans:
             return no_loan
+        if not request.tokens > 0:
+            # Demand below zero would let the rebalancing give away more parts than there are.
+            log_event = commands.LogEvent(
+                events.Event.PEER_GARBAGE,
+                peer=request.borrower,
+                detail=f"a loan of {request.tokens} tokens was requested",
+            )
+            self.outbox.append(log_event)
+            return no_loan
         holding.update(now)
         holding.requested_by_peer[request.borrower] = (
             holding.requested_by_peer.get(request.borrower, 0.0) + request.tokens
@@ -384,12 +393,18 @@
             if not others_wait and account in self.holders:
                 self._deny_or_retry(holding, waiter, now)
             return
-        may_spend_own = self.store_session.may_spend(now)
-        missing = waiter.tokens - holding.available(own_usable=may_spend_own)
+        missing = self._missing_tokens(holding, waiter, now)
         for info in waiter.lender_rounds.pop(0):
             waiter.pending_lenders.add(info.instance)
             self._request_loan(holding, waiter, info, missing, now)
 
+    def _missing_tokens(self, holding: _holding.Holding, waiter: TokenWaiter, now: float) -> float:
+        """Return the tokens that a waiting request lacks once those before it have theirs."""
+        waiters = self.waiters[holding.account].values()
+        before = itertools.takewhile(lambda other: other is not waiter, waiters)
+        available = holding.available(own_usable=self.store_session.may_spend(now))
+        return waiter.tokens - max(0.0, available - sum(other.tokens for other in before))
+
     def _deny_or_retry(self, holding: _holding.Holding, waiter: TokenWaiter, now: float) -> None:
         """Deny a request, or ask again when the holders may not know their new slices yet."""
         if now - self.holders_known_since.get(holding.account, now) < NEW_SLICES_GRACE_S:
