Let two instances of a zone watch the store and tell the others

Now two readers a zone, by rendezvous over its reachable instances, watch and pass changes on as datagrams with the revisions between which they were made. Who hears no reader for 0.8 s watches from the last change that it applied; who is behind a report reads again. Weighed: one reader (its death leaves the zone untold until it is noticed), gRPC calls to each follower (a call each, on half a core), a reader a region (a zone that is cut off falls back whole). The builders of platform test data move to a module of their own.

--- a/benchmarks/edge_slopes.py
+++ b/benchmarks/edge_slopes.py
@@ -13,8 +13,8 @@
 import typing
 
 from benchmarks import slopes
-from tests import builders
-from yuccahitch.codecs import pulses as codec
+from tests import platform_builders
+from yuccahitch.codecs import datagrams as codec
 from yuccahitch.messages import pulses
 
 RESULTS = pathlib.Path(__file__).parent / "results" / "edge_slopes.json"
@@ -24,14 +24,16 @@
 
 def make_instance(*, members: int = 8, accounts: int = 8, upstreams: int = 8) -> typing.Any:
     """Return an instance that knows this many members, accounts with demand and upstreams."""
-    edge = builders.EdgeUnderTest()
+    edge = platform_builders.EdgeUnderTest()
     tenants = [
-        builders.a_published_tenant(
+        platform_builders.a_published_tenant(
             f"account-{n}", apiKeys=[f"key-{n}"], ratePerS=1e6, burst=1e6, unit="generate"
         )
         for n in range(accounts)
     ]
-    edge.publish(builders.a_publication(tenants=[builders.a_published_tenant(), *tenants]))
+    edge.publish(
+        platform_builders.a_publication(tenants=[platform_builders.a_published_tenant(), *tenants])
+    )
     for n in range(upstreams):
         edge.register_upstream(f"u{n}", capacity=64, zone="east-a")
     member_table = edge.decisions.members
@@ -40,7 +42,7 @@
         member_table.apply_change(
             f"other-{n}", edge.store_item(f"other-{n}", instance_fields), edge.now
         )
-        edge.decisions.on_pulse(make_pulse(f"other-{n}~1", accounts, upstreams), edge.now)
+        edge.decisions.on_report(make_pulse(f"other-{n}~1", accounts, upstreams), edge.now)
     for number in range(upstreams):
         edge.decisions.registry.record_dispatch(f"u{number}", prompt_tokens=100, now=edge.now)
     for limit in edge.decisions.config.current.rates.values():
@@ -104,7 +106,7 @@
     """Return the state report that an instance sends while all accounts have demand."""
     edge.decisions.outbox.clear()
     edge.decisions.send_pulse(["127.0.0.1:1"], edge.now)
-    return edge.decisions.outbox.pop().pulse
+    return edge.decisions.outbox.pop().report
 
 
 def receive_pulse(edge: typing.Any, dimension: str) -> None:
@@ -116,7 +118,7 @@
     sender = next(iter(edge.decisions.members.members))
     accounts = len(edge.decisions.config.current.rates) if dimension == "accounts" else 8
     datagram = codec.encode(make_pulse(sender, accounts, 8))
-    edge.decisions.on_pulse(codec.decode(datagram), edge.now)
+    edge.decisions.on_report(codec.decode(datagram), edge.now)
 
 
 def run_request(edge: typing.Any) -> None:
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -338,7 +338,9 @@
                 continue
             if self.net.store_down or not self._store_link_delivers(instance, from_store=True):
                 continue
-            change = store.KeysChanged([(key, item)], revision=revision)
+            change = store.KeysChanged(
+                [store.KeyChange(key, item, revision=revision)], revision=revision
+            )
             self.clock.schedule_after(
                 self.net.store_delay(instance.region),
                 functools.partial(
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, str(ROOT))
 
 from standins import deployment, platform_site  # noqa: E402
-from tests import builders, event_coverage  # noqa: E402
+from tests import builders, event_coverage, platform_builders  # noqa: E402
 
 EXAMPLE_DEPLOYMENTS = ("ice-works", "doors")
 SETTLE_S = 1.0
@@ -61,7 +61,7 @@
         log.unlink()
     try:
         await site.start_standins()
-        await site.write_item("op/config", builders.a_publication(1))
+        await site.write_item("op/config", platform_builders.a_publication(1))
         for name in platform_site.INSTANCE_ZONES:
             await site.start(name)
         await site.wait_until_ready(*platform_site.INSTANCE_ZONES)
@@ -80,8 +80,8 @@
     await site.set_faults("store")
     context.version = next(VERSION_NUMBERS) * 100
     await site.set_shared_faults()
-    document = builders.a_publication(context.version)
-    probe = builders.a_published_route("probe", f"/probe-{context.version}/", kind="safe")
+    document = platform_builders.a_publication(context.version)
+    probe = platform_builders.a_published_route("probe", f"/probe-{context.version}/", kind="safe")
     document["routes"].append(probe)
     await site.write_item("op/config", document)
     for name in platform_site.UPSTREAMS:
@@ -101,7 +101,9 @@
 async def is_config_in_force(site: platform_site.Site, version: int) -> bool:
     """Return whether every running instance serves the probe route of a configuration version."""
     status_requests = [
-        site.request_status(name, f"/probe-{version}/", builders.HOST, builders.PLATFORM_KEY)
+        site.request_status(
+            name, f"/probe-{version}/", platform_builders.HOST, platform_builders.PLATFORM_KEY
+        )
         for name in site.processes
     ]
     return set(await asyncio.gather(*status_requests)) == {200}
--- a/tests/features/steps/configuration.py
+++ b/tests/features/steps/configuration.py
@@ -313,7 +313,9 @@
         key="config/key/rinks-key", value=resources.entry_to_bytes(old_entry), revision=1
     )
     for instance in context.fleet.alive():
-        change = store.KeysChanged([(stale_item.key, stale_item)], revision=1)
+        change = store.KeysChanged(
+            [store.KeyChange(stale_item.key, stale_item, revision=1)], revision=1
+        )
         config = instance.decisions.config
         context.fleet.run_on(instance, functools.partial(config.apply_change, change))
     context.fleet.run(1.0)
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -6,7 +6,7 @@
 
 import behave
 
-from tests import builders, edge_simulation
+from tests import builders, edge_simulation, platform_builders
 from yuccahitch import errors, events
 from yuccahitch.messages import actions, commands
 
@@ -16,8 +16,8 @@
 
 def start_edge(context, *upstreams, version=1, **fields):
     """Start the scenario's only instance with a configuration and registered upstreams."""
-    edge = builders.EdgeUnderTest(**fields)
-    edge.publish(builders.a_publication(version))
+    edge = platform_builders.EdgeUnderTest(**fields)
+    edge.publish(platform_builders.a_publication(version))
     for name in upstreams:
         edge.register_upstream(name)
     context.edges = [edge]
@@ -43,8 +43,8 @@
 def step_write_configurations(context, newer, older):
     (edge,) = context.edges
     take_logged_events(edge)
-    edge.publish(builders.a_publication(newer))
-    edge.publish(builders.a_publication(older))
+    edge.publish(platform_builders.a_publication(newer))
+    edge.publish(platform_builders.a_publication(older))
     edge.publish(b"{")
 
 
@@ -108,9 +108,9 @@
     "{count:d} instances of one region with an upstream that accepts 4 requests a second while cold"
 )
 def step_start_with_cold_upstream(context, count):
-    context.edges = [builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
+    context.edges = [platform_builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
     for edge in context.edges:
-        edge.publish(builders.a_publication())
+        edge.publish(platform_builders.a_publication())
         edge.register_upstream("m1", service="model", warmupLeftMs=10_000, capacity=64)
     edge_simulation.discover_all(context.edges)
 
@@ -162,9 +162,9 @@
 @behave.given("{count:d} instances of one region with upstreams that fail every request")
 def step_start_with_failing_upstreams(context, count):
     context.failing = True
-    context.edges = [builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
+    context.edges = [platform_builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
     for edge in context.edges:
-        edge.publish(builders.a_publication())
+        edge.publish(platform_builders.a_publication())
         for name in ("u1", "u2", "u3"):
             edge.register_upstream(name, capacity=64)
     edge_simulation.discover_all(context.edges)
@@ -222,9 +222,9 @@
 
 @behave.given("{count:d} instances of one region with upstreams u1, u2 and u3")
 def step_start_with_three_upstreams(context, count):
-    context.edges = [builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
+    context.edges = [platform_builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
     for edge in context.edges:
-        edge.publish(builders.a_publication())
+        edge.publish(platform_builders.a_publication())
         for name in ("u1", "u2", "u3"):
             edge.register_upstream(name)
     edge_simulation.discover_all(context.edges)
@@ -271,11 +271,11 @@
 
 @behave.given("an instance in east, one in west, and {where} for the requests")
 def step_start_two_regions(context, where):
-    east = builders.EdgeUnderTest("edge-0", region="east")
-    west = builders.EdgeUnderTest("edge-1", region="west")
+    east = platform_builders.EdgeUnderTest("edge-0", region="east")
+    west = platform_builders.EdgeUnderTest("edge-1", region="west")
     context.edges = [east, west]
     for edge in context.edges:
-        edge.publish(builders.a_publication())
+        edge.publish(platform_builders.a_publication())
         if UPSTREAM_FIELDS[where] is not None:
             edge.register_upstream("u1", **UPSTREAM_FIELDS[where])
         if "evacuated" in where:
@@ -304,10 +304,10 @@
 
 @behave.given("an instance and a published route shared {first:d} to {second:d} by two services")
 def step_publish_shared_route(context, first, second):
-    context.edge = builders.EdgeUnderTest()
+    context.edge = platform_builders.EdgeUnderTest()
     shared = [{"service": "desk", "weight": first}, {"service": "model", "weight": second}]
-    split = builders.a_published_route("split", "/split/", service=None, backends=shared)
-    context.edge.publish(builders.a_publication(routes=[split]))
+    split = platform_builders.a_published_route("split", "/split/", service=None, backends=shared)
+    context.edge.publish(platform_builders.a_publication(routes=[split]))
     context.edge.register_upstream("u1", service="desk", capacity=10000)
     context.edge.register_upstream("u2", service="model", capacity=10000)
 
@@ -330,10 +330,13 @@
 
 @behave.given("instances in {regions}, of which those in {silent} sent no pulse for 5 seconds")
 def step_start_regions(context, regions, silent):
-    first = builders.EdgeUnderTest("edge-0", region="west")
+    first = platform_builders.EdgeUnderTest("edge-0", region="west")
     region_names = regions.split(", ")
     region_names.remove("west")
-    others = [builders.EdgeUnderTest(f"edge-{n}", region=p) for n, p in enumerate(region_names, 1)]
+    others = [
+        platform_builders.EdgeUnderTest(f"edge-{n}", region=p)
+        for n, p in enumerate(region_names, 1)
+    ]
     for other in others:
         first.discover(other)
     first.now += 5.0
@@ -349,9 +352,9 @@
 def step_query_directory(context, region, homes):
     first = context.edges[0]
     home_regions = [homes.removeprefix("home ")] if homes.startswith("home ") else []
-    routes = [builders.a_published_route("r", "/r/", homeRegions=home_regions)]
-    first.publish(builders.a_publication(routes=routes))
-    addresses = first.decisions.caller_addresses(builders.HOST, region, first.now)
+    routes = [platform_builders.a_published_route("r", "/r/", homeRegions=home_regions)]
+    first.publish(platform_builders.a_publication(routes=routes))
+    addresses = first.decisions.caller_addresses(platform_builders.HOST, region, first.now)
     regions_by_address = {
         f"{own.host}:{own.caller_port}": own.region
         for own in (edge.decisions.members.own for edge in context.edges)
--- a/tests/features/steps/edge_shares.py
+++ b/tests/features/steps/edge_shares.py
@@ -4,17 +4,17 @@
 
 import behave
 
-from tests import builders, edge_simulation
+from tests import edge_simulation, platform_builders
 
 
 @behave.given(
     "{count:d} instances and an account with {rate:d} tokens a second and a burst of {burst:d}"
 )
 def step_start_rated_instances(context, count, rate, burst):
-    context.edges = [builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
-    tenant = builders.a_published_tenant(ratePerS=rate, burst=burst)
+    context.edges = [platform_builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
+    tenant = platform_builders.a_published_tenant(ratePerS=rate, burst=burst)
     for edge in context.edges:
-        edge.publish(builders.a_publication(tenants=[tenant]))
+        edge.publish(platform_builders.a_publication(tenants=[tenant]))
         edge.register_upstream("u1", capacity=10000)
     edge_simulation.discover_all(context.edges)
 
@@ -41,12 +41,12 @@
     " and one in west"
 )
 def step_start_regions_with_demand(context, count, rate):
-    east = [builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
-    west = builders.EdgeUnderTest("edge-west", region="west")
+    east = [platform_builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
+    west = platform_builders.EdgeUnderTest("edge-west", region="west")
     context.edges = [*east, west]
-    limited_tenant = builders.a_published_tenant(ratePerS=1e6, burst=1e6)
+    limited_tenant = platform_builders.a_published_tenant(ratePerS=1e6, burst=1e6)
     for edge in context.edges:
-        edge.publish(builders.a_publication(tenants=[limited_tenant]))
+        edge.publish(platform_builders.a_publication(tenants=[limited_tenant]))
         edge.register_upstream("u1", capacity=1000)
     edge_simulation.discover_all(context.edges)
     context.admitted_tokens = []
--- a/tests/features/steps/explain.py
+++ b/tests/features/steps/explain.py
@@ -9,7 +9,7 @@
 from click import testing
 
 from standins import deployment
-from tests import builders, platform_calls
+from tests import platform_builders, platform_calls
 from yuccahitch import cli
 from yuccahitch.cli import show
 from yuccahitch.controllers import fleet
@@ -26,7 +26,7 @@
 @behave.given("the account may use {rate:d} token a second")
 def step_exhaust_rate(context, rate):
     platform_calls.publish(
-        context, 1, tenants=[builders.a_published_tenant(ratePerS=rate, burst=rate)]
+        context, 1, tenants=[platform_builders.a_published_tenant(ratePerS=rate, burst=rate)]
     )
     platform_calls.run(context, asyncio.sleep(1.0))
     for _ in range(50):
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -12,7 +12,7 @@
 import eliot
 from click import testing
 
-from tests import builders
+from tests import builders, platform_builders
 from yuccahitch import cli, clock, errors, events
 from yuccahitch.messages import commands, store
 from yuccahitch.platform import names
@@ -91,7 +91,7 @@
     mailboxes = {name: mailbox.Mailbox() for name in ("store", "peers", "upstreams")}
     time = clock.SystemClock()
     context.core = core.Core(
-        builders.EdgeUnderTest().decisions,
+        platform_builders.EdgeUnderTest().decisions,
         time=time,
         log=events.Log("i", events.HybridClock(time.wall)),
         metrics_collector=metrics.Metrics(),
@@ -128,8 +128,8 @@
 
 @behave.given("an instance that knows upstream u1")
 def step_start_with_upstream(context):
-    context.edge = builders.EdgeUnderTest()
-    context.edge.publish(builders.a_publication())
+    context.edge = platform_builders.EdgeUnderTest()
+    context.edge.publish(platform_builders.a_publication())
     context.edge.register_upstream("u1")
     context.edge.decisions.take_commands(context.edge.now)
 
@@ -192,7 +192,7 @@
 
 @behave.given("two instances, the first of which knows the second")
 def step_start_two_instances(context):
-    context.edges = [builders.EdgeUnderTest(f"edge-{n}") for n in range(2)]
+    context.edges = [platform_builders.EdgeUnderTest(f"edge-{n}") for n in range(2)]
     first, second = context.edges
     first.discover(second)
     first.decisions.take_commands(first.now)
@@ -259,8 +259,8 @@
 
 @behave.when("a request is over its account's rate")
 def step_exceed_rate(context):
-    low_rate = builders.a_published_tenant(ratePerS=1, burst=1)
-    context.edge.publish(builders.a_publication(2, tenants=[low_rate]))
+    low_rate = platform_builders.a_published_tenant(ratePerS=1, burst=1)
+    context.edge.publish(platform_builders.a_publication(2, tenants=[low_rate]))
     finish_refused(context, start_request(context, X_Token_Usage="9000,9000"))
 
 
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -11,7 +11,7 @@
 import behave
 
 from standins import deployment, platform_site
-from tests import builders, platform_calls
+from tests import platform_builders, platform_calls
 
 CALLERS = {
     "with the account's key": {},
@@ -90,7 +90,7 @@
 def step_check_hidden_headers(context):
     (entry,) = platform_calls.seen_requests(context)
     assert "authorization" not in entry["headers"] and "x-hold" not in entry["headers"]
-    assert builders.PLATFORM_KEY not in json.dumps(entry)
+    assert platform_builders.PLATFORM_KEY not in json.dumps(entry)
     assert entry["headers"]["x-own"] == "kept"
 
 
@@ -251,7 +251,7 @@
 
 @behave.when("version {version:d} drops the route status")
 def step_publish_without_status(context, version):
-    routes = [r for r in builders.a_publication()["routes"] if r["name"] != "status"]
+    routes = [r for r in platform_builders.a_publication()["routes"] if r["name"] != "status"]
     platform_calls.publish(context, version, routes=routes)
 
 
@@ -264,7 +264,7 @@
 @behave.when("version {version:d} withdraws the account's key")
 def step_withdraw_key(context, version):
     platform_calls.publish(
-        context, version, tenants=[builders.a_published_tenant(apiKeys=["another-key"])]
+        context, version, tenants=[platform_builders.a_published_tenant(apiKeys=["another-key"])]
     )
 
 
@@ -273,7 +273,9 @@
 )
 def step_publish_rate(context, version, rate, burst_tokens):
     platform_calls.publish(
-        context, version, tenants=[builders.a_published_tenant(ratePerS=rate, burst=burst_tokens)]
+        context,
+        version,
+        tenants=[platform_builders.a_published_tenant(ratePerS=rate, burst=burst_tokens)],
     )
 
 
@@ -368,7 +370,7 @@
 
     async def is_unlisted():
         listings = [
-            await context.site.resolve(listing_name, region, builders.HOST)
+            await context.site.resolve(listing_name, region, platform_builders.HOST)
             for listing_name in context.site.processes
         ]
         return all(listing and name not in listing for listing in listings)
@@ -448,7 +450,7 @@
 
     async def is_listed():
         names = [n for n in context.site.processes if platform_site.INSTANCE_ZONES[n] == "east-a"]
-        listings = [await context.site.resolve(n, region, builders.HOST) for n in names]
+        listings = [await context.site.resolve(n, region, platform_builders.HOST) for n in names]
         return all(name in listing for listing in listings)
 
     platform_calls.run(context, deployment.wait_until(is_listed, seconds))
@@ -473,8 +475,8 @@
                 for name in context.site.processes
             ]
             for number in range(count):
-                document = builders.a_publication(context.version + 1 + number)
-                extra = builders.a_published_route(f"extra-{number}", f"/extra-{number}/")
+                document = platform_builders.a_publication(context.version + 1 + number)
+                extra = platform_builders.a_published_route(f"extra-{number}", f"/extra-{number}/")
                 document["routes"].append(extra)
                 await context.site.write_item("op/config", document)
                 await asyncio.sleep(gap_s)
--- a/tests/features/steps/store_contract.py
+++ b/tests/features/steps/store_contract.py
@@ -173,8 +173,8 @@
 
 @behave.then("the watch delivered a=1, a=2 and b=1 in this order")
 def step_watch_order(context):
-    received_items = [item for _ in range(3) for item in next_watch_event(context).items]
-    assert [(key, item.value) for key, item in received_items] == [
+    changes = [change for _ in range(3) for change in next_watch_event(context).changes]
+    assert [(change.key, change.item.value) for change in changes] == [
         ("a", b"1"),
         ("a", b"2"),
         ("b", b"1"),
--- a/tests/platform_calls.py
+++ b/tests/platform_calls.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from standins import platform_site
-from tests import builders
+from tests import platform_builders
 
 request_numbers = itertools.count(1)
 
@@ -37,13 +37,19 @@
     return context.loop.run_until_complete(awaitable)
 
 
-async def send(session, instance, method, path, *, body=b"", key=builders.PLATFORM_KEY, **headers):
+async def send(
+    session, instance, method, path, *, body=b"", key=platform_builders.PLATFORM_KEY, **headers
+):
     """Send a request to an instance and return its reply.
 
     Underscores in the names of ``headers`` stand for hyphens; an empty key sends no authorization.
     """
     request_id = f"q{next(request_numbers)}"
-    request_headers = {"Host": builders.HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "4000"}
+    request_headers = {
+        "Host": platform_builders.HOST,
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": "4000",
+    }
     if key:
         request_headers["Authorization"] = f"Token {key}"
     request_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
@@ -108,5 +114,5 @@
 
 def publish(context, version, **fields):
     """Publish a configuration; its version counts from the version that the scenario began with."""
-    document = builders.a_publication(context.version + version, **fields)
+    document = platform_builders.a_publication(context.version + version, **fields)
     run(context, context.site.write_item("op/config", document))
--- /dev/null
+++ b/tests/zone_simulation.py
@@ -0,0 +1,237 @@
+"""Drives the instances of zones on a platform with a store and datagrams, in virtual time."""
+
+from __future__ import annotations
+
+import collections
+import functools
+import math
+import random
+import typing
+
+from tests import platform_builders
+from yuccahitch.codecs import datagrams
+from yuccahitch.messages import commands, pulses, store
+
+STEP_S = 0.05
+WATCH_S = 2.0
+CONFIG_KEY = "op/config"
+
+
+class Watch:
+    """An open watch of an instance on a prefix.
+
+    Attributes:
+        revision: Revision up to which changes were reported.
+        polled_at: When its present call began, in virtual seconds.
+    """
+
+    __slots__ = ("revision", "polled_at")
+
+    def __init__(self, revision: int, now: float) -> None:
+        self.revision = revision
+        self.polled_at = now
+
+
+class Site:
+    """Instances with the store that they share.
+
+    Attributes:
+        now: Virtual time in seconds.
+        edges: The running instances by name.
+        items: What the store holds, by key.
+        history: All changes of the store.
+        oldest_revision: Revision after which the store still has the history.
+        watches: The open watches by instance name and prefix.
+        calls: Calls to the store so far.
+        cut: Names of instances that don't reach the store.
+        muted: Names of instances whose watches get no replies.
+        loss: Share of the datagrams that are lost, from 0 to 1.
+        versions: Versions of the configuration that each instance had in force, in order.
+        logged: Names of the events that the instances logged.
+        dropped: Names of instances whose datagrams are lost.
+    """
+
+    def __init__(self, count: int, *, zone: str = "east-a") -> None:
+        self.now = 1000.0
+        self.edges: dict[str, platform_builders.EdgeUnderTest] = {}
+        self.items: dict[str, store.KeyValue] = {}
+        self.history: list[store.KeyChange] = []
+        self.oldest_revision = 0
+        self.watches: dict[tuple[str, str], Watch] = {}
+        self.calls = 0
+        self.cut: set[str] = set()
+        self.muted: set[str] = set()
+        self.dropped: set[str] = set()
+        self.loss = 0.0
+        self.rng = random.Random(11)
+        self.versions: dict[str, list[int]] = collections.defaultdict(list)
+        self.logged: set[str] = set()
+        self.publish(1)
+        for number in range(count):
+            self.start(f"edge-{number + 1}", zone=zone)
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision."""
+        return self.history[-1].revision if self.history else 0
+
+    def start(self, name: str, *, zone: str = "east-a") -> platform_builders.EdgeUnderTest:
+        """Start an instance; it replaces one of the same name."""
+        self.kill(name)
+        self.edges[name] = platform_builders.EdgeUnderTest(name, zone=zone, now=self.now)
+        return self.edges[name]
+
+    def kill(self, name: str) -> None:
+        """End an instance without notice."""
+        self.edges.pop(name, None)
+        self.versions.pop(name, None)
+        for key in [key for key in self.watches if key[0] == name]:
+            del self.watches[key]
+
+    def write(self, key: str, value: bytes | None) -> None:
+        """Write a key of the store, or delete it."""
+        revision = self.revision + 1
+        item = None
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            item = self.items[key] = store.KeyValue(key=key, value=value, revision=revision)
+        self.history.append(store.KeyChange(key, item, revision=revision))
+
+    def publish(self, version: int, *, padding: int = 0) -> None:
+        """Write a configuration, followed by some white space."""
+        document = platform_builders.a_publication(version)
+        self.write(CONFIG_KEY, platform_builders.to_bytes(document) + b" " * padding)
+
+    def readers(self) -> list[str]:
+        """Return the names of the instances that watch the store."""
+        return sorted({name for name, _ in self.watches})
+
+    def run(self, seconds: float) -> None:
+        """Let some time pass."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now += STEP_S
+            for name in list(self.edges):
+                self._step(name)
+
+    def _step(self, name: str) -> None:
+        edge = self.edges[name]
+        edge.now = self.now
+        for key in [key for key in self.watches if key[0] == name]:
+            self._poll(name, key[1])
+        edge.decisions.tick(self.now)
+        self._execute_all(name)
+        config = edge.decisions.config.current
+        if config is not None and self.versions[name][-1:] != [config.version]:
+            self.versions[name].append(config.version)
+
+    def _poll(self, name: str, prefix: str) -> None:
+        """Reply to the watch of an instance if there is something to report."""
+        watch, edge = self.watches[name, prefix], self.edges[name]
+        if name in self.muted:
+            return
+        if name in self.cut:
+            if self.now - watch.polled_at >= 1.0:
+                watch.polled_at = self.now
+                self.calls += 1
+                edge.decisions.on_watch(store.WatchFailing("cut", prefix=prefix), self.now)
+            return
+        if watch.revision < self.oldest_revision:
+            del self.watches[name, prefix]
+            edge.decisions.on_watch(store.WatchLost("history", prefix=prefix), self.now)
+            return
+        news = [
+            change
+            for change in self.history
+            if change.revision > watch.revision and change.key.startswith(prefix)
+        ]
+        if news or self.now - watch.polled_at >= WATCH_S:
+            self.calls += 1
+            watch.revision, watch.polled_at = self.revision, self.now
+            event = store.KeysChanged(news, revision=self.revision, prefix=prefix)
+            edge.decisions.on_watch(event, self.now)
+
+    def _execute_all(self, name: str) -> None:
+        for command in self.edges[name].decisions.take_commands(self.now):
+            _execute(command, self, name)
+
+    def call(self, name: str, command: commands.StoreCall) -> None:
+        """Carry out a call of an instance and pass it the reply."""
+        self.calls += 1
+        reply: store.Reply = store.CallFailed(may_have_applied=False, detail="cut")
+        if name not in self.cut:
+            reply = _reply(command.call, self)
+        message = commands.StoreReply(purpose=command.purpose, reply=reply, sent_at=self.now)
+        self.edges[name].decisions.on_store(message, self.now)
+        self._execute_all(name)
+
+    def deliver(self, name: str, message: pulses.SendDatagram) -> None:
+        """Deliver a datagram of an instance to its receivers."""
+        raw = datagrams.encode(message.report)
+        for edge in list(self.edges.values()):
+            own = edge.decisions.members.own
+            lost = name in self.dropped or self.rng.random() < self.loss
+            if f"{own.host}:{own.peer_port}" in message.addresses and not lost:
+                edge.decisions.on_report(datagrams.decode(raw), self.now)
+
+
+@functools.singledispatch
+def _execute(command: typing.Any, site: Site, name: str) -> None:
+    raise TypeError(type(command))
+
+
+@_execute.register
+def _(command: commands.StoreCall, site: Site, name: str) -> None:
+    site.call(name, command)
+
+
+@_execute.register
+def _(command: commands.WatchStore, site: Site, name: str) -> None:
+    site.watches.pop((name, command.prefix), None)
+    if command.active:
+        site.calls += 1
+        site.watches[name, command.prefix] = Watch(command.revision, site.now)
+
+
+@_execute.register
+def _(command: pulses.SendDatagram, site: Site, name: str) -> None:
+    site.deliver(name, command)
+
+
+@_execute.register
+def _(command: commands.LogEvent, site: Site, name: str) -> None:
+    site.logged.add(command.event.label)
+
+
+@functools.singledispatch
+def _reply(call: typing.Any, site: Site) -> store.Reply:
+    raise TypeError(type(call))
+
+
+@_reply.register
+def _(call: store.Range, site: Site) -> store.Reply:
+    items = [item for key, item in sorted(site.items.items()) if key.startswith(call.key)]
+    return store.RangeReply(items, revision=site.revision)
+
+
+@_reply.register
+def _(call: store.GrantLease, site: Site) -> store.Reply:
+    return store.LeaseReply(lease=1 + len(site.history), ttl_s=math.inf)
+
+
+@_reply.register
+def _(call: store.KeepAlive, site: Site) -> store.Reply:
+    return store.LeaseReply(lease=call.lease, ttl_s=math.inf)
+
+
+@_reply.register
+def _(call: store.RevokeLease, site: Site) -> store.Reply:
+    return store.LeaseReply(lease=call.lease, ttl_s=0.0)
+
+
+@_reply.register
+def _(call: store.Commit, site: Site) -> store.Reply:
+    for change in call.changes:
+        site.write(change.key, change.value)
+    return store.CommitReply(applied=True, items=[], revision=site.revision)
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -359,7 +359,7 @@
             "Time to live of the instance's entry in the store.", "seconds", 15.0, 1, 600
         ),
         "watch_s": _number_rule(
-            "Longest wait of a long-polling call for changes.", "seconds", 3.0, 0.5, 30
+            "Longest wait of a long-polling call for changes.", "seconds", 2.0, 0.5, 30
         ),
     },
     "bounds": {
--- a/yuccahitch/codecs/etcd.py
+++ b/yuccahitch/codecs/etcd.py
@@ -240,7 +240,8 @@
     )
 
 
-def _changed_key(event: Json) -> tuple[str, store.KeyValue | None]:
-    """Return the key of a watch event with its new value, or with None once it is deleted."""
+def _changed_key(event: Json) -> store.KeyChange:
+    """Return the change of a key that a watch event reports."""
     item = _key_value(event["kv"])
-    return (item.key, None if event.get("type") == "DELETE" else item)
+    deleted = event.get("type") == "DELETE"
+    return store.KeyChange(item.key, None if deleted else item, revision=item.revision)
--- a/yuccahitch/codecs/pulses.py
+++ b/yuccahitch/codecs/pulses.py
@@ -1,15 +1,13 @@
-"""Codec of state reports (pulses), which are protobuf datagrams."""
+"""Codec of state reports (pulses)."""
 
 from __future__ import annotations
 
-from google.protobuf import message as protobuf
-
 from yuccahitch.codecs.generated import peer_pb2 as pb
 from yuccahitch.messages import peers, pulses
 
 
-def encode(pulse: pulses.Pulse) -> bytes:
-    """Encode a pulse as a datagram."""
+def to_protobuf(pulse: pulses.Pulse) -> pb.Pulse:
+    """Return a pulse as a protobuf message."""
     return pb.Pulse(
         instance=pulse.instance,
         region=pulse.region,
@@ -48,21 +46,11 @@
         ],
         version=pulse.version,
         wide=pulse.wide,
-    ).SerializeToString()
-
+    )
 
-def decode(datagram: bytes) -> pulses.Pulse:
-    """Decode a pulse.
 
-    Raises:
-        ValueError: When the datagram is not a pulse or names no sender.
-    """
-    try:
-        message = pb.Pulse.FromString(datagram)
-    except protobuf.DecodeError as error:
-        raise ValueError("the datagram is not a pulse") from error
-    if not message.instance:
-        raise ValueError("the pulse names no sender")
+def from_protobuf(message: pb.Pulse) -> pulses.Pulse:
+    """Return the pulse that a protobuf message holds."""
     return pulses.Pulse(
         instance=message.instance,
         region=message.region,
--- /dev/null
+++ b/yuccahitch/controllers/_edge_inputs.py
@@ -0,0 +1,100 @@
+"""Routes replies of the store, watch events and reports to the controllers of a platform."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+from yuccahitch import events
+from yuccahitch.controllers import feed, fleet, relay, suspects
+from yuccahitch.messages import commands, feeds, pulses, store
+
+
+class Controllers(typing.Protocol):
+    """The controllers of an instance that take these inputs; ``edge.Edge`` has them."""
+
+    feed: feed.Feed
+    relay: relay.StoreRelay
+    members: fleet.Fleet
+    suspects: suspects.Suspects
+    outbox: list[typing.Any]
+
+
+class LeaseRevocation:
+    """Purpose of the call that revokes the lease of the instance."""
+
+    __slots__ = ()
+
+
+@functools.singledispatch
+def on_store(purpose: typing.Any, controllers: Controllers, reply: store.Reply, now: float) -> None:
+    """Process a reply of the store to the call with this purpose."""
+    raise TypeError(type(purpose))
+
+
+@on_store.register
+def _(
+    purpose: feed.PrefixListing, controllers: Controllers, reply: store.Reply, now: float
+) -> None:
+    controllers.feed.apply_page(purpose, reply, now)
+
+
+@on_store.register
+def _(purpose: fleet.LeaseGrant, controllers: Controllers, reply: store.Reply, now: float) -> None:
+    controllers.members.on_lease_grant(reply, now)
+
+
+@on_store.register
+def _(
+    purpose: fleet.LeaseRenewal, controllers: Controllers, reply: store.Reply, now: float
+) -> None:
+    controllers.members.on_lease_renewal(reply, now)
+
+
+@on_store.register
+def _(purpose: fleet.EntryWrite, controllers: Controllers, reply: store.Reply, now: float) -> None:
+    controllers.members.on_entry_write(reply, now)
+
+
+@on_store.register
+def _(purpose: LeaseRevocation, controllers: Controllers, reply: store.Reply, now: float) -> None:
+    if type(reply) is store.CallFailed:
+        controllers.outbox.append(commands.LogEvent(events.Event.STORE_LOST, detail=reply.detail))
+
+
+@functools.singledispatch
+def on_report(report: typing.Any, controllers: Controllers, now: float) -> None:
+    """Process a report of another instance."""
+    raise TypeError(type(report))
+
+
+@on_report.register
+def _(report: pulses.Pulse, controllers: Controllers, now: float) -> None:
+    controllers.members.record_report(report, now)
+    controllers.suspects.record_report(report.suspects, now)
+
+
+@on_report.register
+def _(report: feeds.FeedReport, controllers: Controllers, now: float) -> None:
+    controllers.relay.on_report(report, now)
+
+
+@functools.singledispatch
+def on_watch(event: typing.Any, controllers: Controllers, now: float) -> None:
+    """Process an event of a watch on the store."""
+    raise TypeError(type(event))
+
+
+@on_watch.register
+def _(event: store.KeysChanged, controllers: Controllers, now: float) -> None:
+    controllers.relay.on_watched(event, now)
+
+
+@on_watch.register
+def _(event: store.WatchFailing, controllers: Controllers, now: float) -> None:
+    controllers.feed.on_watch_failing(event)
+
+
+@on_watch.register
+def _(event: store.WatchLost, controllers: Controllers, now: float) -> None:
+    controllers.feed.on_watch_lost(event, now)
--- a/yuccahitch/controllers/configuration.py
+++ b/yuccahitch/controllers/configuration.py
@@ -184,7 +184,7 @@
 
     def apply_change(self, change: store.KeysChanged, now: float) -> None:
         """Apply changes that the watch on the store reported."""
-        changed_items = [item for _, item in change.items if item is not None]
+        changed_items = [entry.item for entry in change.changes if entry.item is not None]
         self.applied_revision = max(self.applied_revision, change.revision)
         self._merge_stored_items(changed_items)
 
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -12,9 +12,10 @@
 import random
 import typing
 
-from yuccahitch import errors, events
+from yuccahitch import errors
 from yuccahitch import settings as config_file
 from yuccahitch.controllers import (
+    _edge_inputs,
     allowance,
     balance,
     drain,
@@ -22,6 +23,7 @@
     fleet,
     in_flight,
     published,
+    relay,
     replicas,
     shares,
     suspects,
@@ -39,7 +41,16 @@
     routing,
     send,
 )
-from yuccahitch.messages import actions, commands, peers, pulses, request_lifecycle, requests, store
+from yuccahitch.messages import (
+    actions,
+    commands,
+    feeds,
+    peers,
+    pulses,
+    request_lifecycle,
+    requests,
+    store,
+)
 
 # Number of distinct upstreams from which a request that crashed them is refused.
 POISON_CRASHES = 3
@@ -82,7 +93,8 @@
         members: The other instances of the fleet, and the lease and entry of this one.
         config: The published configuration and the evacuated zones.
         registry: The registered upstreams of all regions.
-        feed: Reads and watches the store for the three controllers above.
+        feed: Follows the store for the three controllers above.
+        relay: Decides who watches the store, and passes its changes on in the zone.
         rate_shares: This instance's shares of the client accounts' rates.
         balancer: Places requests on upstreams and regions.
         suspects: Requests that crashed upstreams.
@@ -100,6 +112,7 @@
         "config",
         "registry",
         "feed",
+        "relay",
         "rate_shares",
         "balancer",
         "suspects",
@@ -165,6 +178,7 @@
                 fleet.PREFIX: self.members,
             }
         )
+        self.relay = relay.StoreRelay(self.members, self.feed, watch_s=self.settings.store.watch_s)
         grace_s = self.settings.bounds.grace_s
         self.shutdown = drain.Drain(
             announce_s=grace_s / 2 - DRAIN_RESERVE_S, limit_s=grace_s - DRAIN_RESERVE_S
@@ -282,13 +296,14 @@
         self.send_pulse(self.members.all_addresses(), now)
         if self.members.lease:
             call = store.RevokeLease(self.members.lease)
-            self.outbox.append(commands.StoreCall(call, LeaseRevocation()))
+            self.outbox.append(commands.StoreCall(call, _edge_inputs.LeaseRevocation()))
             self.members.lease = 0
 
     def tick(self, now: float) -> None:
         """Run the periodic work: reads, lease, expiry, pulses and the steps of a shutdown."""
         self.members.own.ready = self.config.ready() and self.feed.is_complete()
         self.feed.tick(now)
+        self.relay.tick(now)
         if not self.shutdown.leaving:
             self.members.maintain_lease(now)
         self.members.expire(now)
@@ -299,18 +314,17 @@
         self.send_pulse(far_addresses, now, wide=True)
         self.shutdown.advance(now, open_requests=len(self.in_flight.contexts), handed_over=True)
 
-    def on_watch(self, event: store.KeysChanged | store.WatchLost, now: float) -> None:
-        """Apply the changes that a watch on the store saw, or the loss of the watch."""
-        _on_watch(event, self, now)
+    def on_watch(self, event: store.WatchEvent, now: float) -> None:
+        """Apply the changes that a watch on the store saw, or its failure or loss."""
+        _edge_inputs.on_watch(event, self, now)
 
     def on_store(self, reply: commands.StoreReply, now: float) -> None:
         """Process a reply of the store."""
-        _on_store(reply.purpose, self, reply.reply, now)
+        _edge_inputs.on_store(reply.purpose, self, reply.reply, now)
 
-    def on_pulse(self, pulse: pulses.Pulse, now: float) -> None:
-        """Record the state report (pulse) of another instance."""
-        self.members.record_report(pulse, now)
-        self.suspects.record_report(pulse.suspects, now)
+    def on_report(self, report: pulses.Pulse | feeds.FeedReport, now: float) -> None:
+        """Apply a report of another instance."""
+        _edge_inputs.on_report(report, self, now)
 
     def on_peer(self, body: peers.Body, sender: str, now: float) -> peers.Body:
         """Acknowledge a gossip message; instances on the users' platform send none."""
@@ -328,6 +342,7 @@
             self.config,
             self.registry,
             self.feed,
+            self.relay,
             self.rate_shares,
             self.suspects,
         )
@@ -409,13 +424,7 @@
             version=self.config.current.version if self.config.ready() else 0,
             wide=wide,
         )
-        self.outbox.append(pulses.SendPulse(addresses, pulse))
-
-
-class LeaseRevocation:
-    """Purpose of the call that revokes the lease of the instance."""
-
-    __slots__ = ()
+        self.outbox.append(pulses.SendDatagram(addresses, pulse))
 
 
 def own_info(settings: config_file.EdgeSettings, instance: str) -> peers.InstanceInfo:
@@ -432,49 +441,3 @@
         peer_port=int(peer_port),
         wan_address=f"{peer_host}:{peer_port}",
     )
-
-
-@functools.singledispatch
-def _on_store(purpose: typing.Any, edge: Edge, reply: store.Reply, now: float) -> None:
-    raise TypeError(type(purpose))
-
-
-@_on_store.register
-def _(purpose: feed.PrefixListing, edge: Edge, reply: store.Reply, now: float) -> None:
-    edge.feed.apply_page(purpose, reply, now)
-
-
-@_on_store.register
-def _(purpose: fleet.LeaseGrant, edge: Edge, reply: store.Reply, now: float) -> None:
-    edge.members.on_lease_grant(reply, now)
-
-
-@_on_store.register
-def _(purpose: fleet.LeaseRenewal, edge: Edge, reply: store.Reply, now: float) -> None:
-    edge.members.on_lease_renewal(reply, now)
-
-
-@_on_store.register
-def _(purpose: fleet.EntryWrite, edge: Edge, reply: store.Reply, now: float) -> None:
-    edge.members.on_entry_write(reply, now)
-
-
-@_on_store.register
-def _(purpose: LeaseRevocation, edge: Edge, reply: store.Reply, now: float) -> None:
-    if type(reply) is store.CallFailed:
-        edge.outbox.append(commands.LogEvent(events.Event.STORE_LOST, detail=reply.detail))
-
-
-@functools.singledispatch
-def _on_watch(event: typing.Any, edge: Edge, now: float) -> None:
-    raise TypeError(type(event))
-
-
-@_on_watch.register
-def _(event: store.KeysChanged, edge: Edge, now: float) -> None:
-    edge.feed.apply_change(event, now)
-
-
-@_on_watch.register
-def _(event: store.WatchLost, edge: Edge, now: float) -> None:
-    edge.feed.on_watch_lost(event, now)
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -212,6 +212,14 @@
             if not _is_leaving(member) and _is_ready(member)
         ]
 
+    def zone_infos(self, now: float) -> list[peers.InstanceInfo]:
+        """Return the entries of the other reachable instances of this zone that are not leaving."""
+        return [
+            member.info
+            for member in self.reachable_members(now, region=self.own.region)
+            if member.info.zone == self.own.zone and not _is_leaving(member)
+        ]
+
     def near_ids(self, now: float) -> list[str]:
         """Return the ids of the reachable near instances and of this one."""
         reachable = self.reachable_members(now, region=self.own.region)
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -75,6 +75,17 @@
     WATCH_BROKEN = (403, "watch-broken", "A watch on the store broke and is restarted.")
     STORE_LOST = (404, "store-lost", "The store does not answer.")
     STORE_FOUND = (405, "store-found", "The store answers again.")
+    STORE_WATCHED = (409, "store-watched", "The instance watches the store itself.")
+    STORE_RELAYED = (
+        410,
+        "store-relayed",
+        "The instance gets the store's changes from others of its zone.",
+    )
+    REPORT_MISSED = (
+        411,
+        "report-missed",
+        "Changes of the store were not passed on; they are read again.",
+    )
     MEMBER_JOINED = (500, "member-joined", "An instance was discovered.")
     MEMBER_LOST = (
         501,
--- a/yuccahitch/messages/pulses.py
+++ b/yuccahitch/messages/pulses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import records
-from yuccahitch.messages import peers
+from yuccahitch.messages import feeds, peers
 
 
 class UpstreamUsage(records.Record):
@@ -122,16 +122,16 @@
         self.wide = wide
 
 
-class SendPulse(records.Record):
-    """Send a pulse to other instances.
+class SendDatagram(records.Record):
+    """Send a report to other instances as a datagram.
 
     Attributes:
         addresses: Peer addresses of the receivers, ``IP:PORT``.
-        pulse: The pulse.
+        report: The report.
     """
 
-    __slots__ = ("addresses", "pulse")
+    __slots__ = ("addresses", "report")
 
-    def __init__(self, addresses: list[str], pulse: Pulse) -> None:
+    def __init__(self, addresses: list[str], report: Pulse | feeds.FeedReport) -> None:
         self.addresses = addresses
-        self.pulse = pulse
+        self.report = report
--- a/yuccahitch/messages/store.py
+++ b/yuccahitch/messages/store.py
@@ -230,25 +230,55 @@
 Reply = RangeReply | CommitReply | CommitManyReply | LeaseReply | CallFailed
 
 
+class KeyChange(records.Record):
+    """One change of a key.
+
+    Attributes:
+        key: The key.
+        item: The new state of the key, or None if it was deleted.
+        revision: Revision of the store at the change.
+    """
+
+    __slots__ = ("key", "item", "revision")
+
+    def __init__(self, key: str, item: KeyValue | None, *, revision: int) -> None:
+        self.key = key
+        self.item = item
+        self.revision = revision
+
+
 class KeysChanged(records.Record):
     """Changes of keys under a watched prefix.
 
     Attributes:
-        items: Changed keys, each with its new state, or None if it was deleted.
+        changes: The changes, in the order in which they were made.
         revision: Revision of the store after the changes.
         prefix: Watched prefix; the etcd dialect leaves it empty.
     """
 
-    __slots__ = ("items", "revision", "prefix")
+    __slots__ = ("changes", "revision", "prefix")
 
-    def __init__(
-        self, items: list[tuple[str, KeyValue | None]], *, revision: int, prefix: str = ""
-    ) -> None:
-        self.items = items
+    def __init__(self, changes: list[KeyChange], *, revision: int, prefix: str = "") -> None:
+        self.changes = changes
         self.revision = revision
         self.prefix = prefix
 
 
+class WatchFailing(records.Record):
+    """A call of a watch failed; the watch goes on, and until its next reply changes may be missed.
+
+    Attributes:
+        detail: Cause of the failure.
+        prefix: Watched prefix.
+    """
+
+    __slots__ = ("detail", "prefix")
+
+    def __init__(self, detail: str, *, prefix: str = "") -> None:
+        self.detail = detail
+        self.prefix = prefix
+
+
 class WatchLost(records.Record):
     """The end of a broken watch; the prefix must be read again to learn of missed changes.
 
@@ -262,3 +292,6 @@
     def __init__(self, detail: str, *, prefix: str = "") -> None:
         self.detail = detail
         self.prefix = prefix
+
+
+WatchEvent = KeysChanged | WatchFailing | WatchLost
--- a/yuccahitch/platform/store.py
+++ b/yuccahitch/platform/store.py
@@ -134,11 +134,15 @@
 def decode_watch(prefix: str, response_body: bytes) -> store.KeysChanged:
     """Decode the changes that a long-polling call returned."""
     body = json.loads(response_body)
-    items = [
-        (item_body["key"], None if item_body.get("deleted") else _key_value(item_body))
-        for item_body in body["events"]
+    changes = [
+        store.KeyChange(
+            event["key"],
+            None if event.get("deleted") else _key_value(event),
+            revision=int(event["revision"]),
+        )
+        for event in body["events"]
     ]
-    return store.KeysChanged(items, revision=int(body["at"]), prefix=prefix)
+    return store.KeysChanged(changes, revision=int(body["at"]), prefix=prefix)
 
 
 def _put_body(change: store.Put) -> Json:
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -10,24 +10,24 @@
 from yuccahitch import clock, events, records
 from yuccahitch.controllers import configuration, gateway, orders, request_log
 from yuccahitch.filters import request_context
-from yuccahitch.messages import commands, peers, pulses, request_lifecycle
+from yuccahitch.messages import commands, feeds, peers, pulses, request_lifecycle
 from yuccahitch.tasks import mailbox, metrics
 
 # An order is refused if it waits longer than an earlier order may take plus this time.
 ORDER_SEND_MARGIN_S = 60.0
 
 
-class PulseReceived(records.Record):
-    """Apply a state report (pulse) received from another instance.
+class ReportReceived(records.Record):
+    """Apply a report received from another instance as a datagram.
 
     Attributes:
-        pulse: The state report.
+        report: The report.
     """
 
-    __slots__ = ("pulse",)
+    __slots__ = ("report",)
 
-    def __init__(self, pulse: pulses.Pulse) -> None:
-        self.pulse = pulse
+    def __init__(self, report: pulses.Pulse | feeds.FeedReport) -> None:
+        self.report = report
 
 
 class Tick(records.Record):
@@ -332,8 +332,8 @@
 
 
 @handle_without_reply.register
-def _(message: PulseReceived, core: Core, now: float) -> None:
-    core.decisions.on_pulse(message.pulse, now)
+def _(message: ReportReceived, core: Core, now: float) -> None:
+    core.decisions.on_report(message.report, now)
 
 
 @handle_without_reply.register
@@ -416,7 +416,7 @@
 
 
 @execute_command.register
-def _(command: pulses.SendPulse, core: Core) -> None:
+def _(command: pulses.SendDatagram, core: Core) -> None:
     core.pulse_socket.post(command)
 
 
--- a/yuccahitch/tasks/pulse_socket.py
+++ b/yuccahitch/tasks/pulse_socket.py
@@ -1,4 +1,4 @@
-"""The UDP socket for state reports (pulses) between the instances of a platform."""
+"""The UDP socket for reports between the instances of a platform."""
 
 from __future__ import annotations
 
@@ -6,20 +6,20 @@
 import typing
 
 from yuccahitch import events
-from yuccahitch.codecs import pulses as codec
+from yuccahitch.codecs import datagrams
 from yuccahitch.messages import pulses
 from yuccahitch.tasks import core, mailbox
 
 
 class PulseSocket(asyncio.DatagramProtocol):
-    """Owns the UDP socket that sends and receives state reports.
+    """Owns the UDP socket that sends and receives reports.
 
     Args:
         core_inbox: Mailbox of the core task, which gets each received report.
         log: Event log.
 
     Attributes:
-        inbox: Messages for this task, ``pulses.SendPulse``.
+        inbox: Messages for this task, ``pulses.SendDatagram``.
         transport: The open socket, or None before ``start``.
     """
 
@@ -39,7 +39,7 @@
         )
 
     async def run(self) -> None:
-        """Send the state reports of the inbox; close the socket when cancelled."""
+        """Send the reports of the inbox; close the socket when cancelled."""
         try:
             while True:
                 self._send(await self.inbox.get())
@@ -48,19 +48,19 @@
                 self.transport.close()
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
-        """Decode a received state report and post it to the core; log one that is invalid."""
+        """Decode a received report and post it to the core; log one that is invalid."""
         try:
-            self.core_inbox.post(core.PulseReceived(codec.decode(data)))
+            self.core_inbox.post(core.ReportReceived(datagrams.decode(data)))
         except ValueError as error:
             self.log.write(events.Event.PEER_GARBAGE, peer=str(addr), detail=str(error))
 
     def error_received(self, error: OSError) -> None:
-        """Log that a state report could not be sent; its receiver will become unreachable."""
+        """Log that a report could not be sent."""
         self.log.write(events.Event.PULSE_FAILED, detail=str(error))
 
-    def _send(self, message: pulses.SendPulse) -> None:
-        """Send one state report to each of its addresses, ``IP:PORT``."""
-        data = codec.encode(message.pulse)
+    def _send(self, message: pulses.SendDatagram) -> None:
+        """Send one report to each of its addresses, ``IP:PORT``."""
+        data = datagrams.encode(message.report)
         for address in message.addresses:
             host, _, port = address.rpartition(":")
             self.transport.sendto(data, (host, int(port)))
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -42,7 +42,8 @@
         time: Source of monotonic time.
         log: Event log.
         on_reply: Called with the reply to each call of the core, or with its failure.
-        on_watch_event: Called with each change under a watched prefix, and with the end of a watch.
+        on_watch_event: Called with each change under a watched prefix, with each failure of a
+            watch and with its end.
         rng: Source of jitter for the delays.
         dialect: Module that encodes calls and decodes replies, ``codecs.etcd`` or
             ``platform.store``.
@@ -87,7 +88,7 @@
         time: clock.Clock,
         log: events.Log,
         on_reply: typing.Callable[[commands.StoreReply], None],
-        on_watch_event: typing.Callable[[store.KeysChanged | store.WatchLost], None],
+        on_watch_event: typing.Callable[[store.WatchEvent], None],
         rng: random.Random,
         dialect: typing.Any = etcd,
         poll_wait_s: float = LONG_POLL_WAIT_S,
@@ -163,8 +164,8 @@
     def watch(self, prefix: str, revision: int) -> reactivex.Observable:
         """Return an observable of the changes under a prefix after a revision.
 
-        Its last item is ``store.WatchLost``. Each subscription runs its own watch, which is
-        cancelled when the subscription is disposed.
+        Failed calls of the watch are items too. The last item is ``store.WatchLost``. Each
+        subscription runs its own watch, which is cancelled when the subscription is disposed.
         """
 
         def subscribe(
@@ -203,7 +204,7 @@
                     if type(event) is store.WatchLost:
                         detail = event.detail
                         break
-                    if event.items:
+                    if event.changes:
                         observer.on_next(_unprefixed_change(event, self.prefix))
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
             detail = type(error).__name__
@@ -237,6 +238,7 @@
                 detail = type(error).__name__
             consecutive_failures += 1
             self._record_failure(detail)
+            observer.on_next(store.WatchFailing(detail, prefix=prefix))
             await asyncio.sleep(self._backoff_s(consecutive_failures))
         observer.on_next(
             store.WatchLost(
@@ -362,11 +364,15 @@
 
 def _unprefixed_change(change: store.KeysChanged, prefix: str) -> store.KeysChanged:
     """Return a change of watched keys with the prefix removed from the keys."""
-    items = [
-        (key.removeprefix(prefix), _unprefixed_item(item, prefix) if item is not None else None)
-        for key, item in change.items
+    changes = [
+        store.KeyChange(
+            entry.key.removeprefix(prefix),
+            _unprefixed_item(entry.item, prefix) if entry.item is not None else None,
+            revision=entry.revision,
+        )
+        for entry in change.changes
     ]
-    return store.KeysChanged(items, revision=change.revision)
+    return store.KeysChanged(changes, revision=change.revision)
 
 
 def _unprefixed_item(item: store.KeyValue, prefix: str) -> store.KeyValue:
