Read and watch the whole store in one call

Cause: three prefixes took three reads at the start and three watches at each reader. One revision for the whole store also makes the reports simpler.

--- a/yuccahitch/codecs/feeds.py
+++ b/yuccahitch/codecs/feeds.py
@@ -8,36 +8,28 @@
 
 def to_protobuf(report: feeds.FeedReport) -> pb.FeedReport:
     """Return a report as a protobuf message."""
-    return pb.FeedReport(
-        instance=report.instance,
-        revisions=report.revisions,
-        changes=[
-            pb.PrefixChanges(
-                prefix=batch.prefix,
-                after=batch.after,
-                revision=batch.revision,
-                changes=[_change_to_protobuf(change) for change in batch.changes],
+    message = pb.FeedReport(instance=report.instance, revision=report.revision)
+    if report.news is not None:
+        message.news.CopyFrom(
+            pb.StoreChanges(
+                after=report.news.after,
+                revision=report.news.revision,
+                changes=[_change_to_protobuf(change) for change in report.news.changes],
             )
-            for batch in report.changes
-        ],
-    )
+        )
+    return message
 
 
 def from_protobuf(message: pb.FeedReport) -> feeds.FeedReport:
     """Return the report that a protobuf message holds."""
-    return feeds.FeedReport(
-        message.instance,
-        revisions=dict(message.revisions),
-        changes=[
-            feeds.PrefixChanges(
-                batch.prefix,
-                after=batch.after,
-                revision=batch.revision,
-                changes=[_change_from_protobuf(change) for change in batch.changes],
-            )
-            for batch in message.changes
-        ],
-    )
+    news = None
+    if message.HasField("news"):
+        news = feeds.StoreChanges(
+            after=message.news.after,
+            revision=message.news.revision,
+            changes=[_change_from_protobuf(change) for change in message.news.changes],
+        )
+    return feeds.FeedReport(message.instance, revision=message.revision, news=news)
 
 
 def _change_to_protobuf(change: store.KeyChange) -> pb.KeyChange:
--- a/yuccahitch/controllers/_edge_inputs.py
+++ b/yuccahitch/controllers/_edge_inputs.py
@@ -33,9 +33,7 @@
 
 
 @on_store.register
-def _(
-    purpose: feed.PrefixListing, controllers: Controllers, reply: store.Reply, now: float
-) -> None:
+def _(purpose: feed.Listing, controllers: Controllers, reply: store.Reply, now: float) -> None:
     controllers.feed.apply_page(purpose, reply, now)
 
 
@@ -92,7 +90,7 @@
 
 @on_watch.register
 def _(event: store.WatchFailing, controllers: Controllers, now: float) -> None:
-    controllers.feed.on_watch_failing(event)
+    controllers.feed.on_watch_failing()
 
 
 @on_watch.register
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -383,11 +383,11 @@
 
     def _state_fields(self, now: float) -> dict[str, typing.Any]:
         """Return log fields: the version in force and the age of the oldest data of the store."""
-        updated_at = min(self.feed.updated_at.values(), default=None)
         ready = self.config.ready()
+        age_s = round(now - self.feed.updated_at, 1) if self.feed.is_complete() else None
         return {
             "version": self.config.current.version if ready else 0,
-            "store_age_s": None if updated_at is None else round(now - updated_at, 1),
+            "store_age_s": age_s,
         }
 
     def send_pulse(self, addresses: list[str], now: float, *, wide: bool = False) -> None:
--- a/yuccahitch/controllers/relay.py
+++ b/yuccahitch/controllers/relay.py
@@ -4,7 +4,7 @@
 They report to the others of the zone what changed and, every REPORT_INTERVAL_S, how far they know
 the store. An instance that gets no such report watches the store itself until the reports are sound
 again. It begins after the last change that it applied, so that the death of a reader neither loses
-a change nor brings back an older state. An instance that is behind a report reads the prefix again.
+a change nor brings back an older state. An instance that is behind a report reads the store again.
 """
 
 from __future__ import annotations
@@ -21,13 +21,13 @@
 REPORT_INTERVAL_S = 0.25
 # Silence after which a reader's reports no longer count, in seconds.
 SILENT_AFTER_S = 0.8
-# Time for which a prefix may be behind a report before it is read again, in seconds.
-BEHIND_LIMIT_S = 0.3
-# Shortest time between two such reads of a prefix, in seconds.
-READ_AGAIN_INTERVAL_S = 1.0
 # Silence after which a reader is forgotten, in seconds.
 FORGET_READER_S = 10.0
-# Time for which reports must have been sound before own watches end, in seconds.
+# Time for which an instance may be behind a report before it reads the store again, in seconds.
+BEHIND_LIMIT_S = 0.3
+# Shortest time between two such reads, in seconds.
+READ_AGAIN_INTERVAL_S = 1.0
+# Time for which reports must have been sound before the own watch ends, in seconds.
 SOUND_FOR_S = 1.0
 # Time by which the reply of a watch may come later than the longest wait, in seconds.
 WATCH_REPLY_MARGIN_S = 0.4
@@ -55,21 +55,6 @@
         self.since = now
 
 
-class MissedChanges:
-    """Changes of a prefix that a report told of and that have not arrived.
-
-    Attributes:
-        since: When the report arrived, in monotonic seconds.
-        revision: Revision up to which the report's sender knew the prefix.
-    """
-
-    __slots__ = ("since", "revision")
-
-    def __init__(self, since: float, revision: int) -> None:
-        self.since = since
-        self.revision = revision
-
-
 class StoreRelay:
     """Reports changes of the store to the zone, or follows the reports of others.
 
@@ -79,11 +64,12 @@
         watch_s: Longest wait of a watch's call in the store, in seconds.
 
     Attributes:
-        max_watch_age_s: Age of a watch's last reply up to which the watch is sound, in seconds.
-        readers: The readers heard so far, by instance id.
+        max_watch_age_s: Age of the watch's last reply up to which the watch is sound, in seconds.
+        readers: The readers heard of late, by instance id.
         started_at: When the relay first ran, in monotonic seconds, or infinity.
-        missed: Changes that have not arrived, by prefix.
-        read_again_at: When each prefix may be read again for missed changes, in monotonic seconds.
+        missed_revision: Revision that a report told of when this instance was behind it.
+        missed_since: When that report arrived, in monotonic seconds.
+        read_again_at: When the store may be read again for missed changes, in monotonic seconds.
         report_due_at: When the next report is due, in monotonic seconds.
         dropped: Reports that were dropped because their sender is not known.
         outbox: Commands that wait for the next ``take_commands``.
@@ -95,7 +81,8 @@
         "max_watch_age_s",
         "readers",
         "started_at",
-        "missed",
+        "missed_revision",
+        "missed_since",
         "read_again_at",
         "report_due_at",
         "dropped",
@@ -108,14 +95,15 @@
         self.max_watch_age_s = watch_s + WATCH_REPLY_MARGIN_S
         self.readers: dict[str, HeardReader] = {}
         self.started_at = math.inf
-        self.missed: dict[str, MissedChanges] = {}
-        self.read_again_at: dict[str, float] = {}
+        self.missed_revision = 0
+        self.missed_since = -math.inf
+        self.read_again_at = -math.inf
         self.report_due_at = -math.inf
         self.dropped = 0
         self.outbox: list[commands.Command | pulses.SendDatagram] = []
 
     def tick(self, now: float) -> None:
-        """Begin or end the own watches, and report to the zone when that is due."""
+        """Begin or end the own watch, read missed changes, and report to the zone when due."""
         self.started_at = min(self.started_at, now)
         reason = self._reason_to_watch(now)
         if reason and not self.source.watching:
@@ -127,15 +115,14 @@
             del self.readers[name]
         if now >= self.report_due_at:
             self.report_due_at = now + REPORT_INTERVAL_S
-            self._report([], now)
+            self._report(None, now)
 
     def on_watched(self, event: store.KeysChanged, now: float) -> None:
-        """Apply the changes that an own watch saw, and pass them on."""
+        """Apply the changes that the own watch saw, and pass them on."""
         news = self.source.apply_watched(event, now)
-        # The store's revision also grows by changes under other prefixes; the others must know.
         if news.revision > news.after:
             for part in split_changes(news):
-                self._report([part], now)
+                self._report(part, now)
 
     def on_report(self, report: feeds.FeedReport, now: float) -> None:
         """Apply the report of a reader of this zone."""
@@ -143,18 +130,17 @@
         if member is None or member.info.zone != self.members.own.zone:
             self.dropped += 1
             return
-        if report.revisions.keys() != self.source.subscribers.keys():
-            self.dropped += 1
-            return
         reader = self.readers.setdefault(report.instance, HeardReader(now))
         if now - reader.last_at > SILENT_AFTER_S:
             reader.since = now
         reader.last_at = now
-        for news in report.changes:
-            self.source.apply_relayed(news, now)
-        self._forget_arrived()
-        for prefix in self.source.confirm(report.revisions, now):
-            self.missed.setdefault(prefix, MissedChanges(now, report.revisions[prefix]))
+        if report.news is not None:
+            self.source.apply_relayed(report.news, now)
+        if self.source.revision >= report.revision:
+            self.source.updated_at = now
+        elif self.source.revision >= self.missed_revision:
+            self.missed_revision = report.revision
+            self.missed_since = now
 
     def _reason_to_watch(self, now: float) -> str:
         """Return why this instance has to watch the store itself, or an empty text."""
@@ -179,80 +165,57 @@
     def _set_watching(self, watching: bool, reason: str) -> None:
         self.source.set_watching(watching)
         event = events.Event.STORE_WATCHED if watching else events.Event.STORE_RELAYED
-        self.outbox.append(commands.LogEvent(event, reason=reason))
-
-    def _forget_arrived(self) -> None:
-        """Forget missed changes that have arrived since."""
-        known = self.source.revisions
-        self.missed = {
-            prefix: missed
-            for prefix, missed in self.missed.items()
-            if known[prefix] < missed.revision
-        }
+        self.outbox.append(commands.LogEvent(event, reason=reason, revision=self.source.revision))
 
     def _read_missed(self, now: float) -> None:
-        """Read the prefixes again whose changes have been missing for too long."""
-        self._forget_arrived()
-        for prefix, missed in self.missed.items():
-            behind_s = now - missed.since
-            may_read_at = self.read_again_at.get(prefix, -math.inf)
-            if behind_s < BEHIND_LIMIT_S or now < may_read_at:
-                continue
-            self.read_again_at[prefix] = now + READ_AGAIN_INTERVAL_S
-            self.source.read_again(prefix, now)
-            log_event = commands.LogEvent(
-                events.Event.REPORT_MISSED,
-                prefix=prefix,
-                behind_s=round(behind_s, 3),
-                known=self.source.revisions[prefix],
-                reported=missed.revision,
-            )
-            self.outbox.append(log_event)
-
-    def _report(self, changes: list[feeds.PrefixChanges], now: float) -> None:
-        """Report to the zone if this instance is a reader whose watches are sound."""
-        if not self.source.is_watched(now, max_age_s=self.max_watch_age_s):
+        """Read the store again if changes have been missing for too long."""
+        known = self.source.revision
+        if not known or known >= self.missed_revision:
             return
-        if not self._is_reader(now):
+        behind_s = now - self.missed_since
+        if behind_s < BEHIND_LIMIT_S or now < self.read_again_at:
+            return
+        self.read_again_at = now + READ_AGAIN_INTERVAL_S
+        self.source.read_again(now)
+        log_event = commands.LogEvent(
+            events.Event.REPORT_MISSED,
+            behind_s=round(behind_s, 3),
+            known=known,
+            reported=self.missed_revision,
+        )
+        self.outbox.append(log_event)
+
+    def _report(self, news: feeds.StoreChanges | None, now: float) -> None:
+        """Report to the zone if this instance is a reader whose watch is sound."""
+        if now - self.source.watched_at > self.max_watch_age_s or not self._is_reader(now):
             return
         addresses = [fleet.peer_address(info) for info in self.members.zone_infos(now)]
         if addresses:
             report = feeds.FeedReport(
-                self.members.own.instance, revisions=dict(self.source.revisions), changes=changes
+                self.members.own.instance, revision=self.source.revision, news=news
             )
             self.outbox.append(pulses.SendDatagram(addresses, report))
 
 
-def split_changes(news: feeds.PrefixChanges) -> list[feeds.PrefixChanges]:
+def split_changes(news: feeds.StoreChanges) -> list[feeds.StoreChanges]:
     """Divide changes into parts that fit into one report each.
 
     A change that is too large for a report ends the list before it: the receivers find that they
-    are behind and read it from the store.
+    are behind and read the store.
     """
-    parts: list[feeds.PrefixChanges] = []
+    parts: list[feeds.StoreChanges] = []
     size, after, batch = 0, news.after, []
     for change in news.changes:
         change_size = _size(change)
+        if batch and size + change_size > MAX_REPORT_BYTES:
+            revision = batch[-1].revision
+            parts.append(feeds.StoreChanges(after=after, revision=revision, changes=batch))
+            size, after, batch = 0, revision, []
         if change_size > MAX_REPORT_BYTES:
-            return parts + _part(news, after, batch)
-        if size + change_size > MAX_REPORT_BYTES:
-            parts += _part(news, after, batch)
-            size, after, batch = 0, batch[-1].revision, []
+            return parts
         size += change_size
         batch.append(change)
-    last = feeds.PrefixChanges(news.prefix, after=after, revision=news.revision, changes=batch)
-    return [*parts, last]
-
-
-def _part(
-    news: feeds.PrefixChanges, after: int, batch: list[store.KeyChange]
-) -> list[feeds.PrefixChanges]:
-    """Return the part that holds a batch of changes; none if the batch is empty."""
-    if not batch:
-        return []
-    return [
-        feeds.PrefixChanges(news.prefix, after=after, revision=batch[-1].revision, changes=batch)
-    ]
+    return [*parts, feeds.StoreChanges(after=after, revision=news.revision, changes=batch)]
 
 
 def _size(change: store.KeyChange) -> int:
--- a/yuccahitch/messages/feeds.py
+++ b/yuccahitch/messages/feeds.py
@@ -6,22 +6,18 @@
 from yuccahitch.messages import store
 
 
-class PrefixChanges(records.Record):
-    """All changes of the keys under a prefix between two revisions of the store.
+class StoreChanges(records.Record):
+    """All changes of the store between two of its revisions.
 
     Attributes:
-        prefix: The prefix; the keys of the changes are relative to it.
         after: Revision after which the changes were made.
         revision: Revision of the store after the changes.
         changes: The changes, in the order in which they were made.
     """
 
-    __slots__ = ("prefix", "after", "revision", "changes")
+    __slots__ = ("after", "revision", "changes")
 
-    def __init__(
-        self, prefix: str, *, after: int, revision: int, changes: list[store.KeyChange]
-    ) -> None:
-        self.prefix = prefix
+    def __init__(self, *, after: int, revision: int, changes: list[store.KeyChange]) -> None:
         self.after = after
         self.revision = revision
         self.changes = changes
@@ -32,15 +28,13 @@
 
     Attributes:
         instance: Id of the sender.
-        revisions: Revision up to which the sender knows each prefix.
-        changes: Changes that the sender has just seen.
+        revision: Revision up to which the sender knows the store.
+        news: Changes that the sender has just seen, or None.
     """
 
-    __slots__ = ("instance", "revisions", "changes")
+    __slots__ = ("instance", "revision", "news")
 
-    def __init__(
-        self, instance: str, *, revisions: dict[str, int], changes: list[PrefixChanges]
-    ) -> None:
+    def __init__(self, instance: str, *, revision: int, news: StoreChanges | None = None) -> None:
         self.instance = instance
-        self.revisions = revisions
-        self.changes = changes
+        self.revision = revision
+        self.news = news
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import os
 import pathlib
 import random
 import signal
 import sys
-import typing
 import uuid
 
 import eliot
@@ -203,7 +201,9 @@
             live_instances=lambda: len(state.members.reachable_members(now())) + 1,
             pulse_age_seconds=lambda: state.members.oldest_pulse_age(now()),
             config_version=lambda: state.config.current.version if state.config.ready() else 0,
-            store_age_seconds=lambda: _seconds_since_oldest(now(), state.feed.updated_at.values()),
+            store_age_seconds=lambda: now() - state.feed.updated_at,
+            store_watched=lambda: float(state.feed.watching),
+            feed_reports_dropped=lambda: state.relay.dropped,
             upstreams=lambda: state.registry.count_by_state(now()),
             upstream_connections_opened=lambda: self.replicas.opened_total,
             log_lines_dropped=lambda: self.pipe.dropped_total,
@@ -237,8 +237,3 @@
     if log_path == "-":
         return sys.stdout.fileno()
     return os.open(log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
-
-
-def _seconds_since_oldest(now: float, update_times: typing.Iterable[float]) -> float:
-    """Return the seconds since the oldest update, or infinity if there is none."""
-    return now - min(update_times, default=-math.inf)
