Weigh the slowdown of long answers when placing requests on models

The estimate knew the first token alone (0.15 s at full load), so a held prompt part outweighed any load. Now the part of a request's usual time by which it slows the others counts too, for placing only. Ruled out: stalled upstreams (the streams went on until the deadline), forwards between regions (same at local ones). Chosen: in placing only, since a refusal must not rest on others' slowdown. balance.py is split: assignments and estimates are modules of their own.

--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -134,3 +134,14 @@
       | east, west      | east   | no homes  | west       |
       | east, west      | east   | home west | west       |
       | east, west      | east   | home east | nobody     |
+
+  Scenario Outline: A shared prompt part is read again where its holder slows down long answers
+    Given an instance with two model upstreams whose answers take 2 seconds
+    When its holder of a shared prompt part of 6000 tokens runs <running> requests of 64 slots
+    And a request with that part arrives
+    Then it goes to the <where>
+
+    Examples:
+      | running | where          |
+      | 4       | holder         |
+      | 40      | other upstream |
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -367,3 +367,39 @@
 @behave.then("the directory returns {named}")
 def step_check_named_regions(context, named):
     assert context.named_regions == named, context.named_regions
+
+
+PART_HEADERS = {"X-Prefix-Hash": "abc:6000,e1:100", "X-Token-Usage": "6100,300", "X-Model": "m"}
+
+
+@behave.given("an instance with two model upstreams whose answers take {seconds:g} seconds")
+def step_start_with_models(context, seconds):
+    edge = start_edge(context)
+    for name in ("m1", "m2"):
+        edge.register_upstream(name, service="model", capacity=64)
+    outcome = edge.begin_request("/plan/x", **PART_HEADERS)
+    context.holder = edge_simulation.dispatched_upstream(outcome)
+    edge.now += seconds
+    edge.resume_request(outcome.request_id, builders.a_head(outcome.request_id))
+    edge.finish_request(outcome.request_id)
+
+
+@behave.when(
+    "its holder of a shared prompt part of 6000 tokens runs {running:d} requests of 64 slots"
+)
+def step_load_holder(context, running):
+    (edge,) = context.edges
+    for _ in range(running):
+        edge.decisions.registry.record_dispatch(context.holder, prompt_tokens=0, now=edge.now)
+
+
+@behave.when("a request with that part arrives")
+def step_request_part(context):
+    (edge,) = context.edges
+    outcome = edge.begin_request("/plan/x", **PART_HEADERS)
+    context.dispatched = edge_simulation.dispatched_upstream(outcome)
+
+
+@behave.then("it goes to the {where}")
+def step_check_part_place(context, where):
+    assert (context.dispatched == context.holder) == (where == "holder"), context.dispatched
--- /dev/null
+++ b/yuccahitch/controllers/assignments.py
@@ -0,0 +1,77 @@
+"""Requests to be placed, and their assignments to upstreams."""
+
+from __future__ import annotations
+
+from yuccahitch import records
+from yuccahitch.resources import service as services
+
+
+class PlacementRequest(records.Record):
+    """The properties of a request that its placement depends on.
+
+    Attributes:
+        request_id: Id of the request.
+        service: Service that the request is for.
+        regions: Regions where the request's data may reside; None means every region.
+        parts: Parts of the prompt in their order, each an id and its number of tokens.
+        body_bytes: Size of the body, in bytes.
+        left_s: Time until the request's deadline, in seconds.
+        avoid: Names of upstreams and ids of instances where the request failed before.
+        local_only: Whether another instance forwarded the request, so that it may not be
+            forwarded again.
+    """
+
+    __slots__ = (
+        "request_id",
+        "service",
+        "regions",
+        "parts",
+        "body_bytes",
+        "left_s",
+        "avoid",
+        "local_only",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        service: services.Service,
+        regions: frozenset[str] | None,
+        parts: tuple[tuple[str, int], ...],
+        body_bytes: int,
+        left_s: float,
+        avoid: tuple[str, ...],
+        local_only: bool,
+    ) -> None:
+        self.request_id = request_id
+        self.service = service
+        self.regions = regions
+        self.parts = parts
+        self.body_bytes = body_bytes
+        self.left_s = left_s
+        self.avoid = avoid
+        self.local_only = local_only
+
+
+class Assignment(records.Record):
+    """The upstream that a request is placed on.
+
+    Attributes:
+        upstream: Name of the upstream.
+        prompt_tokens: Prompt tokens that the upstream has to read.
+        prompt_read: Whether the upstream has read them, as its answer has begun.
+        placed_at: When the request was placed, in monotonic seconds.
+        service: Name of the service.
+    """
+
+    __slots__ = ("upstream", "prompt_tokens", "prompt_read", "placed_at", "service")
+
+    def __init__(
+        self, upstream: str, *, prompt_tokens: int, placed_at: float, service: str
+    ) -> None:
+        self.upstream = upstream
+        self.prompt_tokens = prompt_tokens
+        self.prompt_read = False
+        self.placed_at = placed_at
+        self.service = service
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -9,25 +9,20 @@
 import random
 import typing
 
-from yuccahitch import errors, records
-from yuccahitch.controllers import choices, fleet, placement_inputs, rendezvous, replicas
+from yuccahitch import errors
+from yuccahitch.controllers import (
+    assignments,
+    choices,
+    estimates,
+    fleet,
+    placement_inputs,
+    rendezvous,
+    replicas,
+)
 from yuccahitch.messages import peers, pulses
 from yuccahitch.resources import service as services
 
 STEP = choices.STEP
-# Rate at which a model upstream reads prompts.
-PREFILL_TOKENS_PER_S = 60_000.0
-# Time from the end of the prompt to the first token at an idle model upstream, in seconds.
-FIRST_TOKEN_S = 0.05
-# Delay that a model upstream adds to the first token when all its slots are taken, in seconds.
-FULL_LOAD_DELAY_S = 0.15
-# Time that a request takes at a service before one was measured, in seconds.
-INITIAL_PLAIN_WORK_S = 0.08
-INITIAL_MODEL_WORK_S = 0.6
-# Weight of the newest request in the moving average of that time.
-WORK_WEIGHT = 0.05
-# Added to the estimate of an upstream that fails every request, in seconds.
-FAILURE_PENALTY_S = 0.5
 # Retry-After of a refusal, in seconds.
 RETRY_AFTER_S = 0.4
 # Assumed wait in a region that has reported no room for the service, in seconds.
@@ -40,79 +35,8 @@
 SECOND_HOLDER_FACTOR = 0.9
 
 
-class PlacementRequest(records.Record):
-    """The properties of a request that its placement depends on.
-
-    Attributes:
-        request_id: Id of the request.
-        service: Service that the request is for.
-        regions: Regions where the request's data may reside; None means every region.
-        parts: Parts of the prompt in their order, each an id and its number of tokens.
-        body_bytes: Size of the body, in bytes.
-        left_s: Time until the request's deadline, in seconds.
-        avoid: Names of upstreams and ids of instances where the request failed before.
-        local_only: Whether another instance forwarded the request, so that it may not be
-            forwarded again.
-    """
-
-    __slots__ = (
-        "request_id",
-        "service",
-        "regions",
-        "parts",
-        "body_bytes",
-        "left_s",
-        "avoid",
-        "local_only",
-    )
-
-    def __init__(
-        self,
-        *,
-        request_id: str,
-        service: services.Service,
-        regions: frozenset[str] | None,
-        parts: tuple[tuple[str, int], ...],
-        body_bytes: int,
-        left_s: float,
-        avoid: tuple[str, ...],
-        local_only: bool,
-    ) -> None:
-        self.request_id = request_id
-        self.service = service
-        self.regions = regions
-        self.parts = parts
-        self.body_bytes = body_bytes
-        self.left_s = left_s
-        self.avoid = avoid
-        self.local_only = local_only
-
-
-class Assignment(records.Record):
-    """The upstream that a request is placed on.
-
-    Attributes:
-        upstream: Name of the upstream.
-        prompt_tokens: Prompt tokens that the upstream has to read.
-        prompt_read: Whether the upstream has read them, as its answer has begun.
-        placed_at: When the request was placed, in monotonic seconds.
-        service: Name of the service.
-    """
-
-    __slots__ = ("upstream", "prompt_tokens", "prompt_read", "placed_at", "service")
-
-    def __init__(
-        self, upstream: str, *, prompt_tokens: int, placed_at: float, service: str
-    ) -> None:
-        self.upstream = upstream
-        self.prompt_tokens = prompt_tokens
-        self.prompt_read = False
-        self.placed_at = placed_at
-        self.service = service
-
-
 class Balancer:
-    """Places each request where its estimated time to first token is the shortest.
+    """Places each request where its first token and the slowdown of others cost the least time.
 
     Args:
         members: The fleet.
@@ -124,7 +48,7 @@
 
     Attributes:
         assignments: Placed requests by request id, until they are released.
-        work_s: Moving average of the time that a request takes, in seconds, by service.
+        estimates: Estimates the time that requests take.
         recent_forwards: For each pair of region and service, when the current window of one second
             began, in monotonic seconds, and the requests forwarded in it.
     """
@@ -137,7 +61,7 @@
         "link_delay_s",
         "spill_gain_s",
         "assignments",
-        "work_s",
+        "estimates",
         "recent_forwards",
     )
 
@@ -157,8 +81,8 @@
         self.link_bytes_per_s = link_bytes_per_s
         self.link_delay_s = link_delay_s
         self.spill_gain_s = spill_gain_s
-        self.assignments: dict[str, Assignment] = {}
-        self.work_s: dict[str, float] = {}
+        self.assignments: dict[str, assignments.Assignment] = {}
+        self.estimates = estimates.WorkEstimates()
         self.recent_forwards: dict[tuple[str, str], tuple[float, int]] = {}
 
     @property
@@ -167,17 +91,17 @@
         return self.members.own.region
 
     def place(
-        self, request: PlacementRequest, now: float
+        self, request: assignments.PlacementRequest, now: float
     ) -> choices.ToUpstream | choices.ToInstance | choices.Refused:
         """Choose an upstream or another region for a request, or refuse it.
 
         The request then counts as running at the upstream that it is placed on.
         """
         local_candidates = self._local_candidates(request, now)
-        local_s, best = self._choose_local(local_candidates, request, now)
+        local_s, first_token_s, best = self._choose_local(local_candidates, request, now)
         remote_choice = None if request.local_only else self._choose_remote(request, now)
         inputs = self._placement_inputs(
-            request, local_candidates, local_s, best, remote_choice, now
+            request, local_candidates, first_token_s, best, remote_choice, now
         )
         if remote_choice is not None and (
             best is None or remote_choice[0] + self.spill_gain_s < local_s
@@ -190,10 +114,10 @@
                 )
         if best is None:
             return _refusal(errors.Code.NO_UPSTREAM, "no usable upstream for the service", inputs)
-        if local_s > request.left_s:
+        if first_token_s > request.left_s:
             return _refusal(
                 errors.Code.OVERLOADED,
-                f"estimated wait of {local_s:.2f} s is longer than the time left",
+                f"estimated wait of {first_token_s:.2f} s is longer than the time left",
                 inputs,
             )
         self._assign(best, request, now)
@@ -221,13 +145,7 @@
         """Update the average time of a service with a request that just succeeded."""
         assignment = self.assignments.get(request_id)
         if assignment is not None:
-            average_s = self.work_s.get(assignment.service)
-            duration_s = now - assignment.placed_at
-            self.work_s[assignment.service] = (
-                duration_s
-                if average_s is None
-                else average_s + WORK_WEIGHT * (duration_s - average_s)
-            )
+            self.estimates.record_work_time(assignment.service, now - assignment.placed_at)
 
     def rooms(
         self, offered: typing.Iterable[services.Service], now: float
@@ -245,20 +163,20 @@
             warm = [replica for replica in usable if not self.registry.is_cold(replica, now)]
             if not warm:
                 continue
-            waits_s = [self._estimate_wait(replica, service, uses) for replica in warm]
+            costs_s = [self._estimate_cost(replica, service, uses) for replica in warm]
             places = sum(replica.upstream.slots for replica in warm)
             taken = sum(self._count_running(replica, uses) for replica in warm)
             room = pulses.ServiceCapacity(
-                service.name, places=places, taken=taken, wait_s=min(waits_s)
+                service.name, places=places, taken=taken, wait_s=min(costs_s)
             )
             rooms.append(room)
         return rooms
 
     def _placement_inputs(
         self,
-        request: PlacementRequest,
+        request: assignments.PlacementRequest,
         local_candidates: list[replicas.Replica],
-        local_s: float,
+        first_token_s: float,
         best: replicas.Replica | None,
         remote_choice: tuple[float, peers.InstanceInfo] | None,
         now: float,
@@ -270,7 +188,7 @@
             told_s=round(self.members.oldest_pulse_age(now), 3),
         )
         if best is not None:
-            inputs.wait_s = round(local_s, 3)
+            inputs.wait_s = round(first_token_s, 3)
             inputs.running = self._count_running(best, self.members.near_uses(now))
             inputs.slots = best.upstream.slots
         if remote_choice is not None:
@@ -278,7 +196,9 @@
             inputs.elsewhere = remote_choice[1].region
         return inputs
 
-    def _local_candidates(self, request: PlacementRequest, now: float) -> list[replicas.Replica]:
+    def _local_candidates(
+        self, request: assignments.PlacementRequest, now: float
+    ) -> list[replicas.Replica]:
         """Return the upstreams of this region that can take a request."""
         if request.regions is not None and self.region not in request.regions:
             return []
@@ -289,31 +209,32 @@
         ]
 
     def _choose_local(
-        self, candidates: list[replicas.Replica], request: PlacementRequest, now: float
-    ) -> tuple[float, replicas.Replica | None]:
-        """Return the shortest estimated time to first token, in seconds, and its upstream.
+        self, candidates: list[replicas.Replica], request: assignments.PlacementRequest, now: float
+    ) -> tuple[float, float, replicas.Replica | None]:
+        """Return the least cost of an upstream, its time to first token, and the upstream.
 
-        Ties are broken at random. Without candidates the result is 0 and None.
+        Cost and time are estimates in seconds. Ties are broken at random. Without candidates the
+        result is 0, 0 and None.
         """
         if not candidates:
-            return 0.0, None
+            return 0.0, 0.0, None
         uses = self.members.near_uses(now)
         holder = self._part_holder(request, now)
         second_holder = rendezvous.owner(
             _shared_part(request), [r.upstream.name for r in candidates]
         )
-        rated = [
-            (
-                self._estimate_first_token(replica, request, uses, (holder, second_holder)),
-                self.rng.random(),
-                replica,
-            )
-            for replica in candidates
-        ]
-        estimate_s, _, best = min(rated)
-        return estimate_s, best
-
-    def _part_holder(self, request: PlacementRequest, now: float) -> str:
+        holders = (holder, second_holder)
+        rated = []
+        for replica in candidates:
+            first_token_s = self._estimate_first_token(replica, request, uses, holders)
+            running = self._count_running(replica, uses)
+            slowdown_s = self.estimates.slowdown(replica, request.service, running=running)
+            cost_s = first_token_s + slowdown_s
+            rated.append((cost_s, self.rng.random(), first_token_s, replica))
+        cost_s, _, first_token_s, best = min(rated)
+        return cost_s, first_token_s, best
+
+    def _part_holder(self, request: assignments.PlacementRequest, now: float) -> str:
         """Return the upstream, of any region, to which all instances send a shared prompt part.
 
         Rendezvous hashing picks it among the usable ones; no text means that there is none, or no
@@ -333,7 +254,7 @@
     def _estimate_first_token(
         self,
         replica: replicas.Replica,
-        request: PlacementRequest,
+        request: assignments.PlacementRequest,
         uses: dict[str, tuple[int, int]],
         part_holders: tuple[str, str],
     ) -> float:
@@ -348,7 +269,7 @@
         """
         holder, second_holder = part_holders
         unread = _unread_tokens(replica, request.parts, holder)
-        prefill_s = unread / PREFILL_TOKENS_PER_S
+        prefill_s = unread / estimates.PREFILL_TOKENS_PER_S
         if holder and unread > request.parts[-1][1]:
             prefill_s += REREAD_PENALTY_S
             prefill_s *= SECOND_HOLDER_FACTOR if replica.upstream.name == second_holder else 1.0
@@ -361,25 +282,27 @@
         uses: dict[str, tuple[int, int]],
     ) -> float:
         """Return the estimated time to first token of a request without a prompt, in seconds."""
-        running = self._count_running(replica, uses)
-        slots = replica.upstream.slots
-        is_model = service.kind == services.MODEL
-        work_s = self.work_s.get(
-            service.name, INITIAL_MODEL_WORK_S if is_model else INITIAL_PLAIN_WORK_S
-        )
-        queued_s = max(0, running + 1 - slots) * work_s / slots
-        crowding_s = running / slots * (FULL_LOAD_DELAY_S if is_model else work_s / 4)
         tokens = replica.prompt_tokens + uses.get(replica.upstream.name, (0, 0))[1]
-        failure_penalty_s = (1.0 - replica.success_rate) * FAILURE_PENALTY_S
-        first_s = FIRST_TOKEN_S if is_model else work_s
-        return first_s + queued_s + crowding_s + failure_penalty_s + tokens / PREFILL_TOKENS_PER_S
+        running = self._count_running(replica, uses)
+        return self.estimates.wait(replica, service, running=running, prompt_tokens=tokens)
+
+    def _estimate_cost(
+        self,
+        replica: replicas.Replica,
+        service: services.Service,
+        uses: dict[str, tuple[int, int]],
+    ) -> float:
+        """Return the estimated wait at an upstream and the slowdown of its requests, in seconds."""
+        running = self._count_running(replica, uses)
+        slowdown_s = self.estimates.slowdown(replica, service, running=running)
+        return self._estimate_wait(replica, service, uses) + slowdown_s
 
     def _count_running(self, replica: replicas.Replica, uses: dict[str, tuple[int, int]]) -> int:
         """Return the requests of this and the other near instances that an upstream runs."""
         return replica.running + uses.get(replica.upstream.name, (0, 0))[0]
 
     def _choose_remote(
-        self, request: PlacementRequest, now: float
+        self, request: assignments.PlacementRequest, now: float
     ) -> tuple[float, peers.InstanceInfo] | None:
         """Return the best other region's estimated time to first token, and an instance there."""
         regions = {m.info.region for m in self.members.reachable_members(now)} - {self.region}
@@ -399,7 +322,9 @@
                 options.append((remote_estimate_s, self.rng.choice(serving_infos)))
         return min(options, key=lambda option: option[0]) if options else None
 
-    def _estimate_remote(self, region: str, request: PlacementRequest, now: float) -> float:
+    def _estimate_remote(
+        self, region: str, request: assignments.PlacementRequest, now: float
+    ) -> float:
         """Return the estimated time to first token in another region, in seconds.
 
         Requests that this instance forwarded there in the last second count on top of the reported
@@ -410,10 +335,10 @@
         holder = self.registry.by_name.get(self._part_holder(request, now))
         is_held = holder is None or holder.upstream.region == region
         unread = sum(tokens for _, tokens in (request.parts[-1:] if is_held else request.parts))
-        prefill_s = unread / PREFILL_TOKENS_PER_S + (0.0 if is_held else REREAD_PENALTY_S)
+        prefill_s = unread / estimates.PREFILL_TOKENS_PER_S + (0.0 if is_held else REREAD_PENALTY_S)
         if room is None:
             return link_s + prefill_s + UNKNOWN_WAIT_S
-        work_s = self.work_s.get(request.service.name, INITIAL_MODEL_WORK_S)
+        work_s = self.estimates.work_time(request.service)
         counted_since, forward_count = self.recent_forwards.get(
             (region, request.service.name), (0.0, 0)
         )
@@ -430,18 +355,20 @@
             window_start, forward_count = now, 0
         self.recent_forwards[(region, service)] = (window_start, forward_count + 1)
 
-    def _assign(self, replica: replicas.Replica, request: PlacementRequest, now: float) -> None:
+    def _assign(
+        self, replica: replicas.Replica, request: assignments.PlacementRequest, now: float
+    ) -> None:
         """Count a request as running at an upstream."""
         tokens = _unread_tokens(replica, request.parts, "")
         name = replica.upstream.name
         replica.record_parts(part for part, _ in request.parts)
-        self.assignments[request.request_id] = Assignment(
+        self.assignments[request.request_id] = assignments.Assignment(
             name, prompt_tokens=tokens, placed_at=now, service=request.service.name
         )
         self.registry.record_dispatch(name, prompt_tokens=tokens, now=now)
 
 
-def _shared_part(request: PlacementRequest) -> str:
+def _shared_part(request: assignments.PlacementRequest) -> str:
     """Return the id of the prompt part shared with other requests: the first of several, if any."""
     return request.parts[0][0] if len(request.parts) > 1 else ""
 
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from yuccahitch.controllers import balance
+from yuccahitch.controllers import assignments, balance
 from yuccahitch.filters import chain, place, request_context
 from yuccahitch.messages import actions
 
@@ -35,10 +35,10 @@
 
 def _placement_task(
     context: request_context.RequestContext, now: float
-) -> balance.PlacementRequest:
+) -> assignments.PlacementRequest:
     """Return the properties of a request that its placement depends on."""
     request = context.request
-    return balance.PlacementRequest(
+    return assignments.PlacementRequest(
         request_id=context.id,
         service=context.service,
         regions=context.regions,
