--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -145,3 +145,12 @@
       | running | where          |
       | 4       | holder         |
       | 40      | other upstream |
+
+  Scenario: What one instance of a region heard of another is known in other regions too
+    Given two instances of east and one of west that know each other
+    When edge-1 has heard edge-2 0.35 seconds ago, and tells west of it 5 seconds later
+    Then west takes edge-2 as seen 0.4 seconds ago
+
+  Scenario: A pulse whose ages do not match its instances is refused as unreadable
+    When a pulse with 2 instances and 1 age is decoded
+    Then decoding fails
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -8,6 +8,8 @@
 
 from tests import builders, edge_simulation, platform_builders
 from yuccahitch import errors, events
+from yuccahitch.codecs import datagrams
+from yuccahitch.codecs.generated import peer_pb2 as pb
 from yuccahitch.messages import actions, commands
 
 # Ends the loop over attempts in case retries never stop.
@@ -403,3 +405,47 @@
 @behave.then("it goes to the {where}")
 def step_check_part_place(context, where):
     assert (context.dispatched == context.holder) == (where == "holder"), context.dispatched
+
+
+@behave.given("two instances of east and one of west that know each other")
+def step_start_two_in_east(context):
+    context.edges = [
+        platform_builders.EdgeUnderTest("edge-1"),
+        platform_builders.EdgeUnderTest("edge-2"),
+        platform_builders.EdgeUnderTest("edge-3", region="west"),
+    ]
+    edge_simulation.discover_all(context.edges)
+
+
+@behave.when(
+    "edge-1 has heard edge-2 {age:g} seconds ago, and tells west of it {delay:g} seconds later"
+)
+def step_tell_of_other(context, age, delay):
+    first, second, west = context.edges
+    edge_simulation.advance_clocks(context.edges, delay)
+    first.receive_pulse_from(second)
+    first.now += age
+    west.now += age
+    west.receive_pulse_from(first)
+
+
+@behave.then("west takes edge-2 as seen {age:g} seconds ago")
+def step_check_seen(context, age):
+    _, second, west = context.edges
+    other = west.decisions.members.members[second.decisions.instance]
+    assert abs(west.now - other.last_seen_at - age) < 1e-6, west.now - other.last_seen_at
+
+
+@behave.when("a pulse with 2 instances and 1 age is decoded")
+def step_decode_mismatch(context):
+    pulse = pb.Pulse(instance="edge-1~1", heard_ids=[1, 2], heard_tenths=[3])
+    context.raw = pb.Datagram(pulse=pulse).SerializeToString()
+
+
+@behave.then("decoding fails")
+def step_check_decoding_fails(context):
+    try:
+        datagrams.decode(context.raw)
+    except ValueError:
+        return
+    raise AssertionError("the pulse was decoded")
--- a/yuccahitch/codecs/pulses.py
+++ b/yuccahitch/codecs/pulses.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import math
+
 from yuccahitch.codecs.generated import peer_pb2 as pb
 from yuccahitch.messages import peers, pulses
 
+# Ages of reports are sent in tenths of a second, rounded up.
+TENTHS_PER_S = 10
+
 
 def to_protobuf(pulse: pulses.Pulse) -> pb.Pulse:
     """Return a pulse as a protobuf message."""
@@ -35,9 +40,8 @@
             )
             for capacity in pulse.rooms
         ],
-        heard=[
-            pb.Heard(instance=name, age_ms=int(age * 1000)) for name, age in pulse.heard.items()
-        ],
+        heard_ids=pulse.heard.keys(),
+        heard_tenths=[math.ceil(age_s * TENTHS_PER_S) for age_s in pulse.heard.values()],
         suspects=[
             pb.Suspect(
                 fingerprint=suspect.fingerprint, upstream=suspect.upstream, left_ms=suspect.left_ms
@@ -50,7 +54,11 @@
 
 
 def from_protobuf(message: pb.Pulse) -> pulses.Pulse:
-    """Return the pulse that a protobuf message holds."""
+    """Return the pulse that a protobuf message holds.
+
+    Raises:
+        ValueError: When the ids and the ages of heard instances differ in number.
+    """
     return pulses.Pulse(
         instance=message.instance,
         region=message.region,
@@ -78,7 +86,10 @@
             )
             for capacity in message.rooms
         ],
-        heard={sender.instance: sender.age_ms / 1000 for sender in message.heard},
+        heard={
+            short_id: tenths / TENTHS_PER_S
+            for short_id, tenths in zip(message.heard_ids, message.heard_tenths, strict=True)
+        },
         suspects=[
             peers.SuspectRequest(
                 fingerprint=suspect.fingerprint, upstream=suspect.upstream, left_ms=suspect.left_ms
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -396,8 +396,8 @@
         Args:
             addresses: Peer addresses of the receivers; nothing is sent if there are none.
             now: Monotonic seconds.
-            wide: Report the demand of the whole region, as for receivers in other regions, instead
-                of the demand at this instance.
+            wide: Report what receivers in other regions need: the demand of the whole region
+                instead of the demand at this instance, and no use of single upstreams.
         """
         if not addresses:
             return
@@ -410,13 +410,7 @@
             number=self.members.pulse_number,
             leaving=own.leaving,
             ready=own.ready,
-            uses=[
-                pulses.UpstreamUsage(
-                    name, running=replica.running, prompt_tokens=replica.prompt_tokens
-                )
-                for name, replica in self.registry.by_name.items()
-                if replica.running
-            ],
+            uses=[] if wide else self.registry.usages(),
             demands=self.rate_shares.region_demands(now) if wide else self.rate_shares.demands(now),
             rooms=self.balancer.rooms(services, now),
             heard=self.members.near_pulse_ages(now),
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -12,6 +12,7 @@
 import random
 
 from yuccahitch import events, records
+from yuccahitch.controllers import fleet_member
 from yuccahitch.messages import commands, peers, pulses, store
 
 PREFIX = "yuccahitch/instances/"
@@ -47,46 +48,6 @@
     __slots__ = ()
 
 
-class Member:
-    """Another instance.
-
-    Attributes:
-        info: The instance's entry, as it was first read from the store.
-        listed: Whether the store still has the entry.
-        last_seen_at: When the entry was first read, the last pulse arrived or a near instance last
-            saw this one, whichever is latest; in monotonic seconds.
-        pulse: The newest pulse from the instance, or None.
-        was_reachable: Whether the log last reported the instance as reachable.
-        demands: Demand at the instance by client account, from its newest pulse; empty for far
-            instances.
-    """
-
-    __slots__ = ("info", "listed", "last_seen_at", "pulse", "was_reachable", "demands")
-
-    def __init__(self, info: peers.InstanceInfo, now: float) -> None:
-        self.info = info
-        self.listed = True
-        self.last_seen_at = now
-        self.pulse: pulses.Pulse | None = None
-        self.was_reachable = True
-        self.demands: dict[str, pulses.AccountDemand] = {}
-
-
-class RegionDemand:
-    """The demand of another region as a whole, as one of its instances last reported it.
-
-    Attributes:
-        last_seen_at: When the report arrived, in monotonic seconds.
-        demands: Demand in the region by client account.
-    """
-
-    __slots__ = ("last_seen_at", "demands")
-
-    def __init__(self, last_seen_at: float, demands: dict[str, pulses.AccountDemand]) -> None:
-        self.last_seen_at = last_seen_at
-        self.demands = demands
-
-
 class Fleet:
     """Keeps track of the other instances, and keeps this one registered in the store.
 
@@ -98,6 +59,7 @@
 
     Attributes:
         members: The other instances by id.
+        by_short_id: The other instances by short id.
         region_demands: Demand of each other region by name, as last reported.
         lease: Id of the lease of this instance's entry, or 0.
         lease_due_at: When the lease is requested or renewed next, in monotonic seconds.
@@ -113,6 +75,7 @@
         "lease_s",
         "rng",
         "members",
+        "by_short_id",
         "region_demands",
         "lease",
         "lease_due_at",
@@ -129,8 +92,9 @@
         self.name = name
         self.lease_s = lease_s
         self.rng = rng
-        self.members: dict[str, Member] = {}
-        self.region_demands: dict[str, RegionDemand] = {}
+        self.members: dict[str, fleet_member.Member] = {}
+        self.by_short_id: dict[int, fleet_member.Member] = {}
+        self.region_demands: dict[str, fleet_member.RegionDemand] = {}
         self.lease = 0
         self.lease_due_at = -math.inf
         self.near_pulse_due_at = -math.inf
@@ -142,7 +106,7 @@
         """Apply the entries of all instances, by machine name."""
         present = {item.key for item in items}
         for member in self.members.values():
-            member.listed = _machine_name(member.info) in present
+            member.listed = fleet_member.machine_name(member.info) in present
         for item in items:
             self.apply_change(item.key, item, now)
 
@@ -154,7 +118,7 @@
         """
         if item is None:
             for member in self.members.values():
-                member.listed = member.listed and _machine_name(member.info) != key
+                member.listed = member.listed and fleet_member.machine_name(member.info) != key
             return
         try:
             info = peers.InstanceInfo(**json.loads(item.value))
@@ -167,12 +131,15 @@
         if info.instance == self.own.instance:
             return
         for previous in [
-            m for m in self.members.values() if _machine_name(m.info) == _machine_name(info)
+            m
+            for m in self.members.values()
+            if fleet_member.machine_name(m.info) == fleet_member.machine_name(info)
         ]:
             if previous.info.instance != info.instance:
-                del self.members[previous.info.instance]
+                self._forget(previous)
         if info.instance not in self.members:
-            self.members[info.instance] = Member(info, now)
+            member = self.members[info.instance] = fleet_member.Member(info, now)
+            self.by_short_id[member.short_id] = member
             log_event = commands.LogEvent(events.Event.MEMBER_JOINED, member=info.instance)
             self.outbox.append(log_event)
         self.members[info.instance].listed = True
@@ -188,13 +155,15 @@
         if pulse.region == self.own.region:
             member.demands = demands
         elif pulse.wide:
-            self.region_demands[pulse.region] = RegionDemand(now, demands)
-        for name, age in pulse.heard.items():
-            if name in self.members:
-                other = self.members[name]
-                other.last_seen_at = max(other.last_seen_at, now - age)
-
-    def reachable_members(self, now: float, *, region: str | None = None) -> list[Member]:
+            self.region_demands[pulse.region] = fleet_member.RegionDemand(now, demands)
+        for other_id, age_s in pulse.heard.items():
+            other = self.by_short_id.get(other_id)
+            if other is not None:
+                other.last_seen_at = max(other.last_seen_at, now - age_s)
+
+    def reachable_members(
+        self, now: float, *, region: str | None = None
+    ) -> list[fleet_member.Member]:
         """Return the other instances that are reachable, of one region or of all."""
         return [
             member
@@ -209,7 +178,7 @@
         return own_infos + [
             member.info
             for member in self.reachable_members(now, region=region)
-            if not _is_leaving(member) and _is_ready(member)
+            if not fleet_member.is_leaving(member) and fleet_member.is_ready(member)
         ]
 
     def zone_infos(self, now: float) -> list[peers.InstanceInfo]:
@@ -217,7 +186,7 @@
         return [
             member.info
             for member in self.reachable_members(now, region=self.own.region)
-            if member.info.zone == self.own.zone and not _is_leaving(member)
+            if member.info.zone == self.own.zone and not fleet_member.is_leaving(member)
         ]
 
     def near_ids(self, now: float) -> list[str]:
@@ -317,7 +286,7 @@
             self.near_pulse_due_at = now + max(
                 NEAR_PULSE_PERIOD_S, NEAR_PULSE_PERIOD_PER_PEER_S * len(near)
             )
-            near_addresses += [peer_address(member.info) for member in near]
+            near_addresses += [fleet_member.peer_address(member.info) for member in near]
             near_addresses += self._unreachable_address(now)
         if now >= self.far_pulse_due_at:
             self.far_pulse_due_at = now + FAR_PULSE_PERIOD_S
@@ -327,17 +296,17 @@
                 candidates = self.reachable_members(now, region=region) or [
                     m for m in self.members.values() if m.info.region == region
                 ]
-                far_addresses.append(peer_address(self.rng.choice(candidates).info))
+                far_addresses.append(fleet_member.peer_address(self.rng.choice(candidates).info))
         return near_addresses, far_addresses
 
     def all_addresses(self) -> list[str]:
         """Return the peer addresses of all other instances."""
-        return [peer_address(member.info) for member in self.members.values()]
+        return [fleet_member.peer_address(member.info) for member in self.members.values()]
 
-    def near_pulse_ages(self, now: float) -> dict[str, float]:
-        """Return the seconds since each reachable near instance was last seen, by id."""
+    def near_pulse_ages(self, now: float) -> dict[int, float]:
+        """Return the seconds since each reachable near instance was last seen, by short id."""
         reachable = self.reachable_members(now, region=self.own.region)
-        return {member.info.instance: now - member.last_seen_at for member in reachable}
+        return {member.short_id: now - member.last_seen_at for member in reachable}
 
     def maintain_lease(self, now: float) -> None:
         """Request the lease of the entry, or renew it, when that is due."""
@@ -377,22 +346,31 @@
 
     def expire(self, now: float) -> None:
         """Log changes of reachability; drop unlisted instances not seen for DEMAND_LIFETIME_S."""
-        for name, member in list(self.members.items()):
+        for member in list(self.members.values()):
             if member.was_reachable is not self._is_reachable(member, now):
                 self._log_reachability(member, now)
             if not member.listed and now - member.last_seen_at > DEMAND_LIFETIME_S:
-                del self.members[name]
+                self._forget(member)
+
+    def _forget(self, member: fleet_member.Member) -> None:
+        """Drop an instance."""
+        del self.members[member.info.instance]
+        self.by_short_id.pop(member.short_id, None)
 
-    def _log_reachability(self, member: Member, now: float) -> None:
+    def _log_reachability(self, member: fleet_member.Member, now: float) -> None:
         """Log that an instance became unreachable, left or became reachable again."""
         member.was_reachable = not member.was_reachable
-        lost_event = events.Event.MEMBER_LEFT if _is_leaving(member) else events.Event.MEMBER_LOST
+        lost_event = (
+            events.Event.MEMBER_LEFT
+            if fleet_member.is_leaving(member)
+            else events.Event.MEMBER_LOST
+        )
         event = events.Event.MEMBER_FOUND if member.was_reachable else lost_event
         silent_s = round(now - member.last_seen_at, 3)
         fields = {"member": member.info.instance, "silent_s": silent_s, "listed": member.listed}
         self.outbox.append(commands.LogEvent(event, **fields))
 
-    def _is_reachable(self, member: Member, now: float) -> bool:
+    def _is_reachable(self, member: fleet_member.Member, now: float) -> bool:
         limit = (
             UNREACHABLE_AFTER_S
             if member.info.region == self.own.region
@@ -407,24 +385,4 @@
             for member in self.members.values()
             if member.info.region == self.own.region and not self._is_reachable(member, now)
         ]
-        return [peer_address(self.rng.choice(unreachable))] if unreachable else []
-
-
-def peer_address(info: peers.InstanceInfo) -> str:
-    """Return the peer address of an instance."""
-    return f"{info.host}:{info.peer_port}"
-
-
-def _machine_name(info: peers.InstanceInfo) -> str:
-    """Return the machine name in an instance id, ``NAME~INCARNATION``."""
-    return info.instance.partition("~")[0]
-
-
-def _is_leaving(member: Member) -> bool:
-    """Return whether an instance reported that it is shutting down."""
-    return member.pulse is not None and member.pulse.leaving
-
-
-def _is_ready(member: Member) -> bool:
-    """Return whether an instance reported that it serves, or has not reported yet."""
-    return member.pulse is None or member.pulse.ready
+        return [fleet_member.peer_address(self.rng.choice(unreachable))] if unreachable else []
--- a/yuccahitch/controllers/relay.py
+++ b/yuccahitch/controllers/relay.py
@@ -12,7 +12,7 @@
 import math
 
 from yuccahitch import events
-from yuccahitch.controllers import feed, fleet, rendezvous
+from yuccahitch.controllers import feed, fleet, fleet_member, rendezvous
 from yuccahitch.messages import commands, feeds, pulses, store
 
 # Two, so that the zone goes on being told of changes when one is killed or cut off.
@@ -189,7 +189,7 @@
         """Report to the zone if this instance is a reader whose watch is sound."""
         if now - self.source.watched_at > self.max_watch_age_s or not self._is_reader(now):
             return
-        addresses = [fleet.peer_address(info) for info in self.members.zone_infos(now)]
+        addresses = [fleet_member.peer_address(info) for info in self.members.zone_infos(now)]
         if addresses:
             report = feeds.FeedReport(
                 self.members.own.instance, revision=self.source.revision, news=news
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -8,7 +8,7 @@
 
 from yuccahitch import events
 from yuccahitch.controllers import published, rendezvous
-from yuccahitch.messages import commands, store
+from yuccahitch.messages import commands, pulses, store
 from yuccahitch.resources import service as services
 from yuccahitch.resources import upstream
 
@@ -206,6 +206,14 @@
             and self._is_usable(replica, now)
         ]
 
+    def usages(self) -> list[pulses.UpstreamUsage]:
+        """Return the work of this instance at each upstream that runs requests of it."""
+        return [
+            pulses.UpstreamUsage(name, running=replica.running, prompt_tokens=replica.prompt_tokens)
+            for name, replica in self.by_name.items()
+            if replica.running
+        ]
+
     def count_by_state(self, now: float) -> dict[str, float]:
         """Return the number of upstreams of this region in each of STATES."""
         own_replicas = [r for r in self.by_name.values() if r.upstream.region == self.region]
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -6,7 +6,7 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import allowance, balance, fleet, replicas, suspects
+from yuccahitch.controllers import allowance, balance, fleet, fleet_member, replicas, suspects
 from yuccahitch.filters import chain, poison, request_context
 from yuccahitch.messages import actions, answers, requests
 from yuccahitch.resources import route as routes
@@ -108,7 +108,7 @@
         )
         work = actions.Forward(
             instance=context.instance,
-            address=fleet.peer_address(member.info),
+            address=fleet_member.peer_address(member.info),
             attempt=context.attempt,
             request=context.request,
             hop=hop,
--- a/yuccahitch/messages/pulses.py
+++ b/yuccahitch/messages/pulses.py
@@ -68,10 +68,11 @@
         number: Sequence number of the pulse; a larger one is newer.
         leaving: Whether the sender is shutting down.
         ready: Whether the sender serves requests.
-        uses: Requests that the sender has running at the upstreams of its region.
+        uses: Requests that the sender has running at the upstreams of its region; empty for
+            receivers in other regions.
         demands: Demand of the client accounts.
         rooms: Capacity of each service in the sender's region.
-        heard: Seconds since the last pulse of each live instance of the region, by instance id.
+        heard: Seconds since the last pulse of each live instance of the region, by its short id.
         suspects: Requests that upstreams worked on when they crashed.
         version: Version of the configuration in force at the sender.
         wide: Whether the demands are totals of the sender's region, not of the sender alone.
@@ -103,7 +104,7 @@
         uses: list[UpstreamUsage],
         demands: list[AccountDemand],
         rooms: list[ServiceCapacity],
-        heard: dict[str, float],
+        heard: dict[int, float],
         suspects: list[peers.SuspectRequest],
         version: int = 0,
         wide: bool = False,
