Let each of many instances choose among a random few upstreams

By the test, all 65 choose the one upstream of which the last report was good. Above 8 instances of a region each looks at a random part of the upstreams, two at least, and at the holders of the prompt's shared part. Test first: 65 of 65 requests at one upstream before, at most a quarter after.

--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -154,3 +154,9 @@
   Scenario: A pulse whose ages do not match its instances is refused as unreadable
     When a pulse with 2 instances and 1 age is decoded
     Then decoding fails
+
+  Scenario: Many instances that heard the same do not all choose the same upstream
+    Given 65 instances of one region with 14 upstreams of 8 slots
+    And all of them know that u1 is idle and that the others run 3 requests each
+    When each instance begins a request
+    Then u1 gets at most a quarter of the requests
--- a/tests/features/steps/edge_decisions.py
+++ b/tests/features/steps/edge_decisions.py
@@ -449,3 +449,38 @@
     except ValueError:
         return
     raise AssertionError("the pulse was decoded")
+
+
+@behave.given("{count:d} instances of one region with {upstreams:d} upstreams of {slots:d} slots")
+def step_start_many_choosers(context, count, upstreams, slots):
+    names = [f"u{number + 1}" for number in range(upstreams)]
+    context.edges = [platform_builders.EdgeUnderTest(f"edge-{n}") for n in range(count)]
+    for edge in context.edges:
+        edge.publish(platform_builders.a_publication())
+        for name in names:
+            edge.register_upstream(name, capacity=slots)
+        for other in context.edges:
+            if other is not edge:
+                other_members = other.decisions.members
+                item = edge.store_item(other_members.name, other_members.own.as_dict())
+                edge.decisions.members.apply_change(item.key, item, edge.now)
+    context.upstream_names = names
+
+
+@behave.given("all of them know that u1 is idle and that the others run {running:d} requests each")
+def step_load_all_but_first(context, running):
+    for edge in context.edges:
+        for name in context.upstream_names[1:] * running:
+            edge.decisions.registry.record_dispatch(name, prompt_tokens=0, now=edge.now)
+
+
+@behave.when("each instance begins a request")
+def step_begin_everywhere(context):
+    context.chosen = [
+        edge_simulation.dispatched_upstream(edge.begin_request()) for edge in context.edges
+    ]
+
+
+@behave.then("u1 gets at most a quarter of the requests")
+def step_check_no_herd(context):
+    assert context.chosen.count("u1") <= len(context.chosen) / 4, context.chosen.count("u1")
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -33,6 +33,10 @@
 # Scales the time to read a shared part at the upstream that all instances prefer after its holder,
 # so that they agree on one as far as loads allow.
 SECOND_HOLDER_FACTOR = 0.9
+# Instances of a region up to which each chooses among all upstreams.
+CHOOSERS_OF_ALL = 8
+# Upstreams among which an instance chooses at least.
+MIN_CONSIDERED = 2
 
 
 class Balancer:
@@ -225,7 +229,7 @@
         )
         holders = (holder, second_holder)
         rated = []
-        for replica in candidates:
+        for replica in self._considered(candidates, holders, now):
             first_token_s = self._estimate_first_token(replica, request, uses, holders)
             running = self._count_running(replica, uses)
             slowdown_s = self.estimates.slowdown(replica, request.service, running=running)
@@ -234,6 +238,25 @@
         cost_s, _, first_token_s, best = min(rated)
         return cost_s, first_token_s, best
 
+    def _considered(
+        self, candidates: list[replicas.Replica], holders: tuple[str, str], now: float
+    ) -> list[replicas.Replica]:
+        """Return the upstreams among which a request is placed: a random few of many instances.
+
+        Reports age with the number of instances. If all of them chose the best upstream by the
+        same old reports, it would get the requests of all.
+        """
+        choosers = len(self.members.near_ids(now))
+        count = max(MIN_CONSIDERED, round(len(candidates) * CHOOSERS_OF_ALL / choosers))
+        if count >= len(candidates):
+            return candidates
+        sample = self.rng.sample(candidates, count)
+        return sample + [
+            replica
+            for replica in candidates
+            if replica.upstream.name in holders and replica not in sample
+        ]
+
     def _part_holder(self, request: assignments.PlacementRequest, now: float) -> str:
         """Return the upstream, of any region, to which all instances send a shared prompt part.
 
