Log each request that an upstream worked on when it crashed

The logs could not tell the hypotheses apart, as recording a crash wrote no line. request-suspected names the fingerprint, the shared prompt parts, whether the answer had begun and how many upstreams the fingerprint has crashed.

--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -270,7 +270,7 @@
         if context is None:
             return None
         if message.crashed_upstream:
-            self.suspects.record_crash(poison.fingerprint(context), message.crashed_upstream, now)
+            poison.record_crash(context, self.suspects, message.crashed_upstream, now)
         elif message.error is not None and context.head is not None and context.upstream:
             self.upstream_states.record_failure(context.upstream, now)
         self.in_flight.settle(message, context, now)
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -62,6 +62,11 @@
         "An entry of the store can't be read; it is ignored.",
     )
     POISON_FOUND = (303, "poison-found", "A request crashed several upstreams.")
+    REQUEST_SUSPECTED = (
+        309,
+        "request-suspected",
+        "An upstream crashed while it worked on a request.",
+    )
     CONFIG_APPLIED = (400, "config-applied", "Newer resources were applied.")
     CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
     CONFIG_UNREADABLE = (
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -126,6 +126,7 @@
 ) -> actions.Action:
     """Deliver the answer that began."""
     context.head = reply
+    context.answered_attempt = context.attempt
     context.reached_upstream = True
     return actions.Deliver(reply)
 
@@ -151,7 +152,7 @@
         return actions.Rewind(choices.STEP)
     context.reached_upstream = context.reached_upstream or reached_upstream
     if reply.crashed:
-        dispatch_filter.suspects.record_crash(poison.fingerprint(context), reply.error.peer, now)
+        poison.record_crash(context, dispatch_filter.suspects, reply.error.peer, now)
     elif context.upstream:
         dispatch_filter.upstream_states.record_failure(context.upstream, now)
     elif reply.error.code is errors.Code.PEER_UNREACHABLE:
--- a/yuccahitch/filters/poison.py
+++ b/yuccahitch/filters/poison.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from yuccahitch import errors
+from yuccahitch import errors, events
 from yuccahitch.controllers import suspects
 from yuccahitch.filters import chain, request_context
-from yuccahitch.messages import actions
+from yuccahitch.messages import actions, commands
 
 
 class Poison(chain.BaseFilter):
@@ -44,6 +44,27 @@
     )
 
 
+def record_crash(
+    context: request_context.RequestContext,
+    suspect_table: suspects.Suspects,
+    upstream: str,
+    now: float,
+) -> None:
+    """Record and log that an upstream crashed while it worked on a request."""
+    name = fingerprint(context)
+    suspect_table.record_crash(name, upstream, now)
+    log_event = commands.LogEvent(
+        events.Event.REQUEST_SUSPECTED,
+        request=context.id,
+        upstream=upstream,
+        fingerprint=name,
+        parts=[part for part, _ in context.request.prompt_parts[:-1]],
+        began=context.answered_attempt == context.attempt,
+        crashed_upstreams=len(suspect_table.by_fingerprint[name].upstreams),
+    )
+    suspect_table.outbox.append(log_event)
+
+
 def fingerprint(context: request_context.RequestContext) -> str:
     """Return the fingerprint of a request, equal for all repeats by its client account."""
     return f"{context.account.name}:{context.request.digest}"
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -196,7 +196,7 @@
     """Record a failed attempt, so that the next one goes to another target."""
     error = reply.error
     if reply.crashed and error.peer:
-        send_filter.suspects.record_crash(poison.fingerprint(context), error.peer, now)
+        poison.record_crash(context, send_filter.suspects, error.peer, now)
     if context.upstream and error.code is errors.Code.UPSTREAM_MOVED:
         send_filter.registry.mark_misdirected(context.upstream)
     _record_failed_target(send_filter, context, now)
