--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -205,9 +205,9 @@
         self.decisions.on_report(datagrams.decode(raw), self.now)
 
     def begin_request(
-        self, path: str = "/status/x", **headers: str
+        self, path: str = "/status/x", *, body: bytes = b"", **headers: str
     ) -> request_lifecycle.NextAction:
-        """Begin a caller's GET request for a path, and return the next action for it."""
+        """Begin a caller's request for a path, and return the next action for it."""
         default_headers = {
             "Host": HOST,
             "Authorization": f"Token {PLATFORM_KEY}",
@@ -215,10 +215,10 @@
             "X-Deadline-Ms": "4000",
         }
         request = platform_requests.decode(
-            method="GET",
+            method="POST" if body else "GET",
             path=path,
             headers=list((default_headers | headers).items()),
-            body=b"",
+            body=body,
             now=self.now,
             new_id="none",
         )
