Refuse requests by the prompt part that crashes upstreams

Cause: what a crash is blamed on was fixed to the whole request (account, path and body). Requests that only share a part are each new to such a table. request-suspected showed each crash recorded, no fingerprint at more than three upstreams, one part at all twelve crashes; so neither unseen crashes nor lost reports.

Now every crash keeps which requests ran there, with the traits that they share: the whole request and each prompt part but the last. A part at three upstreams' crashes, not each time in the same request and never answered since, is refused. Instances tell each other what ran at a crash before they judge (0.8 s), pass refusals on in each report, and disprove them with answers that they know of, so that sound parts and requests that only ran beside the cause are accepted again.

--- a/benchmarks/edge_slopes.py
+++ b/benchmarks/edge_slopes.py
@@ -15,7 +15,7 @@
 from benchmarks import slopes
 from tests import platform_builders
 from yuccahitch.codecs import datagrams as codec
-from yuccahitch.messages import pulses
+from yuccahitch.messages import pulses, suspects
 
 RESULTS = pathlib.Path(__file__).parent / "results" / "edge_slopes.json"
 # Numbers of the state reports; a receiver ignores one that is not higher than the last.
@@ -67,7 +67,7 @@
         ],
         rooms=[],
         heard={},
-        suspects=[],
+        suspects=suspects.SuspectReport(),
         version=1,
     )
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,10 +8,12 @@
 import typing
 import uuid
 
+import xxhash
+
 from fakes import fleet as fleets
 from yuccahitch import errors
 from yuccahitch import settings as settings_module
-from yuccahitch.messages import answers, requests
+from yuccahitch.messages import answers, requests, suspects
 from yuccahitch.resources import account, entry, key, rate, route, service, upstream
 
 SECRET_VARIABLE = "YUCCAHITCH_TEST_SECRET"
@@ -271,3 +273,13 @@
 def a_head(request_id: str, status: int = 200) -> answers.Head:
     """Return the status and headers of an answer, without its body."""
     return answers.Head(request_id=request_id, attempt=1, status=status, headers=(), source="u")
+
+
+def a_trait(name: str) -> int:
+    """Return the trait of a request or prompt part."""
+    return xxhash.xxh64_intdigest(name.encode())
+
+
+def a_suspect_request(name: str, *parts: str) -> suspects.SuspectRequest:
+    """Return a request that an upstream worked on when it crashed."""
+    return suspects.SuspectRequest(a_trait(name), tuple(a_trait(part) for part in parts))
--- a/tests/features/faults.feature
+++ b/tests/features/faults.feature
@@ -52,6 +52,12 @@
     Then no more than 2 engines crashed on it
     And other requests are answered
 
+  Scenario: Chats that share a message that crashes engines are refused by every instance
+    Given engines that crash on the word varnish-bomb
+    When centro sends chats that only share the crashing message to each instance in turn
+    Then no more than 4 engines crashed on it
+    And other requests are answered
+
   Scenario: A withdrawn key is also refused on a connection that stays open
     When norte keeps a connection to cen-a-1 and its key is withdrawn
     Then within 4 seconds a request on the open connection gets key-unknown
--- a/tests/features/steps/crashing_parts.py
+++ b/tests/features/steps/crashing_parts.py
@@ -4,7 +4,8 @@
 
 import behave
 
-from tests import crash_simulation, edge_simulation, platform_builders
+from tests import builders, crash_simulation, edge_simulation, platform_builders
+from yuccahitch.controllers import suspects
 
 # First parts of prompts; requests with a crashing part have one of them too.
 FIRST_PARTS = tuple(f"first{number}" for number in range(6))
@@ -66,3 +67,80 @@
     refused = [t for t, tag, _ in context.site.refusals if tag == "sound" and t > steady_from]
     assert len(sound) > 20
     assert sum(sound) >= 0.5 * (len(sound) + len(refused)), (sum(sound), len(sound), len(refused))
+
+
+@behave.given("two tables of suspects, of which the second knows {answered}")
+def step_make_tables(context, answered):
+    context.now = 100.0
+    context.tables = [suspects.Suspects(crash_limit=3, memory_s=120.0) for _ in range(2)]
+    context.known_part = answered.rpartition(" ")[2]
+
+
+@behave.when("three upstreams crash on different requests with part {part}, as the first table saw")
+def step_crash_on_part(context, part):
+    for number in range(3):
+        request = builders.a_suspect_request(f"request {number}", part)
+        context.tables[0].record_crash(request, f"u{number}", context.now)
+        context.now += 1.0
+    traits = (builders.a_trait(context.known_part),)
+    context.tables[1].record_answer(traits, context.now, context.now)
+    context.tables[0].expire(context.now)
+
+
+@behave.when(
+    "request {bystander} runs at three upstreams that crash on different requests with part {part}"
+)
+def step_run_beside_crashes(context, bystander, part):
+    table = context.tables[0]
+    for number in range(3):
+        for name, parts in ((bystander, ("own",)), (f"request {number}", (part,))):
+            request = builders.a_suspect_request(name, *parts)
+            table.record_crash(request, f"u{number}", context.now)
+        context.now += 0.3
+    assert refuses(context, bystander)
+    context.now += 1.0
+    table.expire(context.now)
+
+
+def refuses(context, name):
+    """Return whether the first table refuses the trait of that name."""
+    trait = builders.a_trait(name)
+    return context.tables[0].refused_trait((trait,), context.now) == trait
+
+
+@behave.then("the first table refuses part {part} but not request {bystander}")
+def step_check_cause_refused(context, part, bystander):
+    assert refuses(context, part)
+    assert not refuses(context, bystander)
+
+
+@behave.then("the first table refuses part {part} for {seconds:d} seconds")
+def step_check_refusal_time(context, part, seconds):
+    context.now += seconds - 1
+    context.tables[0].expire(context.now)
+    assert refuses(context, part)
+    context.now += 2
+    context.tables[0].expire(context.now)
+    assert not refuses(context, part)
+
+
+@behave.then("the first table refuses part {part}")
+def step_check_part_refused(context, part):
+    assert refuses(context, part)
+
+
+@behave.then("it accepts part {part} after a report to the second table and one back")
+def step_exchange_reports(context, part):
+    first, second = context.tables
+    second.record_report(first.make_report(context.now), context.now)
+    first.record_report(second.make_report(context.now), context.now)
+    assert not refuses(context, part)
+
+
+@behave.then("after that one crash is enough to refuse part {part}")
+def step_check_one_crash(context, part):
+    request = builders.a_suspect_request("another", part)
+    context.tables[0].record_crash(request, "u9", context.now)
+    context.now += 1.0
+    context.tables[0].expire(context.now)
+    assert refuses(context, part)
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -44,11 +44,12 @@
 
 
 async def send_chat_request(
-    context, name, account, *, stream=False, tokens=5, prompt="plan", session=None
+    context, name, account, *, stream=False, tokens=5, prompt="plan", system="", session=None
 ):
     """Send a chat request and return the response's status, text and headers."""
     url = context.example.url(name) + "/v1/chat/completions"
-    messages = [{"role": "user", "content": prompt}]
+    messages = [{"role": "system", "content": system}] if system else []
+    messages.append({"role": "user", "content": prompt})
     body = builders.chat_body(
         model="pintor-lm", max_tokens=tokens, stream=stream, messages=messages
     )
@@ -324,6 +325,18 @@
     run_async(context, send_to_each_instance())
 
 
+@behave.when("centro sends chats that only share the crashing message to each instance in turn")
+def step_send_poison_chats(context):
+    async def send_to_each_instance():
+        for name in context.example.processes:
+            context.last_poison_response = await send_chat_request(
+                context, name, "centro", prompt=f"chat of {name}", system=context.crash_word
+            )
+            await asyncio.sleep(1.5)
+
+    run_async(context, send_to_each_instance())
+
+
 @behave.then("no more than {count:d} engines crashed on it")
 def step_crash_count(context, count):
     async def count_crashes():
--- a/yuccahitch/codecs/callers.py
+++ b/yuccahitch/codecs/callers.py
@@ -76,6 +76,7 @@
         key_digest=key_digest(headers),
         operation_key=_parse_idempotency_key(headers),
         deadline=now + _parse_deadline(headers, default_deadline),
+        prompt_parts=_prompt_parts(data),
     )
 
 
@@ -123,6 +124,18 @@
     )
 
 
+def _prompt_parts(data: dict[str, typing.Any]) -> tuple[tuple[str, int], ...]:
+    """Return a part for each message of a chat: a hash of it, and its length in tokens."""
+    encoded_messages = [
+        json.dumps(message, ensure_ascii=False, sort_keys=True).encode()
+        for message in data["messages"]
+    ]
+    return tuple(
+        (xxhash.xxh64_hexdigest(message), math.ceil(len(message) / BYTES_PER_TOKEN))
+        for message in encoded_messages
+    )
+
+
 def key_digest(headers: Headers) -> str:
     """Return the digest of the key in the Authorization header, or an empty string without one.
 
--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -6,7 +6,7 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.codecs import resources
+from yuccahitch.codecs import resources, suspects
 from yuccahitch.codecs.generated import peer_pb2 as pb
 from yuccahitch.messages import actions, answers, peers, requests
 from yuccahitch.resources import entry
@@ -59,7 +59,7 @@
     gossip.digest = body.digest
     gossip.arrivals = body.arrivals
     gossip.loads.extend(pb.Load(**load.as_dict()) for load in body.loads)
-    gossip.suspects.extend(pb.Suspect(**suspect.as_dict()) for suspect in body.suspects)
+    gossip.suspects.CopyFrom(suspects.to_protobuf(body.suspects))
 
 
 @_set_body.register
@@ -157,10 +157,7 @@
             peers.LoadReport(**{name: getattr(load, name) for name in peers.LoadReport.__slots__})
             for load in message.loads
         ],
-        suspects=[
-            peers.SuspectRequest(fingerprint=s.fingerprint, upstream=s.upstream, left_ms=s.left_ms)
-            for s in message.suspects
-        ],
+        suspects=suspects.from_protobuf(message.suspects),
     )
 
 
--- a/yuccahitch/codecs/pulses.py
+++ b/yuccahitch/codecs/pulses.py
@@ -4,8 +4,9 @@
 
 import math
 
+from yuccahitch.codecs import suspects
 from yuccahitch.codecs.generated import peer_pb2 as pb
-from yuccahitch.messages import peers, pulses
+from yuccahitch.messages import pulses
 
 # Ages of reports are sent in tenths of a second, rounded up.
 TENTHS_PER_S = 10
@@ -42,12 +43,7 @@
         ],
         heard_ids=pulse.heard.keys(),
         heard_tenths=[math.ceil(age_s * TENTHS_PER_S) for age_s in pulse.heard.values()],
-        suspects=[
-            pb.Suspect(
-                fingerprint=suspect.fingerprint, upstream=suspect.upstream, left_ms=suspect.left_ms
-            )
-            for suspect in pulse.suspects
-        ],
+        suspects=suspects.to_protobuf(pulse.suspects),
         version=pulse.version,
         wide=pulse.wide,
     )
@@ -90,12 +86,7 @@
             short_id: tenths / TENTHS_PER_S
             for short_id, tenths in zip(message.heard_ids, message.heard_tenths, strict=True)
         },
-        suspects=[
-            peers.SuspectRequest(
-                fingerprint=suspect.fingerprint, upstream=suspect.upstream, left_ms=suspect.left_ms
-            )
-            for suspect in message.suspects
-        ],
+        suspects=suspects.from_protobuf(message.suspects),
         version=message.version,
         wide=message.wide,
     )
--- a/yuccahitch/controllers/_edge_inputs.py
+++ b/yuccahitch/controllers/_edge_inputs.py
@@ -69,7 +69,9 @@
 @on_report.register
 def _(report: pulses.Pulse, controllers: Controllers, now: float) -> None:
     controllers.members.record_report(report, now)
-    controllers.suspects.record_report(report.suspects, now)
+    from_other_region = report.region != controllers.members.own.region
+    # Of this region, all instances get each report; of another one, a single instance does.
+    controllers.suspects.record_report(report.suspects, now, pass_on=from_other_region)
 
 
 @on_report.register
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -414,7 +414,7 @@
             demands=self.rate_shares.region_demands(now) if wide else self.rate_shares.demands(now),
             rooms=self.balancer.rooms(services, now),
             heard=self.members.near_pulse_ages(now),
-            suspects=self.suspects.newest_reports(now),
+            suspects=self.suspects.make_report(now),
             version=self.config.current.version if self.config.ready() else 0,
             wide=wide,
         )
--- a/yuccahitch/controllers/gossip.py
+++ b/yuccahitch/controllers/gossip.py
@@ -6,6 +6,7 @@
 
 from yuccahitch.controllers import configuration, membership, suspects, upstreams
 from yuccahitch.messages import commands, peers
+from yuccahitch.messages import suspects as suspect_messages
 
 MAX_LOADS_PER_MESSAGE = 48
 # Loads of random upstreams in a heartbeat when there are too many to send all.
@@ -66,7 +67,7 @@
             digest=self.config.catalog.digest,
             arrivals=self.config.catalog.arrival_count,
             loads=self._load_reports(receiver, now),
-            suspects=self.suspects.newest_reports(now),
+            suspects=self.suspects.make_report(now),
         )
 
     def answer(self, gossip: peers.Gossip, now: float) -> peers.Gossip:
@@ -85,7 +86,7 @@
             digest=self.config.catalog.digest,
             arrivals=self.config.catalog.arrival_count,
             loads=[],
-            suspects=[],
+            suspects=suspect_messages.SuspectReport(),
         )
 
     def send_due_heartbeats(self, now: float) -> None:
@@ -161,5 +162,5 @@
         self.config.compare_with_peer(body, now=now)
         for load in body.loads:
             self.upstream_states.record_report(load, now)
-        self.suspects.record_report(body.suspects, now)
+        self.suspects.record_report(body.suspects, now, pass_on=True)
         return self.members.infos_by_hash(body.unknown)
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -176,6 +176,11 @@
             if replica.removed and not replica.running:
                 del self.by_name[name]
 
+    def incarnation(self, name: str) -> str:
+        """Return a name for the present start of an upstream, which may return under its name."""
+        replica = self.by_name.get(name)
+        return name if replica is None else f"{name}@{replica.upstream.born_ms}"
+
     def count_known(self, service: str) -> int:
         """Return the number of upstreams of a service in this region, in any state."""
         return sum(
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -61,7 +61,16 @@
         "entry-unreadable",
         "An entry of the store can't be read; it is ignored.",
     )
-    POISON_FOUND = (303, "poison-found", "A request crashed several upstreams.")
+    POISON_FOUND = (
+        303,
+        "poison-found",
+        "A request or a part of prompts crashed several upstreams; it is refused.",
+    )
+    POISON_CLEARED = (
+        310,
+        "poison-cleared",
+        "What was refused as crashing upstreams was answered; it is accepted again.",
+    )
     REQUEST_SUSPECTED = (
         309,
         "request-suspected",
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -31,7 +31,7 @@
         members: The live instances.
         upstream_states: Load and health of the upstreams.
         budget: Limits retries to a share of the requests.
-        suspects: Fingerprints of requests that were running when upstreams crashed.
+        suspects: Traits of the requests that were running when upstreams crashed.
     """
 
     __slots__ = ("config", "members", "upstream_states", "budget", "suspects")
@@ -72,6 +72,7 @@
 
     def leave(self, context: request_context.RequestContext, now: float) -> None:
         """Record the duration and the output tokens of a success at an upstream."""
+        poison.record_answer(context, self.suspects, now)
         if not context.upstream:
             return
         if context.succeeded:
@@ -126,8 +127,7 @@
 ) -> actions.Action:
     """Deliver the answer that began."""
     context.head = reply
-    context.answered_attempt = context.attempt
-    context.reached_upstream = True
+    context.record_answer_begin(now)
     return actions.Deliver(reply)
 
 
@@ -161,8 +161,9 @@
     if context.reached_upstream:
         reply.error.run = errors.RunStatus.MAY_HAVE_RUN
     context.last_error = reply.error
-    if dispatch_filter.suspects.refusal_left_s(poison.fingerprint(context), now) > 0:
-        return actions.Refuse(poison.refusal(context, dispatch_filter.suspects, now))
+    poison_error = poison.refusal(context, dispatch_filter.suspects, now)
+    if poison_error is not None:
+        return actions.Refuse(poison_error)
     if _may_retry(reply, dispatch_filter, context, now):
         return actions.Rewind(choices.STEP)
     return actions.Refuse(reply.error)
--- a/yuccahitch/filters/poison.py
+++ b/yuccahitch/filters/poison.py
@@ -1,70 +1,115 @@
-"""Refuses poison requests: those that crashed several upstreams."""
+"""Refuses poison requests: those that crash the upstreams that run them."""
 
 from __future__ import annotations
 
+import itertools
+
+import xxhash
+
 from yuccahitch import errors, events
-from yuccahitch.controllers import suspects
+from yuccahitch.controllers import suspects as suspect_table
 from yuccahitch.filters import chain, request_context
-from yuccahitch.messages import actions, commands
+from yuccahitch.messages import actions, commands, suspects
+
+# Shared prompt parts of a request that are considered.
+MAX_PARTS = 32
+# An upstream that crashes later than this after an answer began did not crash on a prompt part.
+ANSWER_BEGIN_S = 0.5
+MAX_GOOD_STATUS = 299
 
 
 class Poison(chain.BaseFilter):
-    """Refuses a request by its fingerprint, so that it does not crash more upstreams.
+    """Refuses a request that has crashed upstreams, or whose prompt has a part that does.
 
     Args:
-        suspect_table: Fingerprints of requests that were running when upstreams crashed.
+        suspects: Traits of the requests that were running when upstreams crashed.
     """
 
-    __slots__ = ("suspect_table",)
+    __slots__ = ("suspects",)
     step = "poison"
 
-    def __init__(self, suspect_table: suspects.Suspects) -> None:
-        self.suspect_table = suspect_table
+    def __init__(self, suspects: suspect_table.Suspects) -> None:
+        self.suspects = suspects
 
     def enter(self, context: request_context.RequestContext, now: float) -> actions.Action:
-        """Proceed, or refuse a request whose fingerprint crashed several upstreams."""
-        if self.suspect_table.refusal_left_s(fingerprint(context), now) <= 0:
-            return actions.Proceed()
-        return actions.Refuse(refusal(context, self.suspect_table, now))
+        """Proceed, or refuse a request with a trait that crashed several upstreams."""
+        error = refusal(context, self.suspects, now)
+        return actions.Proceed() if error is None else actions.Refuse(error)
 
 
 def refusal(
-    context: request_context.RequestContext, suspect_table: suspects.Suspects, now: float
-) -> errors.GatewayError:
-    """Return the error for a poison request, with the time until it is accepted again.
+    context: request_context.RequestContext, table: suspect_table.Suspects, now: float
+) -> errors.GatewayError | None:
+    """Return the error for a poison request, with the time until it is accepted again, or None.
 
     A request with an idempotency key counts as one that may have run.
     """
+    request = suspect_request(context)
+    trait = table.refused_trait((request.request_trait, *request.part_traits), now)
+    if trait is None:
+        return None
     may_have_run = context.reached_upstream or bool(context.request.operation_key)
     return errors.GatewayError(
         errors.Code.POISON,
         step=Poison.step,
+        detail="" if trait == request.request_trait else "a part of the prompt crashes upstreams",
         run=errors.RunStatus.MAY_HAVE_RUN if may_have_run else errors.RunStatus.NOT_RUN,
-        retry_after=suspect_table.refusal_left_s(fingerprint(context), now),
+        retry_after=table.refusal_left_s(trait, now),
     )
 
 
 def record_crash(
     context: request_context.RequestContext,
-    suspect_table: suspects.Suspects,
+    table: suspect_table.Suspects,
     upstream: str,
     now: float,
 ) -> None:
-    """Record and log that an upstream crashed while it worked on a request."""
-    name = fingerprint(context)
-    suspect_table.record_crash(name, upstream, now)
+    """Record and log that an upstream crashed while it worked on a request.
+
+    Args:
+        context: The request.
+        table: Receives the record.
+        upstream: The incarnation of the upstream.
+        now: Monotonic seconds.
+    """
+    request = suspect_request(context)
+    began = context.answered_attempt == context.attempt
+    if began and now - context.answer_began_at > ANSWER_BEGIN_S:
+        request.part_traits = ()
+    table.record_crash(request, upstream, now)
     log_event = commands.LogEvent(
         events.Event.REQUEST_SUSPECTED,
         request=context.id,
         upstream=upstream,
-        fingerprint=name,
-        parts=[part for part, _ in context.request.prompt_parts[:-1]],
-        began=context.answered_attempt == context.attempt,
-        crashed_upstreams=len(suspect_table.by_fingerprint[name].upstreams),
+        trait=f"{request.request_trait:016x}",
+        parts=[name for name, _ in _shared_parts(context)],
+        part_traits=[f"{trait:016x}" for trait in request.part_traits],
+        began=began,
+    )
+    table.outbox.append(log_event)
+
+
+def record_answer(
+    context: request_context.RequestContext, table: suspect_table.Suspects, now: float
+) -> None:
+    """Record that a request was answered in full, which clears its traits."""
+    if context.succeeded and context.head is not None and context.head.status <= MAX_GOOD_STATUS:
+        request = suspect_request(context)
+        traits = (request.request_trait, *request.part_traits)
+        table.record_answer(traits, context.answer_began_at, now)
+
+
+def suspect_request(context: request_context.RequestContext) -> suspects.SuspectRequest:
+    """Return the traits of a request; its last prompt part is its own and is no trait."""
+    whole = f"request:{context.account.name}:{context.request.digest}"
+    return suspects.SuspectRequest(
+        xxhash.xxh64_intdigest(whole.encode()),
+        tuple(
+            xxhash.xxh64_intdigest(f"part:{name}".encode()) for name, _ in _shared_parts(context)
+        ),
     )
-    suspect_table.outbox.append(log_event)
 
 
-def fingerprint(context: request_context.RequestContext) -> str:
-    """Return the fingerprint of a request, equal for all repeats by its client account."""
-    return f"{context.account.name}:{context.request.digest}"
+def _shared_parts(context: request_context.RequestContext) -> list[tuple[str, int]]:
+    """Return the parts of a prompt before its own one, each an id and its length in tokens."""
+    return list(itertools.islice(context.request.prompt_parts[:-1], MAX_PARTS))
--- a/yuccahitch/filters/request_context.py
+++ b/yuccahitch/filters/request_context.py
@@ -44,6 +44,7 @@
         possible_runs: Number of attempts that an upstream may have run.
         send_count: Number of attempts made by ``filters.send``.
         answered_attempt: Number of the latest attempt whose answer began, or 0.
+        answer_began_at: When that answer began, in monotonic seconds.
         last_event_id: Id of the last event of a stream that the caller was sent, or empty.
         tokens_left: Tokens that its client account has left on this instance, below 0 if overdrawn;
             None without a rate.
@@ -80,6 +81,7 @@
         "possible_runs",
         "send_count",
         "answered_attempt",
+        "answer_began_at",
         "last_event_id",
         "tokens_left",
         "placement_inputs",
@@ -117,6 +119,7 @@
         self.possible_runs = 0
         self.send_count = 0
         self.answered_attempt = 0
+        self.answer_began_at = 0.0
         self.last_event_id = ""
         self.tokens_left: float | None = None
         self.placement_inputs: placement_inputs.PlacementInputs | None = None
@@ -127,6 +130,12 @@
         """Return the id of the request."""
         return self.request.id
 
+    def record_answer_begin(self, now: float) -> None:
+        """Record that the answer of the present attempt began."""
+        self.answered_attempt = self.attempt
+        self.answer_began_at = now
+        self.reached_upstream = True
+
 
 def effective_priority(context: RequestContext) -> int:
     """Return the priority of the client account, or of the route if the account has none."""
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -27,7 +27,7 @@
         registry: Known upstreams and their health.
         policy: Counts the requests at each upstream.
         budget: Limits retries to a share of the requests.
-        suspects: Fingerprints of requests that were running when upstreams crashed.
+        suspects: Traits of the requests that were running when upstreams crashed.
     """
 
     __slots__ = ("members", "registry", "policy", "budget", "suspects")
@@ -65,7 +65,8 @@
         return _resume(reply, self, context, now)
 
     def leave(self, context: request_context.RequestContext, now: float) -> None:
-        """Record the outcome of a whole answer in the health of its upstream."""
+        """Record a whole answer in the health of its upstream, and for its traits."""
+        poison.record_answer(context, self.suspects, now)
         if context.succeeded and context.upstream:
             good = context.head is None or context.head.status < MIN_SERVER_ERROR_STATUS
             self.registry.record_outcome(context.upstream, good=good, now=now)
@@ -131,8 +132,7 @@
     """Deliver an answer that began; a server error is retried if that is allowed."""
     send_filter.policy.record_prompt_read(context.id)
     context.possible_runs += 1
-    context.answered_attempt = context.attempt
-    context.reached_upstream = True
+    context.record_answer_begin(now)
     is_server_error = reply.status >= MIN_SERVER_ERROR_STATUS
     if (
         is_server_error
@@ -178,8 +178,9 @@
     if context.reached_upstream:
         error.run = errors.RunStatus.MAY_HAVE_RUN
     context.last_error = error
-    if send_filter.suspects.refusal_left_s(poison.fingerprint(context), now) > 0:
-        return actions.Refuse(poison.refusal(context, send_filter.suspects, now))
+    poison_error = poison.refusal(context, send_filter.suspects, now)
+    if poison_error is not None:
+        return actions.Refuse(poison_error)
     repeatable = context.idempotent or not context.reached_upstream
     # An attempt that never arrived at an upstream is no retry there.
     budget_exempt = not may_have_run and error.code not in REJECTION_CODES
@@ -196,7 +197,8 @@
     """Record a failed attempt, so that the next one goes to another target."""
     error = reply.error
     if reply.crashed and error.peer:
-        poison.record_crash(context, send_filter.suspects, error.peer, now)
+        incarnation = send_filter.registry.incarnation(error.peer)
+        poison.record_crash(context, send_filter.suspects, incarnation, now)
     if context.upstream and error.code is errors.Code.UPSTREAM_MOVED:
         send_filter.registry.mark_misdirected(context.upstream)
     _record_failed_target(send_filter, context, now)
--- a/yuccahitch/messages/peers.py
+++ b/yuccahitch/messages/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import records
+from yuccahitch.messages import suspects as suspect_messages
 from yuccahitch.resources import entry
 
 
@@ -125,23 +126,6 @@
         self.age_ms = age_ms
 
 
-class SuspectRequest(records.Record):
-    """A request that an upstream worked on when it crashed.
-
-    Attributes:
-        fingerprint: Identifies the client account and the content of the request.
-        upstream: Name of the upstream that crashed.
-        left_ms: Time for which the suspicion still holds, in milliseconds.
-    """
-
-    __slots__ = ("fingerprint", "upstream", "left_ms")
-
-    def __init__(self, *, fingerprint: str, upstream: str, left_ms: int) -> None:
-        self.fingerprint = fingerprint
-        self.upstream = upstream
-        self.left_ms = left_ms
-
-
 class Gossip(records.Record):
     """A heartbeat with the sender's view of the fleet.
 
@@ -177,7 +161,7 @@
         digest: int,
         arrivals: int,
         loads: list[LoadReport],
-        suspects: list[SuspectRequest],
+        suspects: suspect_messages.SuspectReport,
     ) -> None:
         self.sender = sender
         self.rows = rows
--- a/yuccahitch/messages/pulses.py
+++ b/yuccahitch/messages/pulses.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from yuccahitch import records
-from yuccahitch.messages import feeds, peers
+from yuccahitch.messages import feeds
+from yuccahitch.messages import suspects as suspect_messages
 
 
 class UpstreamUsage(records.Record):
@@ -105,7 +106,7 @@
         demands: list[AccountDemand],
         rooms: list[ServiceCapacity],
         heard: dict[int, float],
-        suspects: list[peers.SuspectRequest],
+        suspects: suspect_messages.SuspectReport,
         version: int = 0,
         wide: bool = False,
     ) -> None:
