Take a stream that ends inside an event for broken off

A stream of events now fails when bytes are left after its last whole event, or when it ends before its first one without having been resumed; it then goes on at another upstream or breaks off after a whole event.

--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -285,11 +285,9 @@
             complete = await self._discard_body()
             await self._put_failure(errors.Code.UPSTREAM_FAILED, answer_defect, may_have_run=True)
             return complete
-        if response_head.headers.get("content-type", "").startswith(
-            platform_requests.EVENT_STREAM_TYPE
-        ):
-            return await self._relay_answer(response_head, _whole_events_size)
-        return await self._relay_answer(response_head, _oversized_answer_size)
+        content_type = response_head.headers.get("content-type", "")
+        is_stream = content_type.startswith(platform_requests.EVENT_STREAM_TYPE)
+        return await self._relay_answer(response_head, is_stream=is_stream)
 
     async def _read_head(self, request: h11.Request) -> ResponseHead:
         """Return the head of the answer to this request; skips and logs answers to others."""
@@ -357,15 +355,17 @@
         """Log that an answer was dropped."""
         self.log.write(events.Event.ANSWER_DROPPED, request=self.action.request.id, detail=detail)
 
-    async def _relay_answer(
-        self, response_head: ResponseHead, sendable_size: typing.Callable[[bytearray], int]
-    ) -> bool:
+    async def _relay_answer(self, response_head: ResponseHead, *, is_stream: bool) -> bool:
         """Put an answer into the stream; its head goes out with the first part of the body.
 
         Args:
             response_head: Status and headers of the answer.
-            sendable_size: Returns how many of the buffered bytes may be sent before the end.
+            is_stream: Whether the answer is a stream of events, which are sent on whole.
+
+        Raises:
+            ConnectionResetError: When the answer breaks off.
         """
+        sendable_size = _whole_events_size if is_stream else _oversized_answer_size
         buffered = bytearray()
         head_sent = ended = False
         while not ended:
@@ -373,6 +373,8 @@
             ended = type(event) is h11.EndOfMessage
             if not ended and type(event) is not h11.Data:
                 raise ConnectionResetError("the connection closed before the end of the answer")
+            if ended and is_stream:
+                self._check_stream_end(buffered, has_events=head_sent)
             buffered += b"" if ended else event.data
             size = len(buffered) if ended else sendable_size(buffered)
             if len(buffered) - size > MAX_EVENT_BYTES:
@@ -386,6 +388,21 @@
         await self._put_end()
         return True
 
+    def _check_stream_end(self, rest: bytearray, *, has_events: bool) -> None:
+        """Check that a stream ends after a whole event, and not before its first one.
+
+        One that is resumed may have no events left.
+
+        Args:
+            rest: The bytes after the last whole event.
+            has_events: Whether a whole event was received.
+
+        Raises:
+            ConnectionResetError: When the stream broke off.
+        """
+        if rest.strip() or not (has_events or self.action.request.resume_after):
+            raise ConnectionResetError("the stream ended inside an event")
+
     def _make_head(self, response_head: ResponseHead) -> answers.Head:
         """Return the head that the caller gets, without headers of the connection."""
         return answers.Head(
