Count a part that a prompt repeats once, and search for causes less often

A prompt that holds a part twice counted its request twice at a crash, so that a part could look as if one request had brought it each time. The search now also waits 0.1 s on ticks.

--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -10,6 +10,7 @@
       | regions                | share | crashing |
       | east, east, east       | 0.05  | p        |
       | east, east, east       | 0.05  | p, q     |
+      | east, east, east       | 0.05  | p p      |
       | east, east, east       | 0.1   | p, q, r  |
       | east, east, west, west | 0.05  | p        |
 
--- a/tests/features/steps/crashing_parts.py
+++ b/tests/features/steps/crashing_parts.py
@@ -13,9 +13,10 @@
 
 @behave.given("instances in {regions} and requests of which {share:g} hold a part of {crashing}")
 def step_start_site(context, regions, share, crashing):
-    context.crashing = crashing.split(", ")
+    context.prompts = [parts.split() for parts in crashing.split(", ")]
+    crashing_parts = {part for parts in context.prompts for part in parts}
     context.share = share
-    context.site = crash_simulation.CrashSite(regions.split(", "), deadly_parts=context.crashing)
+    context.site = crash_simulation.CrashSite(regions.split(", "), deadly_parts=crashing_parts)
     context.edges = list(context.site.edges.values())
     context.site.run(1.0)
 
@@ -27,7 +28,7 @@
         edge = site.rng.choice(context.edges)
         first_part = site.rng.choice(FIRST_PARTS)
         if site.rng.random() < context.share:
-            site.send(edge, "crashing", (first_part, site.rng.choice(context.crashing)))
+            site.send(edge, "crashing", (first_part, *site.rng.choice(context.prompts)))
         else:
             site.send(edge, "sound", (first_part,))
         site.run(1 / rate)
--- a/yuccahitch/controllers/crash_evidence.py
+++ b/yuccahitch/controllers/crash_evidence.py
@@ -17,7 +17,7 @@
 MAX_REQUESTS_PER_CRASH = 256
 # Observations of one upstream within this time belong to the same crash.
 SAME_CRASH_S = 1.0
-# Traits whose last full answer is remembered, those seen last.
+# Traits whose last full answer is remembered; those that were answered last are kept.
 MAX_ANSWERED_TRAITS = 8192
 
 
@@ -65,13 +65,7 @@
         answered_at: When the last full answer with the trait began, in monotonic seconds.
     """
 
-    __slots__ = (
-        "trait",
-        "crashes",
-        "crashes_by_request",
-        "depth",
-        "answered_at",
-    )
+    __slots__ = ("trait", "crashes", "crashes_by_request", "depth", "answered_at")
 
     def __init__(self, trait: int, *, depth: int, answered_at: float) -> None:
         self.trait = trait
--- a/yuccahitch/controllers/suspects.py
+++ b/yuccahitch/controllers/suspects.py
@@ -10,7 +10,7 @@
 from yuccahitch.messages import commands, suspects
 
 # Pause between two searches for the cause of crashes: a crash ends many requests at once.
-SEARCH_PAUSE_S = 0.05
+SEARCH_PAUSE_S = 0.1
 # Time after a crash within which the other instances tell which of their requests it ended.
 SETTLE_S = 0.8
 # Time for which an observation of a crash, or a clearance, is reported to the other instances.
@@ -124,8 +124,7 @@
 
     def refused_trait(self, traits: typing.Iterable[int], now: float) -> int | None:
         """Return the first of some traits that is refused, or None."""
-        if self.search_due and now - self.searched_at >= SEARCH_PAUSE_S:
-            self.search(now)
+        self.search_if_due(now)
         return next((trait for trait in traits if self.refusal_left_s(trait, now) > 0), None)
 
     def refusal_left_s(self, trait: int, now: float) -> float:
@@ -133,6 +132,11 @@
         refusal = self.refusals.get(trait)
         return 0.0 if refusal is None else max(0.0, refusal.expires_at - now)
 
+    def search_if_due(self, now: float) -> None:
+        """Search for the cause of crashes if there were any since the last search."""
+        if self.search_due and now - self.searched_at >= SEARCH_PAUSE_S:
+            self.search(now)
+
     def search(self, now: float) -> None:
         """Refuse each prompt part that explains crashes which no other refused part explains."""
         self.searched_at = now
@@ -199,8 +203,7 @@
         for trait, refusal in list(self.refusals.items()):
             if now >= refusal.expires_at + self.memory_s:
                 del self.refusals[trait]
-        if self.search_due:
-            self.search(now)
+        self.search_if_due(now)
 
     def _active_traits(self, now: float) -> set[int]:
         """Return the traits whose requests are refused now."""
@@ -260,9 +263,7 @@
         left_s = min(report.left_ms / 1000, self.memory_s)
         if self.evidence.last_answer(report.trait) > since + CLEARANCE_MARGIN_S:
             self.clearances[report.trait] = now + REPORT_S
-        elif report.trait in self.explained_until:
-            return
-        elif self.refusal_left_s(report.trait, now) == 0:
+        elif report.trait not in self._active_traits(now) | self.explained_until.keys():
             self.search_due = True
             self._refuse(report.trait, since=since, left_s=left_s, now=now)
             self._log(events.Event.POISON_FOUND, report.trait, kind="reported", upstreams=[])
--- a/yuccahitch/filters/poison.py
+++ b/yuccahitch/filters/poison.py
@@ -102,11 +102,10 @@
 def suspect_request(context: request_context.RequestContext) -> suspects.SuspectRequest:
     """Return the traits of a request; its last prompt part is its own and is no trait."""
     whole = f"request:{context.account.name}:{context.request.digest}"
+    parts = (xxhash.xxh64_intdigest(f"part:{name}".encode()) for name, _ in _shared_parts(context))
+    # A part may stand in a prompt more than once.
     return suspects.SuspectRequest(
-        xxhash.xxh64_intdigest(whole.encode()),
-        tuple(
-            xxhash.xxh64_intdigest(f"part:{name}".encode()) for name, _ in _shared_parts(context)
-        ),
+        xxhash.xxh64_intdigest(whole.encode()), tuple(dict.fromkeys(parts))
     )
 
 
