--- a/yuccahitch/controllers/crash_evidence.py
+++ b/yuccahitch/controllers/crash_evidence.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 import collections
-import itertools
 import math
 import typing
 
 from yuccahitch.messages import suspects
 
-MAX_CRASHES = 64
+MAX_CRASHES = 32
 MAX_REQUESTS_PER_CRASH = 256
 # Observations of one upstream within this time belong to the same crash.
 SAME_CRASH_S = 1.0
@@ -28,14 +27,16 @@
         upstream: The incarnation of the upstream.
         at: When it was first seen, in monotonic seconds.
         requests: The requests that the upstream worked on, by the trait of the whole request.
+        part_traits: Traits of all prompt parts in these requests.
     """
 
-    __slots__ = ("upstream", "at", "requests")
+    __slots__ = ("upstream", "at", "requests", "part_traits")
 
     def __init__(self, upstream: str, at: float) -> None:
         self.upstream = upstream
         self.at = at
         self.requests: dict[int, suspects.SuspectRequest] = {}
+        self.part_traits: set[int] = set()
 
     def add(self, request: suspects.SuspectRequest) -> bool:
         """Add a request; return whether it was new."""
@@ -45,14 +46,9 @@
         if known is None and len(self.requests) >= MAX_REQUESTS_PER_CRASH:
             return False
         self.requests[request.request_trait] = request
+        self.part_traits.update(request.part_traits)
         return True
 
-    def part_traits(self) -> set[int]:
-        """Return the traits of all prompt parts in the requests."""
-        return set(
-            itertools.chain.from_iterable(request.part_traits for request in self.requests.values())
-        )
-
 
 class Suspicion:
     """What speaks against a prompt part.
@@ -134,7 +130,7 @@
         return self.answered_at.get(trait, -math.inf)
 
     def crashes_of_request(
-        self, trait: int, explained_by: typing.Container[int] = ()
+        self, trait: int, explained_by: typing.AbstractSet[int] = frozenset()
     ) -> set[Crash]:
         """Return the unexplained crashes at which a request ran that has not been answered since.
 
@@ -147,7 +143,7 @@
             for crash in self.crashes
             if trait in crash.requests
             and self.last_answer(trait) <= crash.at
-            and not any(part in explained_by for part in crash.part_traits())
+            and crash.part_traits.isdisjoint(explained_by)
         }
 
     def expire(self, now: float) -> None:
@@ -156,7 +152,7 @@
 
     def likeliest_cause(
         self,
-        explained_by: typing.Container[int],
+        explained_by: typing.AbstractSet[int],
         limit: typing.Callable[[int], int],
         *,
         settled_at: float,
@@ -179,7 +175,7 @@
         return max(found, key=Suspicion.strength, default=None)
 
     def suspicions(
-        self, explained_by: typing.Container[int] = (), *, until: float = math.inf
+        self, explained_by: typing.AbstractSet[int] = frozenset(), *, until: float = math.inf
     ) -> dict[int, Suspicion]:
         """Return what speaks against each prompt part that has not been answered since.
 
@@ -189,7 +185,7 @@
         """
         suspicions: dict[int, Suspicion] = {}
         for crash in self.crashes:
-            if crash.at > until or any(t in explained_by for t in crash.part_traits()):
+            if crash.at > until or not crash.part_traits.isdisjoint(explained_by):
                 continue
             for request in crash.requests.values():
                 for depth, trait in enumerate(request.part_traits):
--- a/yuccahitch/controllers/suspects.py
+++ b/yuccahitch/controllers/suspects.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import itertools
+import math
 import typing
 
 from yuccahitch import events
 from yuccahitch.controllers import crash_evidence
 from yuccahitch.messages import commands, suspects
 
-# Pause between two searches for the cause of crashes: a crash ends many requests at once.
-SEARCH_PAUSE_S = 0.1
-# Time after a crash within which the other instances tell which of their requests it ended.
+# Time after a crash within which the other instances tell which of their requests it ended; the
+# search for its cause waits for that.
 SETTLE_S = 0.8
+# Delay of a search after late news, so that several of them come together.
+SEARCH_DELAY_S = 0.1
 # Time for which an observation of a crash, or a clearance, is reported to the other instances.
 REPORT_S = 3.0
 # Traits in the crashes of one report, at most.
@@ -73,8 +75,8 @@
         clearances: Traits to report as sound, with the time until which they are.
         explained_until: Traits whose crashes a refused one explains better, with the time until
             which they are not refused because a peer does.
-        search_due: Whether crashes were recorded since the last search for their cause.
-        searched_at: Time of that search, in monotonic seconds.
+        search_at: When the next search for the cause of crashes is due, in monotonic seconds;
+            infinite without news.
         announcement_due: Whether a cause was found that the peers have to be told of at once. The
             sender of the message clears it.
         outbox: Commands that wait for the next ``take_commands``.
@@ -88,8 +90,7 @@
         "observations",
         "clearances",
         "explained_until",
-        "search_due",
-        "searched_at",
+        "search_at",
         "announcement_due",
         "outbox",
     )
@@ -102,8 +103,7 @@
         self.observations: list[Observation] = []
         self.clearances: dict[int, float] = {}
         self.explained_until: dict[int, float] = {}
-        self.search_due = False
-        self.searched_at = 0.0
+        self.search_at = math.inf
         self.announcement_due = False
         self.outbox: list[commands.Command] = []
 
@@ -112,7 +112,7 @@
         crash = self.evidence.crash_of(upstream, now)
         if crash.add(request):
             self._report_later(crash, request, now)
-            self._judge_request(request.request_trait, now)
+            self._judge_request(request.request_trait, crash, now)
 
     def record_answer(self, traits: typing.Iterable[int], began_at: float, now: float) -> None:
         """Record that a request with some traits was answered in full."""
@@ -132,16 +132,20 @@
         refusal = self.refusals.get(trait)
         return 0.0 if refusal is None else max(0.0, refusal.expires_at - now)
 
+    def _search_by(self, latest: float) -> None:
+        """Search for the cause of crashes at a time, if no earlier search is due."""
+        self.search_at = min(self.search_at, latest)
+
     def search_if_due(self, now: float) -> None:
-        """Search for the cause of crashes if there were any since the last search."""
-        if self.search_due and now - self.searched_at >= SEARCH_PAUSE_S:
+        """Search for the cause of crashes if there is news of one."""
+        if now >= self.search_at:
             self.search(now)
 
     def search(self, now: float) -> None:
         """Refuse each prompt part that explains crashes which no other refused part explains."""
-        self.searched_at = now
         settled_at = now - SETTLE_S
-        self.search_due = any(crash.at > settled_at for crash in self.evidence.crashes)
+        unsettled = (crash.at for crash in self.evidence.crashes if crash.at > settled_at)
+        self.search_at = min(unsettled, default=math.inf) + SETTLE_S
         while True:
             active = self._active_traits(now)
             cause = self.evidence.likeliest_cause(active, self._crash_limit, settled_at=settled_at)
@@ -164,7 +168,7 @@
             crashed_at = now - crash_report.age_ms / 1000
             crash = self.evidence.crash_of(crash_report.upstream, crashed_at)
             for request in filter(crash.add, crash_report.requests):
-                self._judge_request(request.request_trait, now)
+                self._judge_request(request.request_trait, crash, now)
                 if pass_on:
                     self._report_later(crash, request, now)
         for clearance in report.clearances:
@@ -212,6 +216,8 @@
     def _lift_explained(self, now: float) -> None:
         """Lift the refusal of each trait whose crashes another refused trait explains better."""
         active = self._active_traits(now)
+        if len(active) < 2:
+            return
         suspicions = self.evidence.suspicions()
         refused_parts = [suspicions[trait] for trait in active if trait in suspicions]
         for weaker, stronger in itertools.permutations(refused_parts, 2):
@@ -233,9 +239,9 @@
         """Return the number of crashes from which a trait is refused."""
         return 1 if trait in self.refusals else self.crash_limit
 
-    def _judge_request(self, trait: int, now: float) -> None:
-        """Refuse a whole request at once if it was there when enough upstreams crashed."""
-        self.search_due = True
+    def _judge_request(self, trait: int, crash: crash_evidence.Crash, now: float) -> None:
+        """Refuse a request that ran at a crash at once if enough upstreams crashed with it."""
+        self._search_by(max(now + SEARCH_DELAY_S, crash.at + SETTLE_S))
         crashes = self.evidence.crashes_of_request(trait, self._active_traits(now))
         crash_count = crash_evidence.count_upstreams(crashes)
         if crash_count >= self._crash_limit(trait) and self.refusal_left_s(trait, now) == 0:
@@ -264,7 +270,7 @@
         if self.evidence.last_answer(report.trait) > since + CLEARANCE_MARGIN_S:
             self.clearances[report.trait] = now + REPORT_S
         elif report.trait not in self._active_traits(now) | self.explained_until.keys():
-            self.search_due = True
+            self._search_by(now + SEARCH_DELAY_S)
             self._refuse(report.trait, since=since, left_s=left_s, now=now)
             self._log(events.Event.POISON_FOUND, report.trait, kind="reported", upstreams=[])
 
@@ -276,7 +282,7 @@
             return
         del self.refusals[trait]
         self.clearances[trait] = now + REPORT_S
-        self.search_due = True
+        self._search_by(now + SEARCH_DELAY_S)
         self._log(events.Event.POISON_CLEARED, trait, answered_s_ago=round(now - answered_at, 3))
 
     def _report_later(
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -77,7 +77,7 @@
     POISON = (
         "poison",
         422,
-        "The same request crashed several upstreams and is refused for a while.",
+        "The request or a part of its prompt crashed several upstreams; it is refused.",
     )
     DRAINING = ("draining", 503, "The instance is shutting down.")
     NOT_READY = ("not-ready", 503, "The instance holds no configuration yet.")
