--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -37,3 +37,8 @@
     When three upstreams crash on different requests with part bad, as the first table saw
     Then the first table refuses part bad for 120 seconds
     And after that one crash is enough to refuse part bad
+
+  Scenario: A request that is often answered is not refused for crashes that happened beside it
+    Given two tables of suspects, of which the second knows no answer
+    When request status runs at three upstreams that crash, and is answered after the second
+    Then the first table does not refuse request status
