--- a/standins/engine.py
+++ b/standins/engine.py
@@ -30,7 +30,10 @@
     "load_lag_s": 0.0,
     "drop_events": 0,
     "refuse_status": 0,
+    "half_head": False,
 }
+# What the fault ``half_head`` sends of an answer before it closes the connection.
+HALF_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Reque"
 
 
 class Engine:
@@ -225,6 +228,11 @@
     if engine.faults["down"] or (crash_on and crash_on in text):
         request.transport.abort()
         raise ConnectionResetError("connection aborted by a fault switch")
+    if engine.faults["half_head"]:
+        request.transport.write(HALF_HEAD)
+        await asyncio.sleep(0.05)
+        request.transport.close()
+        raise ConnectionResetError("connection closed by a fault switch")
     if engine.faults["refuse_status"]:
         echo_headers = {"x-request-id": request.headers.get("x-request-id", "")}
         return web.json_response(
--- a/tests/features/faults.feature
+++ b/tests/features/faults.feature
@@ -58,6 +58,11 @@
     Then no more than 4 engines crashed on it
     And other requests are answered
 
+  Scenario: An answer whose head breaks off is not passed on as a whole one
+    Given engines that close in the middle of an answer's head
+    When centro sends a chat of its own to cen-a-1
+    Then it gets an error that says that the chat may have run
+
   Scenario: A withdrawn key is also refused on a connection that stays open
     When norte keeps a connection to cen-a-1 and its key is withdrawn
     Then within 4 seconds a request on the open connection gets key-unknown
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -313,6 +313,24 @@
     set_faults_until_cleanup(context, engine_urls(context).values(), crash_on=crash_word)
 
 
+@behave.given("engines that close in the middle of an answer's head")
+def step_break_heads(context):
+    set_faults_until_cleanup(context, engine_urls(context).values(), half_head=True)
+
+
+@behave.when("centro sends a chat of its own to {name}")
+def step_send_chat(context, name):
+    request = send_chat_request(context, name, "centro", prompt="half a head")
+    context.chat_response = run_async(context, request)
+
+
+@behave.then("it gets an error that says that the chat may have run")
+def step_check_chat_error(context):
+    status, text, _ = context.chat_response
+    assert status >= 400, status
+    assert json.loads(text)["error"]["run"] == "may-have-run", text
+
+
 @behave.when("centro sends the crashing request to each instance in turn")
 def step_send_poison_request(context):
     async def send_to_each_instance():
