Close connections between instances whose bytes stay unacknowledged

TCP had doubled its pause during the cut, so that the request arrived up to seconds later and was sent on though its caller had left.

A kernel that acknowledges for a paused process keeps its connections.

--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -6,22 +6,37 @@
 import functools
 import typing
 
-from grpclib import client, exceptions
+from grpclib import client, exceptions, protocol
 
 from yuccahitch import clock, errors, events, records
 from yuccahitch.codecs import peer as codec
 from yuccahitch.codecs.generated import peer_grpc
 from yuccahitch.messages import actions, answers, commands
-from yuccahitch.tasks import answer_stream, mailbox, peer_proof
+from yuccahitch.tasks import answer_stream, mailbox, peer_proof, tcp_connection
 
 STEP = "forward"
 CONNECT_TIMEOUT_S = 1.0
+# Time after which unacknowledged data closes a connection to a peer. TCP sends again ever more
+# rarely during a partition, so an old connection delivers requests long after it has ended.
+UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 # Peers to which a connection is kept; the least recently used one is closed first.
 MAX_CHANNELS = 64
 # Errors of a connection to a peer, as opposed to errors in the content of a reply.
 TRANSPORT_ERRORS = (OSError, TimeoutError, exceptions.GRPCError, exceptions.StreamTerminatedError)
 
 
+class PeerChannel(client.Channel):
+    """A gRPC channel whose connection closes when sent data stays unacknowledged."""
+
+    async def __connect__(self) -> protocol.H2Protocol:
+        """Return the connection, opened if necessary."""
+        connected = await super().__connect__()
+        # grpclib offers no other way to the transport of a channel.
+        transport = connected.connection._transport
+        tcp_connection.limit_unacknowledged(transport, UNACKNOWLEDGED_TIMEOUT_MS)
+        return connected
+
+
 class OpenForward(records.Record):
     """Forward a request to an instance and put its answer into a stream.
 
@@ -115,7 +130,7 @@
         channel = self.channels.pop(address, None)
         if channel is None:
             host, _, port = address.rpartition(":")
-            channel = client.Channel(host.strip("[]"), int(port))
+            channel = PeerChannel(host.strip("[]"), int(port))
         self.channels[address] = channel
         while len(self.channels) > MAX_CHANNELS:
             self.channels.pop(next(iter(self.channels))).close()
--- a/yuccahitch/tasks/tcp_connection.py
+++ b/yuccahitch/tasks/tcp_connection.py
@@ -11,6 +11,13 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 4_000
 
 
+def limit_unacknowledged(transport: asyncio.BaseTransport, timeout_ms: int) -> None:
+    """Close a connection once sent data stays unacknowledged for a time in milliseconds."""
+    tcp_socket = transport.get_extra_info("socket")
+    if tcp_socket is not None:
+        tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 class TcpConnection(asyncio.Protocol):
     """Buffers received bytes until they are read.
 
@@ -39,9 +46,7 @@
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
             tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            tcp_socket.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-            )
+        limit_unacknowledged(transport, UNACKNOWLEDGED_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes, and pause reading if the buffer is over its limit."""
