Don't blame a prompt part for upstreams that crash at one moment

Found while reading the diff: upstreams that lose power together have a common cause, but a part in use at three of them, not answered within 0.8 s, was refused for 120 s, and nobody could disprove it while none of them was up.

Crashes less than 0.2 s after each other now count as one moment, and a part needs as many moments as crashes. Own interface and whole requests as before.

--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -14,6 +14,13 @@
       | east, east, east       | 0.1   | p, q, r  |
       | east, east, west, west | 0.05  | p        |
 
+  Scenario: Upstreams that lose power at one moment leave no part refused
+    Given instances in east, east, east and requests of which 0 hold a part of p
+    When callers send 200 requests a second for 3 seconds
+    And all upstreams crash within 0.1 seconds
+    And callers send 40 requests a second for 10 seconds
+    Then no request was refused for a part or for itself
+
   Scenario: An instance that restarts keeps refusing a crashing part
     Given instances in east, east, east and requests of which 0.05 hold a part of p
     When callers send 40 requests a second for 15 seconds
--- a/tests/features/steps/crashing_parts.py
+++ b/tests/features/steps/crashing_parts.py
@@ -5,6 +5,7 @@
 import behave
 
 from tests import builders, crash_simulation, edge_simulation, platform_builders
+from yuccahitch import errors
 from yuccahitch.controllers import suspects
 
 # First parts of prompts; requests with a crashing part have one of them too.
@@ -34,6 +35,20 @@
         site.run(1 / rate)
 
 
+@behave.when("all upstreams crash within 0.1 seconds")
+def step_crash_all(context):
+    site = context.site
+    for name in list(site.running):
+        site.crash(name)
+        site.run(0.02)
+
+
+@behave.then("no request was refused for a part or for itself")
+def step_check_no_poison(context):
+    codes = [error.code for _, _, error in context.site.refusals]
+    assert codes and errors.Code.POISON not in codes, codes.count(errors.Code.POISON)
+
+
 @behave.when("the first instance is restarted")
 def step_restart_first(context):
     site = context.site
--- a/yuccahitch/controllers/crash_evidence.py
+++ b/yuccahitch/controllers/crash_evidence.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import math
 import typing
 
@@ -14,6 +15,8 @@
 
 MAX_CRASHES = 32
 MAX_REQUESTS_PER_CRASH = 256
+# Upstreams that crash this close after each other may have a common cause, as a loss of power.
+COMMON_CAUSE_S = 0.2
 # Observations of one upstream within this time belong to the same crash.
 SAME_CRASH_S = 1.0
 # Traits whose last full answer is remembered; those that were answered last are kept.
@@ -170,6 +173,7 @@
             suspicion
             for suspicion in self.suspicions(explained_by, until=settled_at).values()
             if count_upstreams(suspicion.crashes) >= limit(suspicion.trait)
+            and count_moments(suspicion.crashes) >= limit(suspicion.trait)
             and (suspicion.shared or limit(suspicion.trait) == 1)
         ]
         return max(found, key=Suspicion.strength, default=None)
@@ -203,3 +207,9 @@
 def count_upstreams(crashes: typing.Iterable[Crash]) -> int:
     """Return the number of different upstreams that crashed."""
     return len({crash.upstream for crash in crashes})
+
+
+def count_moments(crashes: typing.Iterable[Crash]) -> int:
+    """Return the number of moments at which upstreams crashed, several perhaps at each."""
+    times = sorted(crash.at for crash in crashes)
+    return len(times) - sum(b - a < COMMON_CAUSE_S for a, b in itertools.pairwise(times))
