--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -28,6 +28,8 @@
 class PeerChannel(client.Channel):
     """A gRPC channel whose connection closes when sent data stays unacknowledged."""
 
+    __slots__ = ()
+
     async def __connect__(self) -> protocol.H2Protocol:
         """Return the connection, opened if necessary."""
         connected = await super().__connect__()
