Log the request rate that an upstream names, and what it is sent

The replica client now posts to the core what the head of an answer says of its upstream (not for a 421, which another upstream sent); the events upstream-limited and upstream-unlimited tell the rate, the age of the answer and what the instance sent since. No decision depends on it.

--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -20,7 +20,7 @@
 class Attempt:
     """A request at an instance, with the attempt at another instance that forwarded it here."""
 
-    __slots__ = ("edge", "request_id", "parent", "upstream", "attempt", "began")
+    __slots__ = ("edge", "request_id", "parent", "upstream", "attempt", "began", "work")
 
     def __init__(self, edge, request_id, parent=None):
         self.edge = edge
@@ -29,6 +29,7 @@
         self.upstream = ""
         self.attempt = 0
         self.began = False
+        self.work = None
 
 
 class CrashSite:
@@ -139,6 +140,7 @@
 
     def start(self, attempt, work):
         """Start work at an upstream, or at the instance that it is forwarded to."""
+        attempt.work = work
         attempt.attempt = work.attempt
         if type(work) is actions.Forward:
             other = self.edges[work.instance]
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -50,6 +50,7 @@
     request_lifecycle,
     requests,
     store,
+    upstream_notices,
 )
 
 # Number of distinct upstreams from which a request that crashed them is refused.
@@ -326,6 +327,10 @@
         """Apply a report of another instance."""
         _edge_inputs.on_report(report, self, now)
 
+    def on_upstream_notice(self, notice: upstream_notices.UpstreamNotice, now: float) -> None:
+        """Record what an answer said of its upstream."""
+        self.registry.record_notice(notice, now)
+
     def on_peer(self, body: peers.Body, sender: str, now: float) -> peers.Body:
         """Acknowledge a gossip message; instances on the users' platform send none."""
         return peers.Ack()
@@ -341,6 +346,7 @@
             self.members,
             self.config,
             self.registry,
+            self.registry.limits,
             self.feed,
             self.relay,
             self.rate_shares,
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -7,8 +7,8 @@
 import typing
 
 from yuccahitch import events
-from yuccahitch.controllers import published, rendezvous
-from yuccahitch.messages import commands, pulses, store
+from yuccahitch.controllers import published, rendezvous, upstream_limits
+from yuccahitch.messages import commands, pulses, store, upstream_notices
 from yuccahitch.resources import service as services
 from yuccahitch.resources import upstream
 
@@ -102,6 +102,7 @@
 
     Attributes:
         by_name: The upstreams by name.
+        limits: The request rates that upstreams named.
         outbox: Commands that wait for the next ``take_commands``.
     """
 
@@ -112,6 +113,7 @@
         "config",
         "removal_grace_s",
         "by_name",
+        "limits",
         "outbox",
     )
 
@@ -130,6 +132,7 @@
         self.config = config
         self.removal_grace_s = removal_grace_s
         self.by_name: dict[str, Replica] = {}
+        self.limits = upstream_limits.UpstreamLimits()
         self.outbox: list[commands.Command] = []
 
     def apply_snapshot(self, items: list[store.KeyValue], now: float) -> None:
@@ -175,6 +178,8 @@
                 self._log(events.Event.UPSTREAM_GONE, name, running=replica.running)
             if replica.removed and not replica.running:
                 del self.by_name[name]
+        self.limits.keep({self.incarnation(name) for name in self.by_name})
+        self.limits.tick(now)
 
     def incarnation(self, name: str) -> str:
         """Return a name for the present start of an upstream, which may return under its name."""
@@ -275,6 +280,7 @@
         replica.prompt_tokens += prompt_tokens
         if self.is_cold(replica, now):
             replica.warmup_tokens -= 1.0
+        self.limits.record_dispatch(self.incarnation(name))
 
     def record_prompt_read(self, name: str, *, prompt_tokens: int) -> None:
         """Subtract the prompt tokens of a request that an upstream has read or will not read."""
@@ -300,6 +306,13 @@
             replica.success_rate = EJECT_BELOW_SUCCESS_RATE + OUTCOME_WEIGHT
             self._log(events.Event.UPSTREAM_EJECTED, name, seconds=EJECTION_S)
 
+    def record_notice(self, notice: upstream_notices.UpstreamNotice, now: float) -> None:
+        """Record what an answer said of its upstream, unless that one has started again since."""
+        if notice.incarnation != self.incarnation(notice.upstream):
+            return
+        if notice.requests_per_s is not None:
+            self.limits.record(notice.incarnation, notice.requests_per_s, now)
+
     def mark_misdirected(self, name: str) -> None:
         """Stop using an upstream at whose address another one answers."""
         replica = self.by_name.get(name)
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -76,6 +76,12 @@
         "request-suspected",
         "An upstream crashed while it worked on a request.",
     )
+    UPSTREAM_LIMITED = (
+        311,
+        "upstream-limited",
+        "An upstream names the request rate that it takes from all instances together.",
+    )
+    UPSTREAM_UNLIMITED = (312, "upstream-unlimited", "An upstream names no request rate any more.")
     CONFIG_APPLIED = (400, "config-applied", "Newer resources were applied.")
     CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
     CONFIG_UNREADABLE = (
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -76,6 +76,7 @@
         chosen_upstream = self.registry.by_name[context.upstream].upstream
         return actions.Dispatch(
             upstream=chosen_upstream.name,
+            incarnation=self.registry.incarnation(chosen_upstream.name),
             address=chosen_upstream.address,
             attempt=context.attempt,
             request=context.request,
--- a/yuccahitch/messages/actions.py
+++ b/yuccahitch/messages/actions.py
@@ -82,6 +82,7 @@
 
     Attributes:
         upstream: Name of the upstream.
+        incarnation: Name of the upstream's present start.
         address: Base URL of the upstream.
         attempt: Number of the attempt, from 1.
         request: The request.
@@ -95,6 +96,7 @@
 
     __slots__ = (
         "upstream",
+        "incarnation",
         "address",
         "attempt",
         "request",
@@ -115,10 +117,12 @@
         max_tokens: int,
         priority: int,
         echoes_request_id: bool,
+        incarnation: str = "",
         account: str = "",
         give_up_at: float | None = None,
     ) -> None:
         self.upstream = upstream
+        self.incarnation = incarnation
         self.address = address
         self.attempt = attempt
         self.request = request
--- /dev/null
+++ b/yuccahitch/messages/upstream_notices.py
@@ -0,0 +1,29 @@
+"""What the answers of an upstream say of the upstream itself."""
+
+from __future__ import annotations
+
+import math
+
+from yuccahitch import records
+
+UNLIMITED = math.inf
+
+
+class UpstreamNotice(records.Record):
+    """Statements of an upstream in the head of one answer.
+
+    Attributes:
+        upstream: Name of the upstream.
+        incarnation: Name of the upstream's start that the request was sent to.
+        requests_per_s: Requests a second that it takes from all instances together; UNLIMITED if
+            it names no limit, None if the answer says nothing of it.
+    """
+
+    __slots__ = ("upstream", "incarnation", "requests_per_s")
+
+    def __init__(
+        self, upstream: str, *, incarnation: str, requests_per_s: float | None = None
+    ) -> None:
+        self.upstream = upstream
+        self.incarnation = incarnation
+        self.requests_per_s = requests_per_s
--- a/yuccahitch/platform/names.py
+++ b/yuccahitch/platform/names.py
@@ -13,6 +13,8 @@
 # Present in an answer when the upstream did not run the request.
 NOT_EXECUTED_HEADER = "x-not-executed"
 RETRY_AFTER_HEADER = "retry-after"
+# Requests a second that the upstream takes from all instances together.
+RATE_LIMIT_HEADER = "server-limit"
 # Parts of the prompt in their order, as ID:TOKENS pairs separated by commas.
 PROMPT_PARTS_HEADER = "x-prefix-hash"
 # Prompt tokens and output limit, separated by a comma.
--- a/yuccahitch/platform/requests.py
+++ b/yuccahitch/platform/requests.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
+import math
 import typing
 import urllib.parse
 
 import xxhash
 
 from yuccahitch import errors
-from yuccahitch.messages import actions, requests
+from yuccahitch.messages import actions, requests, upstream_notices
 from yuccahitch.platform import names
 from yuccahitch.resources import key
 
@@ -115,6 +116,23 @@
     return headers.get(names.REQUEST_ID_HEADER)
 
 
+def decode_notice(
+    work: actions.Dispatch, status: int, headers: dict[str, str]
+) -> upstream_notices.UpstreamNotice:
+    """Return what the head of an answer says of the upstream that sent it.
+
+    Args:
+        work: The request with its upstream.
+        status: HTTP status of the answer.
+        headers: Header values by lower-case name.
+    """
+    return upstream_notices.UpstreamNotice(
+        work.upstream,
+        incarnation=work.incarnation,
+        requests_per_s=_named_rate(headers, is_refusal=rejection_code(status, headers) is not None),
+    )
+
+
 def rejection_code(status: int, headers: dict[str, str]) -> errors.Code | None:
     """Return the error code for a request that an upstream did not run, or None if it ran it."""
     if status == MISDIRECTED_STATUS:
@@ -186,6 +204,27 @@
     return int(text) if text.isascii() and text.isdigit() else DEFAULT_DEADLINE_MS
 
 
+def _named_rate(headers: dict[str, str], *, is_refusal: bool) -> float | None:
+    """Return the request rate that an answer names, or None if it says nothing of it.
+
+    A refusal without the header does not end a limit: it may come from a part of the upstream that
+    does not know of it.
+    """
+    text = headers.get(names.RATE_LIMIT_HEADER)
+    if text is None:
+        return None if is_refusal else upstream_notices.UNLIMITED
+    return _parse_non_negative(text)
+
+
+def _parse_non_negative(text: str) -> float | None:
+    """Return a finite decimal number that is not negative, or None if the text is another one."""
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if 0 <= number < math.inf else None
+
+
 def _parse_token_counts(text: str) -> tuple[int, int]:
     """Return the prompt tokens and the output limit in a token count header."""
     prompt, _, output = text.partition(",")
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -10,7 +10,14 @@
 from yuccahitch import clock, events, records
 from yuccahitch.controllers import configuration, gateway, orders, request_log
 from yuccahitch.filters import request_context
-from yuccahitch.messages import commands, feeds, peers, pulses, request_lifecycle
+from yuccahitch.messages import (
+    commands,
+    feeds,
+    peers,
+    pulses,
+    request_lifecycle,
+    upstream_notices,
+)
 from yuccahitch.tasks import mailbox, metrics
 
 # An order is refused if it waits longer than an earlier order may take plus this time.
@@ -336,6 +343,11 @@
     core.decisions.on_report(message.report, now)
 
 
+@handle_without_reply.register
+def _(message: upstream_notices.UpstreamNotice, core: Core, now: float) -> None:
+    core.decisions.on_upstream_notice(message, now)
+
+
 @handle_without_reply.register
 def _(message: BeginDrain, core: Core, now: float) -> None:
     core.log.write(events.Event.DRAIN_BEGAN, open_requests=len(core.decisions.in_flight.contexts))
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -90,7 +90,11 @@
         self.pipe = log_pipe.LogPipe(_open_log(settings.log.file))
         eliot.add_destinations(self.pipe)
         rng = random.Random(uuid.uuid4().int)
-        self.replicas = replica_client.ReplicaClient(time=self.time, log=self.log)
+        self.replicas = replica_client.ReplicaClient(
+            time=self.time,
+            log=self.log,
+            on_notice=lambda notice: self.core.inbox.post(notice),
+        )
         self._make_core(rng)
         mailboxes = runner.Mailboxes(
             core=self.core.inbox,
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -14,7 +14,7 @@
 import h11
 
 from yuccahitch import clock, errors, events
-from yuccahitch.messages import actions, answers
+from yuccahitch.messages import actions, answers, upstream_notices
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.tasks import answer_stream, mailbox, tcp_connection, upstream_client
 
@@ -122,6 +122,7 @@
     Args:
         time: Source of monotonic time.
         log: Event log.
+        on_notice: Called with what the head of each answer says of its upstream.
 
     Attributes:
         inbox: Messages for this task, ``upstream_client.OpenDispatch``.
@@ -130,11 +131,18 @@
         opened_total: Connections that this client tried to open.
     """
 
-    __slots__ = ("time", "log", "inbox", "children", "pools", "opened_total")
+    __slots__ = ("time", "log", "on_notice", "inbox", "children", "pools", "opened_total")
 
-    def __init__(self, *, time: clock.Clock, log: events.Log) -> None:
+    def __init__(
+        self,
+        *,
+        time: clock.Clock,
+        log: events.Log,
+        on_notice: typing.Callable[[upstream_notices.UpstreamNotice], None],
+    ) -> None:
         self.time = time
         self.log = log
+        self.on_notice = on_notice
         self.inbox = mailbox.Mailbox()
         self.children = mailbox.ChildTasks()
         self.pools: dict[str, collections.deque[Connection]] = {}
@@ -167,9 +175,8 @@
             return
         answer_complete = False
         try:
-            answer_complete = await _Exchange(action, stream, connection, self.log).run(
-                self.time.now()
-            )
+            exchange = _Exchange(action, stream, connection, self)
+            answer_complete = await exchange.run(self.time.now())
         except CONNECTION_ERRORS as error:
             # Bytes that are no answer don't show that the upstream crashed; a lost connection does.
             crashed = connection.protocol.eof_reached or connection.protocol.closed
@@ -231,25 +238,25 @@
         action: The request and its upstream.
         stream: Receives the parts of the answer, or a failure.
         connection: Connection that the request is sent on.
-        log: Event log.
+        client: The client that makes the attempt.
 
     Attributes:
         stray_answers: Number of answers received that belong to other requests.
     """
 
-    __slots__ = ("action", "stream", "connection", "log", "stray_answers")
+    __slots__ = ("action", "stream", "connection", "client", "stray_answers")
 
     def __init__(
         self,
         action: actions.Dispatch,
         stream: answer_stream.AnswerStream,
         connection: Connection,
-        log: events.Log,
+        client: ReplicaClient,
     ) -> None:
         self.action = action
         self.stream = stream
         self.connection = connection
-        self.log = log
+        self.client = client
         self.stray_answers = 0
 
     async def run(self, now: float) -> bool:
@@ -274,6 +281,8 @@
         response_head = await self._read_head(request)
         self.connection.reusable_until = now + _keep_alive_s(response_head.headers)
         code = platform_requests.rejection_code(response_head.status, response_head.headers)
+        if code is not errors.Code.UPSTREAM_MOVED:
+            self._pass_on_notice(response_head)
         if code is not None:
             complete = await self._discard_body()
             await self._put_failure(code, f"status {response_head.status}", may_have_run=False)
@@ -289,6 +298,13 @@
         is_stream = content_type.startswith(platform_requests.EVENT_STREAM_TYPE)
         return await self._relay_answer(response_head, is_stream=is_stream)
 
+    def _pass_on_notice(self, response_head: ResponseHead) -> None:
+        """Report what the head of the answer says of the upstream."""
+        notice = platform_requests.decode_notice(
+            self.action, response_head.status, response_head.headers
+        )
+        self.client.on_notice(notice)
+
     async def _read_head(self, request: h11.Request) -> ResponseHead:
         """Return the head of the answer to this request; skips and logs answers to others."""
         for _ in range(MAX_ANSWERS_PER_REQUEST):
@@ -353,7 +369,9 @@
 
     def _log_drop(self, detail: str) -> None:
         """Log that an answer was dropped."""
-        self.log.write(events.Event.ANSWER_DROPPED, request=self.action.request.id, detail=detail)
+        self.client.log.write(
+            events.Event.ANSWER_DROPPED, request=self.action.request.id, detail=detail
+        )
 
     async def _relay_answer(self, response_head: ResponseHead, *, is_stream: bool) -> bool:
         """Put an answer into the stream; its head goes out with the first part of the body.
