--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -17,6 +17,8 @@
 TOLERATED_REQUESTS = 5
 # Time after which an instance that got an answer with a limit counts, in seconds.
 TOLD_AFTER_S = 0.5
+# First parts of prompts.
+FIRST_PARTS = tuple(f"first{number}" for number in range(6))
 
 
 class LimitedSite(crash_simulation.CrashSite):
@@ -92,6 +94,13 @@
         edge_simulation.discover_all(self.edges.values())
         return new
 
+    def freeze(self, edge, seconds):
+        """Let an instance do nothing for some seconds, while the others get requests."""
+        others = [other for other in self.edges.values() if other is not edge]
+        for _ in range(int(seconds * 60)):
+            self.send(self.rng.choice(others), "sound", (FIRST_PARTS[0],))
+            self.run(1 / 60)
+
     def allowed(self, upstream, start):
         """Return the requests that an upstream may get in the window from a time on."""
         changes = [*self.limit_changes[upstream], (math.inf, math.inf)]
