Divide the request rate that an upstream names among the instances of its region

Cause: the header passed through with the others, and placing saw only slots, running requests and times.

Now each instance earns tokens at an even part of the rate and sends nothing without one; pulses tell what the newest answers said.

--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -175,6 +175,10 @@
         """Apply a published configuration as a change of the watched key."""
         self.decisions.config.apply_change("config", self.store_item("config", document), self.now)
 
+    def mark_store_read(self) -> None:
+        """Let the instance take the store for read, so that it is ready to serve."""
+        self.decisions.feed.revision = self.revision
+
     def register_upstream(self, name: str, **fields: typing.Any) -> None:
         """Apply the store entry of an upstream, by default a ready one."""
         self.decisions.registry.apply_change(
--- a/yuccahitch/codecs/pulses.py
+++ b/yuccahitch/codecs/pulses.py
@@ -10,6 +10,7 @@
 
 # Ages of reports are sent in tenths of a second, rounded up.
 TENTHS_PER_S = 10
+MS_PER_S = 1000
 
 
 def to_protobuf(pulse: pulses.Pulse) -> pb.Pulse:
@@ -44,6 +45,14 @@
         heard_ids=pulse.heard.keys(),
         heard_tenths=[math.ceil(age_s * TENTHS_PER_S) for age_s in pulse.heard.values()],
         suspects=suspects.to_protobuf(pulse.suspects),
+        limits=[
+            pb.UpstreamLimit(
+                incarnation=limit.incarnation,
+                requests_per_s=limit.requests_per_s,
+                age_ms=round(limit.age_s * MS_PER_S),
+            )
+            for limit in pulse.limits
+        ],
         version=pulse.version,
         wide=pulse.wide,
     )
@@ -87,6 +96,14 @@
             for short_id, tenths in zip(message.heard_ids, message.heard_tenths, strict=True)
         },
         suspects=suspects.from_protobuf(message.suspects),
+        limits=[
+            pulses.UpstreamLimit(
+                limit.incarnation,
+                requests_per_s=limit.requests_per_s,
+                age_s=limit.age_ms / MS_PER_S,
+            )
+            for limit in message.limits
+        ],
         version=message.version,
         wide=message.wide,
     )
--- a/yuccahitch/controllers/_edge_inputs.py
+++ b/yuccahitch/controllers/_edge_inputs.py
@@ -6,7 +6,7 @@
 import typing
 
 from yuccahitch import events
-from yuccahitch.controllers import feed, fleet, relay, suspects
+from yuccahitch.controllers import feed, fleet, relay, replicas, suspects
 from yuccahitch.messages import commands, feeds, pulses, store
 
 
@@ -16,6 +16,7 @@
     feed: feed.Feed
     relay: relay.StoreRelay
     members: fleet.Fleet
+    registry: replicas.ReplicaRegistry
     suspects: suspects.Suspects
     outbox: list[typing.Any]
 
@@ -69,6 +70,7 @@
 @on_report.register
 def _(report: pulses.Pulse, controllers: Controllers, now: float) -> None:
     controllers.members.record_report(report, now)
+    controllers.registry.limits.merge(report.limits, now)
     from_other_region = report.region != controllers.members.own.region
     # Of this region, all instances get each report; of another one, a single instance does.
     controllers.suspects.record_report(report.suspects, now, pass_on=from_other_region)
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -25,6 +25,8 @@
 STEP = choices.STEP
 # Retry-After of a refusal, in seconds.
 RETRY_AFTER_S = 0.4
+# Longest Retry-After, in seconds.
+MAX_RETRY_AFTER_S = 2.0
 # Assumed wait in a region that has reported no room for the service, in seconds.
 UNKNOWN_WAIT_S = 0.3
 # Added when a shared prompt part is read by an upstream other than the one that holds it, in
@@ -117,9 +119,9 @@
                     info, better_than_s=local_s if best else 0.0, placement_inputs=inputs
                 )
         if best is None:
-            return _refusal(errors.Code.NO_UPSTREAM, "no usable upstream for the service", inputs)
+            return self._refuse_without_candidate(request, inputs, now)
         if first_token_s > request.left_s:
-            return _refusal(
+            return _refuse(
                 errors.Code.OVERLOADED,
                 f"estimated wait of {first_token_s:.2f} s is longer than the time left",
                 inputs,
@@ -161,14 +163,19 @@
             now: Monotonic seconds.
         """
         uses = self.members.near_uses(now)
+        sharers = self.members.rate_sharers(now)
         rooms = []
         for service in offered:
             usable = self.registry.healthy(self.registry.usable(service.name, now), now)
             warm = [replica for replica in usable if not self.registry.is_cold(replica, now)]
             if not warm:
                 continue
-            costs_s = [self._estimate_cost(replica, service, uses) for replica in warm]
-            places = sum(replica.upstream.slots for replica in warm)
+            costs_s = [
+                self._estimate_cost(replica, service, uses)
+                + min(MAX_RETRY_AFTER_S, self.registry.rate_wait_s(replica, now, sharers))
+                for replica in warm
+            ]
+            places = sum(self._count_places(replica, service) for replica in warm)
             taken = sum(self._count_running(replica, uses) for replica in warm)
             room = pulses.ServiceCapacity(
                 service.name, places=places, taken=taken, wait_s=min(costs_s)
@@ -176,6 +183,33 @@
             rooms.append(room)
         return rooms
 
+    def _refuse_without_candidate(
+        self,
+        request: assignments.PlacementRequest,
+        inputs: placement_inputs.PlacementInputs,
+        now: float,
+    ) -> choices.Refused:
+        """Return the refusal of a request that no upstream and no other region can take now.
+
+        If upstreams only hold it back by the rates that they named, callers return spread over the
+        time after the next one may be sent.
+        """
+        sharers = self.members.rate_sharers(now)
+        waits_s = [
+            self.registry.rate_wait_s(replica, now, sharers)
+            for replica in self.registry.usable(request.service.name, now, avoid=request.avoid)
+        ]
+        if not any(waits_s):
+            detail = "no usable upstream for the service"
+            return _refuse(errors.Code.NO_UPSTREAM, detail, inputs)
+        retry_after_s = min(waits_s) + self.rng.random() * RETRY_AFTER_S
+        return _refuse(
+            errors.Code.OVERLOADED,
+            "the upstreams of the service take no further requests at present",
+            inputs,
+            retry_after_s=min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S / 2, retry_after_s)),
+        )
+
     def _placement_inputs(
         self,
         request: assignments.PlacementRequest,
@@ -208,8 +242,12 @@
             return []
         usable = self.registry.usable(request.service.name, now, avoid=request.avoid)
         near_ids = self.members.near_ids(now)
+        sharers = self.members.rate_sharers(now)
         return [
-            r for r in self.registry.healthy(usable, now) if self.registry.admits(r, now, near_ids)
+            r
+            for r in self.registry.healthy(usable, now)
+            if self.registry.admits(r, now, near_ids)
+            and self.registry.rate_wait_s(r, now, sharers) <= 0
         ]
 
     def _choose_local(
@@ -324,6 +362,12 @@
         """Return the requests of this and the other near instances that an upstream runs."""
         return replica.running + uses.get(replica.upstream.name, (0, 0))[0]
 
+    def _count_places(self, replica: replicas.Replica, service: services.Service) -> int:
+        """Return how many requests an upstream runs at the same time, at the rate that it takes."""
+        slots = replica.upstream.slots
+        rate_per_s = self.registry.limits.rate(replica.incarnation)
+        return max(1, int(min(slots, rate_per_s * self.estimates.work_time(service))))
+
     def _choose_remote(
         self, request: assignments.PlacementRequest, now: float
     ) -> tuple[float, peers.InstanceInfo] | None:
@@ -411,9 +455,13 @@
     return 0
 
 
-def _refusal(
-    code: errors.Code, detail: str, inputs: placement_inputs.PlacementInputs
+def _refuse(
+    code: errors.Code,
+    detail: str,
+    inputs: placement_inputs.PlacementInputs,
+    *,
+    retry_after_s: float = RETRY_AFTER_S,
 ) -> choices.Refused:
     """Return the refusal of a request, with a time after which the caller may try again."""
-    error = errors.GatewayError(code, step=STEP, detail=detail, retry_after=RETRY_AFTER_S)
+    error = errors.GatewayError(code, step=STEP, detail=detail, retry_after=retry_after_s)
     return choices.Refused(error, inputs)
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -421,6 +421,7 @@
             rooms=self.balancer.rooms(services, now),
             heard=self.members.near_pulse_ages(now),
             suspects=self.suspects.make_report(now),
+            limits=[] if wide else self.registry.limits.report(now),
             version=self.config.current.version if self.config.ready() else 0,
             wide=wide,
         )
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -194,6 +194,24 @@
         reachable = self.reachable_members(now, region=self.own.region)
         return [self.own.instance, *(member.info.instance for member in reachable)]
 
+    def rate_sharers(self, now: float) -> list[str]:
+        """Return the ids of the instances of this region that divide the rates of its upstreams.
+
+        Unreachable ones are included while the store lists them, as they may send on. Those that
+        are shutting down leave their part to the others, unless all are.
+        """
+        near = [m for m in self.members.values() if m.info.region == self.own.region]
+        present = [
+            m
+            for m in near
+            if self._is_reachable(m, now) or (m.listed and now - m.last_seen_at < DEMAND_LIFETIME_S)
+        ]
+        leaving = {m.info.instance for m in present if fleet_member.is_leaving(m)}
+        if self.own.leaving:
+            leaving.add(self.own.instance)
+        ids = [self.own.instance, *(m.info.instance for m in present)]
+        return [name for name in ids if name not in leaving] or ids
+
     def count_recent(self, now: float) -> int:
         """Return the number of instances whose demand counts, this one included.
 
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -79,6 +79,11 @@
         self.misdirected = False
         self.cached_parts: dict[str, None] = {}
 
+    @property
+    def incarnation(self) -> str:
+        """Return a name for this start of the upstream, which may return under its name."""
+        return f"{self.upstream.name}@{self.upstream.born_ms}"
+
     def record_parts(self, names: typing.Iterable[str]) -> None:
         """Record that the upstream reads some prompt parts, given by id."""
         for name in names:
@@ -132,7 +137,7 @@
         self.config = config
         self.removal_grace_s = removal_grace_s
         self.by_name: dict[str, Replica] = {}
-        self.limits = upstream_limits.UpstreamLimits()
+        self.limits = upstream_limits.UpstreamLimits(instance)
         self.outbox: list[commands.Command] = []
 
     def apply_snapshot(self, items: list[store.KeyValue], now: float) -> None:
@@ -178,13 +183,13 @@
                 self._log(events.Event.UPSTREAM_GONE, name, running=replica.running)
             if replica.removed and not replica.running:
                 del self.by_name[name]
-        self.limits.keep({self.incarnation(name) for name in self.by_name})
+        self.limits.keep({replica.incarnation for replica in self.by_name.values()})
         self.limits.tick(now)
 
     def incarnation(self, name: str) -> str:
         """Return a name for the present start of an upstream, which may return under its name."""
         replica = self.by_name.get(name)
-        return name if replica is None else f"{name}@{replica.upstream.born_ms}"
+        return name if replica is None else replica.incarnation
 
     def count_known(self, service: str) -> int:
         """Return the number of upstreams of a service in this region, in any state."""
@@ -260,6 +265,18 @@
         replica.warmup_updated_at = now
         return replica.warmup_tokens >= 1.0
 
+    def rate_wait_s(self, replica: Replica, now: float, sharers: list[str]) -> float:
+        """Return the time until an upstream takes a request of this instance, in seconds.
+
+        It is infinite if this instance has no part of the rate that the upstream named.
+
+        Args:
+            replica: The upstream.
+            now: Monotonic seconds.
+            sharers: Ids of the instances of this region that divide named rates.
+        """
+        return self.limits.wait_s(replica.incarnation, sharers, now)
+
     def is_cold(self, replica: Replica, now: float) -> bool:
         """Return whether an upstream is cold: just started, or in a zone just taken back.
 
@@ -311,7 +328,7 @@
         if notice.incarnation != self.incarnation(notice.upstream):
             return
         if notice.requests_per_s is not None:
-            self.limits.record(notice.incarnation, notice.requests_per_s, now)
+            self.limits.record_answer(notice.incarnation, notice.requests_per_s, now)
 
     def mark_misdirected(self, name: str) -> None:
         """Stop using an upstream at whose address another one answers."""
--- a/yuccahitch/messages/pulses.py
+++ b/yuccahitch/messages/pulses.py
@@ -60,6 +60,24 @@
         self.wait_s = wait_s
 
 
+class UpstreamLimit(records.Record):
+    """What a recent answer to the sender said of the request rate that an upstream takes.
+
+    Attributes:
+        incarnation: Incarnation of the upstream.
+        requests_per_s: Requests a second from all instances together; infinite if the answer named
+            no limit.
+        age_s: Time since the answer arrived, in seconds.
+    """
+
+    __slots__ = ("incarnation", "requests_per_s", "age_s")
+
+    def __init__(self, incarnation: str, *, requests_per_s: float, age_s: float) -> None:
+        self.incarnation = incarnation
+        self.requests_per_s = requests_per_s
+        self.age_s = age_s
+
+
 class Pulse(records.Record):
     """State report (pulse) of one instance to the others.
 
@@ -75,6 +93,8 @@
         rooms: Capacity of each service in the sender's region.
         heard: Seconds since the last pulse of each live instance of the region, by its short id.
         suspects: Requests that upstreams worked on when they crashed.
+        limits: Request rates that upstreams of the region named; empty for receivers in other
+            regions.
         version: Version of the configuration in force at the sender.
         wide: Whether the demands are totals of the sender's region, not of the sender alone.
     """
@@ -90,6 +110,7 @@
         "rooms",
         "heard",
         "suspects",
+        "limits",
         "version",
         "wide",
     )
@@ -107,6 +128,7 @@
         rooms: list[ServiceCapacity],
         heard: dict[int, float],
         suspects: suspect_messages.SuspectReport,
+        limits: list[UpstreamLimit],
         version: int = 0,
         wide: bool = False,
     ) -> None:
@@ -120,6 +142,7 @@
         self.rooms = rooms
         self.heard = heard
         self.suspects = suspects
+        self.limits = limits
         self.version = version
         self.wide = wide
 
