Stop sending to upstreams that say in an answer that they leave or want a pause

Callers saw retries and refusals.

The notice that the client posts for each answer now holds both. Leaving holds until the upstream has started again and is told in pulses; a pause holds for this instance alone. An answer to the former start of an upstream changes nothing. On the own interface the headers are X-Leaving and Retry-After. All upstreams paused: refused at once, with a time to come back.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -31,6 +31,8 @@
     "drop_events": 0,
     "refuse_status": 0,
     "half_head": False,
+    "says_leaving": False,
+    "busy_pause_s": 0,
 }
 # What the fault ``half_head`` sends of an answer before it closes the connection.
 HALF_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Reque"
@@ -233,6 +235,10 @@
         await asyncio.sleep(0.05)
         request.transport.close()
         raise ConnectionResetError("connection closed by a fault switch")
+    if engine.faults["busy_pause_s"]:
+        headers = {"x-request-id": request.headers.get("x-request-id", "")}
+        headers["retry-after"] = str(engine.faults["busy_pause_s"])
+        return web.json_response({"error": "busy"}, status=503, headers=headers)
     if engine.faults["refuse_status"]:
         echo_headers = {"x-request-id": request.headers.get("x-request-id", "")}
         return web.json_response(
@@ -259,6 +265,8 @@
     resume_from = int(request.headers.get("x-resume-from", "0"))
     request_id = request.headers.get("x-request-id", "")
     headers = {"x-request-id": "crossed" if engine.faults["cross_answers"] else request_id}
+    if engine.faults["says_leaving"]:
+        headers["x-leaving"] = "1"
     engine.served += 1
     usage = {"prompt_tokens": len(prompt) // CHARACTERS_PER_TOKEN, "completion_tokens": len(words)}
     if not body.get("stream"):
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -61,9 +61,18 @@
         processes: Running instances by name.
         session: HTTP client, or None before the start.
         pipe_ends: File descriptors of the pipes that nobody reads.
+        upstreams_born_ms: Start that the entries of upstreams name, in milliseconds since the Unix
+            epoch.
     """
 
-    __slots__ = ("run_dir", "standins", "processes", "session", "pipe_ends")
+    __slots__ = (
+        "run_dir",
+        "standins",
+        "processes",
+        "session",
+        "pipe_ends",
+        "upstreams_born_ms",
+    )
 
     def __init__(self, run_dir: pathlib.Path) -> None:
         self.run_dir = run_dir
@@ -71,6 +80,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.session: aiohttp.ClientSession | None = None
         self.pipe_ends: list[int] = []
+        self.upstreams_born_ms = 1_700_000_000_000
 
     async def start_standins(self) -> None:
         """Start the store and the upstreams in one process, and register the upstreams."""
@@ -99,7 +109,9 @@
 
     async def register_upstream(self, name: str, **fields: typing.Any) -> None:
         """Write the entry of an upstream to the store; fields replace those of the default."""
-        await self.write_item(f"servers/{name}", upstream_entry(name, **fields))
+        await self.write_item(
+            f"servers/{name}", upstream_entry(name, **({"born": self.upstreams_born_ms} | fields))
+        )
 
     async def write_item(self, key: str, value: typing.Any) -> None:
         """Write an item to the store as an operator or an upstream does; None removes it."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -44,6 +44,8 @@
     "endless_refusal": 0,
     "endless_event": 0,
     "dripping_refusal": 0,
+    "says_leaving": 0,
+    "shed_pause_s": 0,
     "work_s": 0.0,
     "gap_s": 0.02,
 }
@@ -172,6 +174,9 @@
     echo_headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
     if request.headers.get("X-Expected-Instance", state.id) != state.id:
         return web.Response(status=421, headers=echo_headers | {"X-Instance-Id": state.id})
+    if state.faults["shed_pause_s"]:
+        headers = {"X-Not-Executed": "1", "Retry-After": str(state.faults["shed_pause_s"])}
+        return web.Response(status=503, headers=echo_headers | headers)
     if _consume_fault(state, "shed"):
         return web.Response(status=503, headers=echo_headers | {"X-Not-Executed": "1"})
     return None
@@ -310,7 +315,8 @@
 
 def _response_headers(request: web.Request, state: Replica) -> dict[str, str]:
     """Return the headers that identify the request and sign the answer."""
-    return {
+    headers = {
         "X-Request-Id": request.headers.get("X-Request-Id", ""),
         "X-Response-Signature": f"signed-by-{state.id}",
     }
+    return headers | ({"Server-Leaving": "1"} if state.faults["says_leaving"] else {})
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -89,6 +89,8 @@
         await site.write_item(f"servers/{name}", None)
     for zone in platform_site.ZONE_REGIONS:
         await site.write_item(f"op/evacuate/{zone}", None)
+    # The upstreams count as started again, so that nothing said of the former ones holds.
+    site.upstreams_born_ms += 1
     for name in platform_site.UPSTREAMS:
         await site.register_upstream(name)
     await deployment.wait_until(functools.partial(is_config_in_force, site, context.version))
--- a/tests/features/faults.feature
+++ b/tests/features/faults.feature
@@ -75,3 +75,13 @@
     When cen-a-2 is killed
     Then within 20 seconds no instance lists cen-a-2
     And centro is answered by cen-a-1
+
+  Scenario Outline: An engine that says in an answer that it wants no more requests gets none
+    Given the engine pintor-lm-1 announces <fault> of <value>
+    When occ-a-1 gets 20 requests one after the other
+    Then pintor-lm-1 received at most 1 of them
+
+    Examples:
+      | fault        | value |
+      | says_leaving | 1     |
+      | busy_pause_s | 8     |
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -283,3 +283,14 @@
     When all instances are killed, the configuration is deleted and edge-east-1 starts
     And a caller with the account's key asks edge-east-1 for POST /book/x
     Then the answer is 503 and no upstream saw it
+
+  Scenario Outline: An upstream that says in an answer that it wants no more requests gets none
+    Given desk-1 asks for less in its answers by <fault> of <value>
+    When 30 requests GET /status/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+    And desk-1 received at most 1 of them, and others received some
+
+    Examples:
+      | fault        | value |
+      | says_leaving | 1     |
+      | shed_pause_s | 60    |
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -203,6 +203,30 @@
     context.responses = run_async(context, send_requests())
 
 
+@behave.given("the engine {upstream} announces {fault} of {value:d}")
+def step_set_notice(context, upstream, fault, value):
+    set_faults_until_cleanup(context, [engine_urls(context)[upstream]], **{fault: value})
+
+
+@behave.when("{name} gets {count:d} requests one after the other")
+def step_send_in_turn(context, name, count):
+    context.prompt = f"in-turn-{next(PROMPT_NUMBERS)}"
+
+    async def send_requests():
+        for number in range(count):
+            prompt = f"{context.prompt}-{number}"
+            await send_chat_request(context, name, "occidente", prompt=prompt)
+
+    run_async(context, send_requests())
+
+
+@behave.then("{upstream} received at most {count:d} of them")
+def step_upstream_received_few(context, upstream, count):
+    prompts = run_async(context, context.example.get_json(engine_urls(context)[upstream] + "/seen"))
+    received = [prompt for prompt in prompts if context.prompt in prompt]
+    assert len(received) <= count, received
+
+
 @behave.then("{upstream} received none of them")
 def step_upstream_received_none(context, upstream):
     prompts = run_async(context, context.example.get_json(engine_urls(context)[upstream] + "/seen"))
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -212,6 +212,17 @@
     platform_calls.run(context, context.site.set_faults(name, shed=1000))
 
 
+@behave.given("{name} asks for less in its answers by {fault} of {value:d}")
+def step_set_upstream_fault(context, name, fault, value):
+    platform_calls.run(context, context.site.set_faults(name, **{fault: value}))
+
+
+@behave.then("{name} received at most {count:d} of them, and others received some")
+def step_check_received(context, name, count):
+    receivers = [entry["at"] for entry in platform_calls.seen_requests(context)]
+    assert receivers.count(name) <= count < len(receivers), receivers
+
+
 @behave.given("the entry of {name} names the address of {other}")
 def step_register_wrong_address(context, name, other):
     platform_calls.run(
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -30,9 +30,19 @@
         told_at: When each instance first got an answer with a limit, by upstream and instance.
         arrivals: Time, upstream and instance of each request that reached an upstream.
         unheard: Ids of instances that get no pulses.
+        leaving: Upstreams that say in their answers that they are leaving.
+        told_leaving_at: When each instance was first told so, by upstream and instance.
     """
 
-    __slots__ = ("limits", "limit_changes", "told_at", "arrivals", "unheard")
+    __slots__ = (
+        "limits",
+        "limit_changes",
+        "told_at",
+        "arrivals",
+        "unheard",
+        "leaving",
+        "told_leaving_at",
+    )
 
     def __init__(self, regions, *, upstreams_per_region=2):
         self.limits = {}
@@ -40,6 +50,8 @@
         self.told_at = {}
         self.arrivals = []
         self.unheard = set()
+        self.leaving = set()
+        self.told_leaving_at = {}
         super().__init__(regions, crashing_parts=(), upstreams_per_region=upstreams_per_region)
         for edge in self.edges.values():
             edge.mark_store_read()
@@ -77,6 +89,9 @@
         edge = attempt.edge
         if rate is not None:
             self.told_at.setdefault((upstream, edge.decisions.instance), self.now)
+        if upstream in self.leaving:
+            headers["server-leaving"] = "1"
+            self.told_leaving_at.setdefault((upstream, edge.decisions.instance), self.now)
         notice = platform_requests.decode_notice(attempt.work, 200, headers)
         edge.decisions.on_upstream_notice(notice, self.now)
 
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -14,7 +14,7 @@
 from yuccahitch import settings as settings_module
 from yuccahitch.codecs import datagrams
 from yuccahitch.controllers import edge
-from yuccahitch.messages import answers, request_lifecycle, store
+from yuccahitch.messages import actions, answers, request_lifecycle, store
 from yuccahitch.platform import names, publication, upstreams
 from yuccahitch.platform import requests as platform_requests
 
@@ -120,6 +120,23 @@
     return json.dumps(document).encode()
 
 
+def a_dispatch(upstream: str, *, incarnation: str) -> actions.Dispatch:
+    """Return the dispatch of a request to an upstream."""
+    request = platform_requests.decode(
+        method="GET", path="/status/x", headers=(), body=b"", now=0.0, new_id="none"
+    )
+    return actions.Dispatch(
+        upstream=upstream,
+        incarnation=incarnation,
+        address="127.0.0.1:1",
+        attempt=1,
+        request=request,
+        max_tokens=0,
+        priority=0,
+        echoes_request_id=True,
+    )
+
+
 class EdgeUnderTest:
     """The decisions of one instance on a platform, driven by a test in virtual time.
 
--- a/yuccahitch/codecs/pulses.py
+++ b/yuccahitch/codecs/pulses.py
@@ -53,6 +53,7 @@
             )
             for limit in pulse.limits
         ],
+        departures=pulse.departures,
         version=pulse.version,
         wide=pulse.wide,
     )
@@ -104,6 +105,7 @@
             )
             for limit in message.limits
         ],
+        departures=list(message.departures),
         version=message.version,
         wide=message.wide,
     )
--- a/yuccahitch/codecs/upstreams.py
+++ b/yuccahitch/codecs/upstreams.py
@@ -6,11 +6,16 @@
 import typing
 
 from yuccahitch import records
-from yuccahitch.messages import actions, answers, peers, requests
+from yuccahitch.messages import actions, answers, peers, requests, upstream_notices
 
 REQUEST_ID_HEADER = "x-request-id"
 PRIORITY_HEADER = "x-priority"
 FENCING_HEADER = "x-fencing-number"
+# Present with value 1 in all answers of an upstream that is shutting down.
+LEAVING_HEADER = "x-leaving"
+RETRY_AFTER_HEADER = "retry-after"
+# Status of a refusal whose Retry-After tells how long the upstream wants no requests.
+BUSY_STATUS = 503
 # Start of each server-sent event of a stream.
 EVENT_MARKER = b"data:"
 # Occurs once in each event that carries a token.
@@ -60,6 +65,18 @@
     return UpstreamRequest(request.method, work.address + request.path, headers, body)
 
 
+def decode_notice(
+    work: actions.Dispatch, status: int, headers: typing.Mapping[str, str]
+) -> upstream_notices.UpstreamNotice:
+    """Return what the head of an answer says of the upstream that sent it."""
+    pause_text = headers.get(RETRY_AFTER_HEADER, "") if status == BUSY_STATUS else ""
+    return upstream_notices.UpstreamNotice(
+        work.upstream,
+        leaving=headers.get(LEAVING_HEADER, "").strip() == "1",
+        pause_s=float(pause_text) if pause_text.isascii() and pause_text.isdigit() else 0.0,
+    )
+
+
 class AnswerMeter:
     """Counts the tokens of an answer and checks whether a stream is complete.
 
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -17,6 +17,7 @@
     fleet,
     placement_inputs,
     rendezvous,
+    replica_state,
     replicas,
 )
 from yuccahitch.messages import peers, pulses
@@ -172,7 +173,7 @@
                 continue
             costs_s = [
                 self._estimate_cost(replica, service, uses)
-                + min(MAX_RETRY_AFTER_S, self.registry.rate_wait_s(replica, now, sharers))
+                + min(MAX_RETRY_AFTER_S, self.registry.send_wait_s(replica, now, sharers))
                 for replica in warm
             ]
             places = sum(self._count_places(replica, service) for replica in warm)
@@ -196,7 +197,7 @@
         """
         sharers = self.members.rate_sharers(now)
         waits_s = [
-            self.registry.rate_wait_s(replica, now, sharers)
+            self.registry.send_wait_s(replica, now, sharers)
             for replica in self.registry.usable(request.service.name, now, avoid=request.avoid)
         ]
         if not any(waits_s):
@@ -213,9 +214,9 @@
     def _placement_inputs(
         self,
         request: assignments.PlacementRequest,
-        local_candidates: list[replicas.Replica],
+        local_candidates: list[replica_state.Replica],
         first_token_s: float,
-        best: replicas.Replica | None,
+        best: replica_state.Replica | None,
         remote_choice: tuple[float, peers.InstanceInfo] | None,
         now: float,
     ) -> placement_inputs.PlacementInputs:
@@ -236,7 +237,7 @@
 
     def _local_candidates(
         self, request: assignments.PlacementRequest, now: float
-    ) -> list[replicas.Replica]:
+    ) -> list[replica_state.Replica]:
         """Return the upstreams of this region that can take a request."""
         if request.regions is not None and self.region not in request.regions:
             return []
@@ -247,12 +248,15 @@
             r
             for r in self.registry.healthy(usable, now)
             if self.registry.admits(r, now, near_ids)
-            and self.registry.rate_wait_s(r, now, sharers) <= 0
+            and self.registry.send_wait_s(r, now, sharers) <= 0
         ]
 
     def _choose_local(
-        self, candidates: list[replicas.Replica], request: assignments.PlacementRequest, now: float
-    ) -> tuple[float, float, replicas.Replica | None]:
+        self,
+        candidates: list[replica_state.Replica],
+        request: assignments.PlacementRequest,
+        now: float,
+    ) -> tuple[float, float, replica_state.Replica | None]:
         """Return the least cost of an upstream, its time to first token, and the upstream.
 
         Cost and time are estimates in seconds. Ties are broken at random. Without candidates the
@@ -277,8 +281,8 @@
         return cost_s, first_token_s, best
 
     def _considered(
-        self, candidates: list[replicas.Replica], holders: tuple[str, str], now: float
-    ) -> list[replicas.Replica]:
+        self, candidates: list[replica_state.Replica], holders: tuple[str, str], now: float
+    ) -> list[replica_state.Replica]:
         """Return the upstreams among which a request is placed: a random few of many instances.
 
         Reports age with the number of instances. If all of them chose the best upstream by the
@@ -314,7 +318,7 @@
 
     def _estimate_first_token(
         self,
-        replica: replicas.Replica,
+        replica: replica_state.Replica,
         request: assignments.PlacementRequest,
         uses: dict[str, tuple[int, int]],
         part_holders: tuple[str, str],
@@ -338,7 +342,7 @@
 
     def _estimate_wait(
         self,
-        replica: replicas.Replica,
+        replica: replica_state.Replica,
         service: services.Service,
         uses: dict[str, tuple[int, int]],
     ) -> float:
@@ -349,7 +353,7 @@
 
     def _estimate_cost(
         self,
-        replica: replicas.Replica,
+        replica: replica_state.Replica,
         service: services.Service,
         uses: dict[str, tuple[int, int]],
     ) -> float:
@@ -358,11 +362,13 @@
         slowdown_s = self.estimates.slowdown(replica, service, running=running)
         return self._estimate_wait(replica, service, uses) + slowdown_s
 
-    def _count_running(self, replica: replicas.Replica, uses: dict[str, tuple[int, int]]) -> int:
+    def _count_running(
+        self, replica: replica_state.Replica, uses: dict[str, tuple[int, int]]
+    ) -> int:
         """Return the requests of this and the other near instances that an upstream runs."""
         return replica.running + uses.get(replica.upstream.name, (0, 0))[0]
 
-    def _count_places(self, replica: replicas.Replica, service: services.Service) -> int:
+    def _count_places(self, replica: replica_state.Replica, service: services.Service) -> int:
         """Return how many requests an upstream runs at the same time, at the rate that it takes."""
         slots = replica.upstream.slots
         rate_per_s = self.registry.limits.rate(replica.incarnation)
@@ -423,7 +429,7 @@
         self.recent_forwards[(region, service)] = (window_start, forward_count + 1)
 
     def _assign(
-        self, replica: replicas.Replica, request: assignments.PlacementRequest, now: float
+        self, replica: replica_state.Replica, request: assignments.PlacementRequest, now: float
     ) -> None:
         """Count a request as running at an upstream."""
         tokens = _unread_tokens(replica, request.parts, "")
@@ -441,7 +447,7 @@
 
 
 def _unread_tokens(
-    replica: replicas.Replica, parts: tuple[tuple[str, int], ...], holder: str
+    replica: replica_state.Replica, parts: tuple[tuple[str, int], ...], holder: str
 ) -> int:
     """Return the number of prompt tokens that an upstream probably does not have in its cache.
 
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -422,6 +422,7 @@
             heard=self.members.near_pulse_ages(now),
             suspects=self.suspects.make_report(now),
             limits=[] if wide else self.registry.limits.report(now),
+            departures=[] if wide else self.registry.departures(),
             version=self.config.current.version if self.config.ready() else 0,
             wide=wide,
         )
--- a/yuccahitch/controllers/estimates.py
+++ b/yuccahitch/controllers/estimates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from yuccahitch.controllers import replicas
+from yuccahitch.controllers import replica_state
 from yuccahitch.resources import service as services
 
 # Rate at which a model upstream reads prompts.
@@ -48,7 +48,7 @@
 
     def wait(
         self,
-        replica: replicas.Replica,
+        replica: replica_state.Replica,
         service: services.Service,
         *,
         running: int,
@@ -73,7 +73,7 @@
         return first_s + queued_s + crowding_s + failure_penalty_s + prefill_s
 
     def slowdown(
-        self, replica: replicas.Replica, service: services.Service, *, running: int
+        self, replica: replica_state.Replica, service: services.Service, *, running: int
     ) -> float:
         """Return the cost of a further request to those that an upstream runs, in seconds.
 
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -48,7 +48,14 @@
     request_context,
     residency,
 )
-from yuccahitch.messages import commands, peers, request_lifecycle, requests, store
+from yuccahitch.messages import (
+    commands,
+    peers,
+    request_lifecycle,
+    requests,
+    store,
+    upstream_notices,
+)
 
 # Cap of the configuration age in log events, in seconds.
 MAX_LOGGED_AGE_S = 1e6
@@ -328,6 +335,10 @@
         """Process a message of a peer and return the reply to it."""
         return _inputs.on_peer(body, self, now)
 
+    def on_upstream_notice(self, notice: upstream_notices.UpstreamNotice, now: float) -> None:
+        """Record what an answer said of its upstream."""
+        self.upstream_states.record_notice(notice, now)
+
     def on_peer_reply(self, reply: commands.PeerReply, now: float) -> None:
         """Process a peer's reply to a call, or the failure of the call."""
         if reply.body is None and reply.call.instance:
--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement.py
@@ -306,13 +306,13 @@
     def _known_upstreams(
         self, service: str, now: float, avoid: tuple[str, ...]
     ) -> list[upstream.Upstream]:
-        """Return this region's upstreams that are neither leaving nor in ``avoid``."""
+        """Return this region's upstreams that are not leaving, paused or in ``avoid``."""
         return [
             spec
             for spec in self.config.catalog.upstreams_by_service.get(service, {}).values()
             if spec.region == self.region
             and spec.name not in avoid
-            and not self.upstream_states.is_leaving(spec, now)
+            and self.upstream_states.is_open(spec, now)
         ]
 
     def _can_take(self, spec: upstream.Upstream, is_long: bool, now: float) -> bool:
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -7,7 +7,7 @@
 import typing
 
 from yuccahitch import events
-from yuccahitch.controllers import published, rendezvous, upstream_limits
+from yuccahitch.controllers import published, rendezvous, replica_state, upstream_limits
 from yuccahitch.messages import commands, pulses, store, upstream_notices
 from yuccahitch.resources import service as services
 from yuccahitch.resources import upstream
@@ -20,79 +20,10 @@
 EJECTION_S = 2.0
 # Instances of a region that may send requests to one cold upstream; rendezvous hashing picks them.
 COLD_OWNERS = 3
-# Prompt parts that are remembered for an upstream; the oldest one is dropped for a new one.
-MAX_CACHED_PARTS = 4096
 # States that count_by_state counts; each is a label of a metric.
 STATES = ("ready", "cold", "ejected", "evacuated", "leaving", "missing")
 
 
-class Replica:
-    """One incarnation of an upstream as this instance sees it.
-
-    Attributes:
-        upstream: The upstream as its newest entry describes it.
-        revision: Revision of the entry in the store.
-        removed: Whether the entry was missing for longer than the grace period.
-        removal_at: When the grace period of a missing entry ends, in monotonic seconds; infinite
-            while the store has the entry.
-        cold_until: When the upstream stops being cold by its entry, in monotonic seconds.
-        warmup_tokens: Token bucket of the requests that this instance may send while the upstream
-            is cold; at most 1.
-        warmup_updated_at: When warmup_tokens was last refilled, in monotonic seconds.
-        running: Requests of this instance that the upstream runs.
-        prompt_tokens: Prompt tokens of those requests that have not begun to answer.
-        success_rate: Moving average of the requests that did not fail there, from 0 to 1.
-        ejected_until: When an ejection for failures ends, in monotonic seconds.
-        misdirected: Whether another upstream answered at the address.
-        cached_parts: Ids of the prompt parts that the upstream read for this instance, oldest
-            first.
-    """
-
-    __slots__ = (
-        "upstream",
-        "revision",
-        "removed",
-        "removal_at",
-        "cold_until",
-        "warmup_tokens",
-        "warmup_updated_at",
-        "running",
-        "prompt_tokens",
-        "success_rate",
-        "ejected_until",
-        "misdirected",
-        "cached_parts",
-    )
-
-    def __init__(self, entry: upstream.Upstream, *, revision: int) -> None:
-        self.upstream = entry
-        self.revision = revision
-        self.removed = False
-        self.removal_at = math.inf
-        self.cold_until = -math.inf
-        self.warmup_tokens = 0.0
-        self.warmup_updated_at = -math.inf
-        self.running = 0
-        self.prompt_tokens = 0
-        self.success_rate = 1.0
-        self.ejected_until = -math.inf
-        self.misdirected = False
-        self.cached_parts: dict[str, None] = {}
-
-    @property
-    def incarnation(self) -> str:
-        """Return a name for this start of the upstream, which may return under its name."""
-        return f"{self.upstream.name}@{self.upstream.born_ms}"
-
-    def record_parts(self, names: typing.Iterable[str]) -> None:
-        """Record that the upstream reads some prompt parts, given by id."""
-        for name in names:
-            self.cached_parts.pop(name, None)
-            self.cached_parts[name] = None
-        while len(self.cached_parts) > MAX_CACHED_PARTS:
-            del self.cached_parts[next(iter(self.cached_parts))]
-
-
 class ReplicaRegistry:
     """Keeps the registered upstreams of all regions.
 
@@ -136,7 +67,7 @@
         self.instance = instance
         self.config = config
         self.removal_grace_s = removal_grace_s
-        self.by_name: dict[str, Replica] = {}
+        self.by_name: dict[str, replica_state.Replica] = {}
         self.limits = upstream_limits.UpstreamLimits(instance)
         self.outbox: list[commands.Command] = []
 
@@ -200,7 +131,7 @@
 
     def usable(
         self, service: str, now: float, *, region: str | None = None, avoid: tuple[str, ...] = ()
-    ) -> list[Replica]:
+    ) -> list[replica_state.Replica]:
         """Return the upstreams of a service in a region that may get new work.
 
         Ejected and cold ones are included.
@@ -235,11 +166,13 @@
         counts = collections.Counter(self._state(replica, now) for replica in own_replicas)
         return {name: float(counts[name]) for name in STATES}
 
-    def healthy(self, candidates: list[Replica], now: float) -> list[Replica]:
+    def healthy(
+        self, candidates: list[replica_state.Replica], now: float
+    ) -> list[replica_state.Replica]:
         """Return the candidates that are not ejected, or all of them if every one is."""
         return [r for r in candidates if now >= r.ejected_until] or candidates
 
-    def admits(self, replica: Replica, now: float, peers: list[str]) -> bool:
+    def admits(self, replica: replica_state.Replica, now: float, peers: list[str]) -> bool:
         """Return whether an upstream can take another request of this instance now.
 
         One that is not cold always can. The warm-up rate of a cold one is split evenly among the
@@ -265,19 +198,21 @@
         replica.warmup_updated_at = now
         return replica.warmup_tokens >= 1.0
 
-    def rate_wait_s(self, replica: Replica, now: float, sharers: list[str]) -> float:
+    def send_wait_s(self, replica: replica_state.Replica, now: float, sharers: list[str]) -> float:
         """Return the time until an upstream takes a request of this instance, in seconds.
 
-        It is infinite if this instance has no part of the rate that the upstream named.
+        It depends on the pause that the upstream asked for and the rate that it named, and is
+        infinite if this instance has no part of that rate.
 
         Args:
             replica: The upstream.
             now: Monotonic seconds.
             sharers: Ids of the instances of this region that divide named rates.
         """
-        return self.limits.wait_s(replica.incarnation, sharers, now)
+        rate_wait_s = self.limits.wait_s(replica.incarnation, sharers, now)
+        return max(0.0, rate_wait_s, replica.paused_until - now)
 
-    def is_cold(self, replica: Replica, now: float) -> bool:
+    def is_cold(self, replica: replica_state.Replica, now: float) -> bool:
         """Return whether an upstream is cold: just started, or in a zone just taken back.
 
         Upstreams of a service without a warm-up rate never are.
@@ -329,6 +264,28 @@
             return
         if notice.requests_per_s is not None:
             self.limits.record_answer(notice.incarnation, notice.requests_per_s, now)
+        if notice.leaving:
+            self.mark_leaving(notice.incarnation, "its answer says that it is leaving")
+        if notice.pause_s > 0:
+            self._pause(self.by_name[notice.upstream], notice.pause_s, now)
+
+    def mark_leaving(self, incarnation: str, reason: str) -> None:
+        """Give an upstream no more requests until it has started again."""
+        replica = self.by_name.get(incarnation.rpartition("@")[0])
+        if replica is None or replica.incarnation != incarnation or replica.said_leaving:
+            return
+        replica.said_leaving = True
+        self._log(events.Event.UPSTREAM_LEAVING, replica.upstream.name, reason=reason)
+
+    def departures(self) -> list[str]:
+        """Return the incarnations of the upstreams whose answers said that they are leaving."""
+        return [replica.incarnation for replica in self.by_name.values() if replica.said_leaving]
+
+    def _pause(self, replica: replica_state.Replica, pause_s: float, now: float) -> None:
+        """Send an upstream nothing for a time; an earlier, longer pause goes on."""
+        if now >= replica.paused_until:
+            self._log(events.Event.UPSTREAM_PAUSED, replica.upstream.name, seconds=pause_s)
+        replica.paused_until = max(replica.paused_until, now + pause_s)
 
     def mark_misdirected(self, name: str) -> None:
         """Stop using an upstream at whose address another one answers."""
@@ -341,11 +298,11 @@
                 reason="another upstream answers at its address",
             )
 
-    def _state(self, replica: Replica, now: float) -> str:
+    def _state(self, replica: replica_state.Replica, now: float) -> str:
         """Return the state of an upstream, one of STATES."""
         if replica.removal_at < math.inf:
             return "missing"
-        if replica.upstream.leaving or replica.misdirected:
+        if replica.leaving or replica.misdirected:
             return "leaving"
         if replica.upstream.zone in self.config.evacuated:
             return "evacuated"
@@ -353,17 +310,17 @@
             return "ejected"
         return "cold" if self.is_cold(replica, now) else "ready"
 
-    def _is_usable(self, replica: Replica, now: float) -> bool:
+    def _is_usable(self, replica: replica_state.Replica, now: float) -> bool:
         """Return whether an upstream may get new work; ejections are not considered."""
         entry = replica.upstream
         return (
-            not entry.leaving
+            not replica.leaving
             and not replica.misdirected
             and now < replica.removal_at
             and entry.zone not in self.config.evacuated
         )
 
-    def _service(self, replica: Replica) -> services.Service | None:
+    def _service(self, replica: replica_state.Replica) -> services.Service | None:
         """Return the service of an upstream, if the configuration in force has it."""
         current = self.config.current
         return current.services.get(replica.upstream.service) if current is not None else None
@@ -375,7 +332,7 @@
             (existing.upstream.born_ms, existing.upstream.address) == (entry.born_ms, entry.address)
         )
         if not is_same:
-            existing = self.by_name[key] = Replica(entry, revision=revision)
+            existing = self.by_name[key] = replica_state.Replica(entry, revision=revision)
             self._log(
                 events.Event.UPSTREAM_FOUND,
                 entry.name,
@@ -404,7 +361,7 @@
         replica = self.by_name.get(key)
         if replica is not None and replica.removal_at == math.inf:
             # In an outage the store may drop the entry of an upstream that still runs.
-            replica.removal_at = now if replica.upstream.leaving else now + self.removal_grace_s
+            replica.removal_at = now if replica.leaving else now + self.removal_grace_s
             self._log(events.Event.UPSTREAM_MISSING, key, used_s=replica.removal_at - now)
 
     def _log(self, event: events.Event, name: str, **fields: typing.Any) -> None:
--- a/yuccahitch/controllers/upstreams.py
+++ b/yuccahitch/controllers/upstreams.py
@@ -7,7 +7,7 @@
 
 from yuccahitch import events, records
 from yuccahitch.controllers import rules as policy
-from yuccahitch.messages import commands, peers
+from yuccahitch.messages import commands, peers, upstream_notices
 from yuccahitch.resources import upstream
 
 FAILURES_TO_EJECT = 3
@@ -16,6 +16,8 @@
 MAX_EJECTION_S = 60.0
 REPORT_LIFETIME_S = 10.0
 LEAVING_NOTICE_LIFETIME_S = 30.0
+# Time for which an answer that says that its upstream is leaving counts; load reports say so later.
+LEAVING_ANSWER_LIFETIME_S = 10.0
 # Speed at which an upstream reads the part of a prompt that is not in its cache.
 PREFILL_TOKENS_PER_S = 8000.0
 INITIAL_TOKEN_S = 0.03
@@ -59,6 +61,8 @@
         ejected_until: End of the last ejection, in monotonic seconds.
         leaving_notice_until: When the instance list's notice that the upstream is leaving expires,
             in monotonic seconds.
+        paused_until: Until when the upstream wants no requests of this instance, in monotonic
+            seconds.
         mean_request_s: Moving average of the duration of a request, in seconds.
         mean_token_s: Moving average of the duration per output token, in seconds.
     """
@@ -71,6 +75,7 @@
         "ejections",
         "ejected_until",
         "leaving_notice_until",
+        "paused_until",
         "mean_request_s",
         "mean_token_s",
     )
@@ -83,6 +88,7 @@
         self.ejections = 0
         self.ejected_until = -math.inf
         self.leaving_notice_until = -math.inf
+        self.paused_until = -math.inf
         self.mean_request_s = 1.0
         self.mean_token_s = INITIAL_TOKEN_S
 
@@ -128,7 +134,11 @@
 
     def is_usable(self, spec: upstream.Upstream, now: float) -> bool:
         """Return whether an upstream may get new requests."""
-        return not self.is_leaving(spec, now) and not self.is_ejected(spec, now)
+        return self.is_open(spec, now) and not self.is_ejected(spec, now)
+
+    def is_open(self, spec: upstream.Upstream, now: float) -> bool:
+        """Return whether an upstream takes new requests: not leaving, and no pause asked for."""
+        return not self.is_leaving(spec, now) and not self.is_paused(spec, now)
 
     def is_leaving(self, spec: upstream.Upstream, now: float) -> bool:
         """Return whether an upstream is leaving and gets no new requests."""
@@ -136,6 +146,10 @@
         reported_leaving = state.report is not None and state.report.load.leaving
         return spec.leaving or reported_leaving or now < state.leaving_notice_until
 
+    def is_paused(self, spec: upstream.Upstream, now: float) -> bool:
+        """Return whether an upstream asked for a pause that is not over."""
+        return now < self.state(spec.name).paused_until
+
     def is_ejected(self, spec: upstream.Upstream, now: float) -> bool:
         """Return whether an upstream gets no requests for a while because it failed."""
         return self.rules.ejection and now < self.state(spec.name).ejected_until
@@ -220,6 +234,25 @@
             self.announce_times = [now + delay_s for delay_s in ANNOUNCE_DELAYS_S]
         return True
 
+    def record_notice(self, notice: upstream_notices.UpstreamNotice, now: float) -> None:
+        """Record what an answer said of its upstream."""
+        state = self.state(notice.upstream)
+        if notice.leaving:
+            if now >= state.leaving_notice_until:
+                log_event = commands.LogEvent(
+                    events.Event.UPSTREAM_LEAVING, upstream=notice.upstream
+                )
+                self.outbox.append(log_event)
+            until = now + LEAVING_ANSWER_LIFETIME_S
+            state.leaving_notice_until = max(state.leaving_notice_until, until)
+        if notice.pause_s > 0:
+            if now >= state.paused_until:
+                log_event = commands.LogEvent(
+                    events.Event.UPSTREAM_PAUSED, upstream=notice.upstream, seconds=notice.pause_s
+                )
+                self.outbox.append(log_event)
+            state.paused_until = max(state.paused_until, now + notice.pause_s)
+
     def is_announcement_due(self, now: float) -> bool:
         """Return whether the region must be told now that an upstream is leaving.
 
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -82,6 +82,11 @@
         "An upstream names the request rate that it takes from all instances together.",
     )
     UPSTREAM_UNLIMITED = (312, "upstream-unlimited", "An upstream names no request rate any more.")
+    UPSTREAM_PAUSED = (
+        313,
+        "upstream-paused",
+        "An upstream turned a request away and wants none of this instance for some time.",
+    )
     CONFIG_APPLIED = (400, "config-applied", "Newer resources were applied.")
     CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
     CONFIG_UNREADABLE = (
--- a/yuccahitch/messages/pulses.py
+++ b/yuccahitch/messages/pulses.py
@@ -95,6 +95,8 @@
         suspects: Requests that upstreams worked on when they crashed.
         limits: Request rates that upstreams of the region named; empty for receivers in other
             regions.
+        departures: Incarnations of the upstreams of the region whose answers said that they are
+            leaving; empty for receivers in other regions.
         version: Version of the configuration in force at the sender.
         wide: Whether the demands are totals of the sender's region, not of the sender alone.
     """
@@ -111,6 +113,7 @@
         "heard",
         "suspects",
         "limits",
+        "departures",
         "version",
         "wide",
     )
@@ -129,6 +132,7 @@
         heard: dict[int, float],
         suspects: suspect_messages.SuspectReport,
         limits: list[UpstreamLimit],
+        departures: list[str],
         version: int = 0,
         wide: bool = False,
     ) -> None:
@@ -143,6 +147,7 @@
         self.heard = heard
         self.suspects = suspects
         self.limits = limits
+        self.departures = departures
         self.version = version
         self.wide = wide
 
--- a/yuccahitch/messages/upstream_notices.py
+++ b/yuccahitch/messages/upstream_notices.py
@@ -17,13 +17,23 @@
         incarnation: Name of the upstream's start that the request was sent to.
         requests_per_s: Requests a second that it takes from all instances together; UNLIMITED if
             it names no limit, None if the answer says nothing of it.
+        leaving: Whether it is shutting down.
+        pause_s: Time for which it wants no requests of this instance, in seconds.
     """
 
-    __slots__ = ("upstream", "incarnation", "requests_per_s")
+    __slots__ = ("upstream", "incarnation", "requests_per_s", "leaving", "pause_s")
 
     def __init__(
-        self, upstream: str, *, incarnation: str, requests_per_s: float | None = None
+        self,
+        upstream: str,
+        *,
+        incarnation: str = "",
+        requests_per_s: float | None = None,
+        leaving: bool = False,
+        pause_s: float = 0.0,
     ) -> None:
         self.upstream = upstream
         self.incarnation = incarnation
         self.requests_per_s = requests_per_s
+        self.leaving = leaving
+        self.pause_s = pause_s
--- a/yuccahitch/platform/names.py
+++ b/yuccahitch/platform/names.py
@@ -15,6 +15,8 @@
 RETRY_AFTER_HEADER = "retry-after"
 # Requests a second that the upstream takes from all instances together.
 RATE_LIMIT_HEADER = "server-limit"
+# Present with value 1 in all answers of an upstream that is shutting down.
+LEAVING_HEADER = "server-leaving"
 # Parts of the prompt in their order, as ID:TOKENS pairs separated by commas.
 PROMPT_PARTS_HEADER = "x-prefix-hash"
 # Prompt tokens and output limit, separated by a comma.
--- a/yuccahitch/platform/requests.py
+++ b/yuccahitch/platform/requests.py
@@ -130,6 +130,8 @@
         work.upstream,
         incarnation=work.incarnation,
         requests_per_s=_named_rate(headers, is_refusal=rejection_code(status, headers) is not None),
+        leaving=headers.get(names.LEAVING_HEADER, "").strip() == "1",
+        pause_s=_parse_pause_s(headers) if status == REFUSED_STATUS else 0.0,
     )
 
 
@@ -216,6 +218,11 @@
     return _parse_non_negative(text)
 
 
+def _parse_pause_s(headers: dict[str, str]) -> float:
+    """Return the seconds in a Retry-After header; 0 if there is none, or it holds a date."""
+    return _parse_non_negative(headers.get(names.RETRY_AFTER_HEADER, "")) or 0.0
+
+
 def _parse_non_negative(text: str) -> float | None:
     """Return a finite decimal number that is not negative, or None if the text is another one."""
     try:
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -81,6 +81,7 @@
             time=self.time,
             log=self.log,
             on_reply=lambda reply: self.core.inbox.post(reply),
+            on_notice=lambda notice: self.core.inbox.post(notice),
         )
         self.core = self._make_core(rng)
         mailboxes = runner.Mailboxes(
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -10,7 +10,7 @@
 
 from yuccahitch import clock, errors, events, records
 from yuccahitch.codecs import callers, upstreams
-from yuccahitch.messages import actions, answers, commands, requests
+from yuccahitch.messages import actions, answers, commands, requests, upstream_notices
 from yuccahitch.tasks import answer_stream, mailbox
 
 STEP = "dispatch"
@@ -42,6 +42,7 @@
         time: Source of monotonic time.
         log: Event log.
         on_reply: Called with the result of each order.
+        on_notice: Called with what the head of each answer says of its upstream.
 
     Attributes:
         inbox: Messages for this task, ``OpenDispatch`` and ``commands.SendOrder``.
@@ -55,6 +56,7 @@
         "time",
         "log",
         "on_reply",
+        "on_notice",
         "inbox",
         "children",
         "pooled_session",
@@ -67,8 +69,10 @@
         time: clock.Clock,
         log: events.Log,
         on_reply: typing.Callable[[commands.OrderReply], None],
+        on_notice: typing.Callable[[upstream_notices.UpstreamNotice], None],
     ) -> None:
         self.on_reply = on_reply
+        self.on_notice = on_notice
         self.time = time
         self.log = log
         self.inbox = mailbox.Mailbox()
@@ -190,6 +194,8 @@
         A response to another request, or one of an overloaded upstream, becomes a failure; so does
         the end of an event stream that lacks its end marker.
         """
+        if _is_answer_to(action, response):
+            self.on_notice(upstreams.decode_notice(action, response.status, response.headers))
         response_failure = _check_response(action, response)
         if response_failure is not None:
             self.log.write(events.Event.ANSWER_DROPPED, request=action.request.id)
@@ -253,12 +259,17 @@
     )
 
 
+def _is_answer_to(action: actions.Dispatch, response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response names the attempt, if its upstream returns the request id."""
+    echoed = response.headers.get(upstreams.REQUEST_ID_HEADER)
+    return not action.echoes_request_id or echoed == upstreams.attempt_id(action)
+
+
 def _check_response(
     action: actions.Dispatch, response: aiohttp.ClientResponse
 ) -> answers.Failure | None:
     """Return a failure if a response is for another request, or a chat gets status 429 or 5xx."""
-    echoed = response.headers.get(upstreams.REQUEST_ID_HEADER)
-    if action.echoes_request_id and echoed != upstreams.attempt_id(action):
+    if not _is_answer_to(action, response):
         error = ValueError("the answer belongs to another request")
         return _failure(action, errors.Code.UPSTREAM_FAILED, error)
     if action.request.kind == requests.CHAT and response.status in (429, 500, 502, 503, 504):
