Log statements of upstreams that can't be read, and count the upstreams that name a rate

Found in review: a rate or a time that is no number was dropped without a line. Logged once for each start of an upstream; it changes nothing, so a limit named before stays. Scenario for each form.

--- a/tests/features/steps/upstream_notices.py
+++ b/tests/features/steps/upstream_notices.py
@@ -5,7 +5,8 @@
 import behave
 
 from tests import edge_simulation, platform_builders
-from yuccahitch.messages import actions
+from yuccahitch import events
+from yuccahitch.messages import actions, commands
 from yuccahitch.platform import requests as platform_requests
 
 MARGIN_S = 0.05
@@ -72,3 +73,19 @@
     assert 0 < outcome.action.error.retry_after <= 2.0
     edge.now += 2 * MARGIN_S
     step_check_used(context)
+
+
+@behave.when("an answer of u1 names the rate {value}")
+def step_answer_rate(context, value):
+    (edge,) = context.edges
+    for _ in range(3):
+        receive_answer(edge, "u1@1", 200, server_limit=value)
+
+
+@behave.then("the instance logs notice-unreadable once")
+def step_check_unreadable(context):
+    (edge,) = context.edges
+    pending = edge.decisions.take_commands(edge.now)
+    logged = [command.event for command in pending if type(command) is commands.LogEvent]
+    context.caused_events = {event.label for event in logged}
+    assert logged.count(events.Event.NOTICE_UNREADABLE) == 1, logged
--- a/tests/features/upstream_notices.feature
+++ b/tests/features/upstream_notices.feature
@@ -43,3 +43,16 @@
     When u1 answers 503 with Retry-After 5
     And u1 answers 503 with Retry-After 1
     Then u1 gets nothing for 5 seconds
+
+  Scenario Outline: A statement that can't be read changes nothing and is logged
+    Given an instance with configuration 1 and upstreams u1
+    When an answer of u1 names the rate <value>
+    Then u1 gets requests at once
+    And the instance logs notice-unreadable once
+
+    Examples:
+      | value  |
+      | many   |
+      | -3     |
+      | nan    |
+      | 1e999  |
--- a/yuccahitch/controllers/replica_state.py
+++ b/yuccahitch/controllers/replica_state.py
@@ -30,6 +30,7 @@
         ejected_until: When an ejection for failures ends, in monotonic seconds.
         misdirected: Whether another upstream answered at the address.
         said_leaving: Whether an answer said that the upstream is shutting down.
+        sent_unreadable: Whether an answer held a statement that can't be read.
         paused_until: Until when the upstream wants no requests of this instance, in monotonic
             seconds.
         cached_parts: Ids of the prompt parts that the upstream read for this instance, oldest
@@ -50,6 +51,7 @@
         "ejected_until",
         "misdirected",
         "said_leaving",
+        "sent_unreadable",
         "paused_until",
         "cached_parts",
     )
@@ -68,6 +70,7 @@
         self.ejected_until = -math.inf
         self.misdirected = False
         self.said_leaving = False
+        self.sent_unreadable = False
         self.paused_until = -math.inf
         self.cached_parts: dict[str, None] = {}
 
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -260,14 +260,21 @@
 
     def record_notice(self, notice: upstream_notices.UpstreamNotice, now: float) -> None:
         """Record what an answer said of its upstream, unless that one has started again since."""
-        if notice.incarnation != self.incarnation(notice.upstream):
+        is_known = notice.upstream in self.by_name
+        if not is_known or notice.incarnation != self.incarnation(notice.upstream):
             return
         if notice.requests_per_s is not None:
             self.limits.record_answer(notice.incarnation, notice.requests_per_s, now)
         if notice.leaving:
             self.mark_leaving(notice.incarnation, "its answer says that it is leaving")
+        replica = self.by_name[notice.upstream]
         if notice.pause_s > 0:
-            self._pause(self.by_name[notice.upstream], notice.pause_s, now)
+            self._pause(replica, notice.pause_s, now)
+        if notice.unreadable and not replica.sent_unreadable:
+            replica.sent_unreadable = True
+            self._log(
+                events.Event.NOTICE_UNREADABLE, notice.upstream, detail=notice.unreadable[:200]
+            )
 
     def mark_leaving(self, incarnation: str, reason: str) -> None:
         """Give an upstream no more requests until it has started again."""
--- a/yuccahitch/controllers/upstream_limits.py
+++ b/yuccahitch/controllers/upstream_limits.py
@@ -158,6 +158,10 @@
         limit = self.by_incarnation.get(incarnation)
         return upstream_notices.UNLIMITED if limit is None else limit.requests_per_s
 
+    def count_in_force(self) -> int:
+        """Return the number of upstreams that name a limit at present."""
+        return sum(limit.is_in_force() for limit in self.by_incarnation.values())
+
     def record_dispatch(self, incarnation: str) -> None:
         """Count a request that is sent to an upstream."""
         limit = self.by_incarnation.get(incarnation)
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -87,6 +87,11 @@
         "upstream-paused",
         "An upstream turned a request away and wants none of this instance for some time.",
     )
+    NOTICE_UNREADABLE = (
+        314,
+        "notice-unreadable",
+        "An answer says something of its upstream that can't be read; logged once for each start.",
+    )
     CONFIG_APPLIED = (400, "config-applied", "Newer resources were applied.")
     CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
     CONFIG_UNREADABLE = (
--- a/yuccahitch/messages/upstream_notices.py
+++ b/yuccahitch/messages/upstream_notices.py
@@ -19,9 +19,17 @@
             it names no limit, None if the answer says nothing of it.
         leaving: Whether it is shutting down.
         pause_s: Time for which it wants no requests of this instance, in seconds.
+        unreadable: Header of such a statement that can't be read, with its value; or empty.
     """
 
-    __slots__ = ("upstream", "incarnation", "requests_per_s", "leaving", "pause_s")
+    __slots__ = (
+        "upstream",
+        "incarnation",
+        "requests_per_s",
+        "leaving",
+        "pause_s",
+        "unreadable",
+    )
 
     def __init__(
         self,
@@ -31,9 +39,11 @@
         requests_per_s: float | None = None,
         leaving: bool = False,
         pause_s: float = 0.0,
+        unreadable: str = "",
     ) -> None:
         self.upstream = upstream
         self.incarnation = incarnation
         self.requests_per_s = requests_per_s
         self.leaving = leaving
         self.pause_s = pause_s
+        self.unreadable = unreadable
--- a/yuccahitch/platform/requests.py
+++ b/yuccahitch/platform/requests.py
@@ -132,6 +132,7 @@
         requests_per_s=_named_rate(headers, is_refusal=rejection_code(status, headers) is not None),
         leaving=headers.get(names.LEAVING_HEADER, "").strip() == "1",
         pause_s=_parse_pause_s(headers) if status == REFUSED_STATUS else 0.0,
+        unreadable=_unreadable_statement(status, headers),
     )
 
 
@@ -218,6 +219,19 @@
     return _parse_non_negative(text)
 
 
+def _unreadable_statement(status: int, headers: dict[str, str]) -> str:
+    """Return the first header with a number that can't be read, with its value; or no text."""
+    header_names = [names.RATE_LIMIT_HEADER]
+    if status == REFUSED_STATUS:
+        header_names.append(names.RETRY_AFTER_HEADER)
+    unreadable = (
+        f"{name}: {headers[name]}"
+        for name in header_names
+        if name in headers and _parse_non_negative(headers[name]) is None
+    )
+    return next(unreadable, "")
+
+
 def _parse_pause_s(headers: dict[str, str]) -> float:
     """Return the seconds in a Retry-After header; 0 if there is none, or it holds a date."""
     return _parse_non_negative(headers.get(names.RETRY_AFTER_HEADER, "")) or 0.0
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -209,6 +209,7 @@
             store_watched=lambda: float(state.feed.watching),
             feed_reports_dropped=lambda: state.relay.dropped,
             upstreams=lambda: state.registry.count_by_state(now()),
+            upstreams_with_rate=lambda: state.registry.limits.count_in_force(),
             upstream_connections_opened=lambda: self.replicas.opened_total,
             log_lines_dropped=lambda: self.pipe.dropped_total,
         )
