Log each read of the whole store with its revision and era

The store client reads the era of each reply; a watch ends when the era changes that it was begun in (none is given yet). No decision depends on it.

--- a/yuccahitch/codecs/etcd.py
+++ b/yuccahitch/codecs/etcd.py
@@ -18,6 +18,8 @@
 
 # A watch is one response that streams lines, not a series of long-polling calls.
 WATCH_BY_POLLING = False
+# etcd's replies name no era.
+ERA_HEADER = ""
 STATUS_OK = 200
 
 
--- a/yuccahitch/controllers/_edge_inputs.py
+++ b/yuccahitch/controllers/_edge_inputs.py
@@ -28,37 +28,48 @@
 
 
 @functools.singledispatch
-def on_store(purpose: typing.Any, controllers: Controllers, reply: store.Reply, now: float) -> None:
+def on_store(
+    purpose: typing.Any, controllers: Controllers, message: commands.StoreReply, now: float
+) -> None:
     """Process a reply of the store to the call with this purpose."""
     raise TypeError(type(purpose))
 
 
 @on_store.register
-def _(purpose: feed.Listing, controllers: Controllers, reply: store.Reply, now: float) -> None:
-    controllers.feed.apply_page(purpose, reply, now)
+def _(
+    purpose: feed.Listing, controllers: Controllers, message: commands.StoreReply, now: float
+) -> None:
+    controllers.feed.apply_page(purpose, message.reply, now, era=message.era)
 
 
 @on_store.register
-def _(purpose: fleet.LeaseGrant, controllers: Controllers, reply: store.Reply, now: float) -> None:
-    controllers.members.on_lease_grant(reply, now)
+def _(
+    purpose: fleet.LeaseGrant, controllers: Controllers, message: commands.StoreReply, now: float
+) -> None:
+    controllers.members.on_lease_grant(message.reply, now)
 
 
 @on_store.register
 def _(
-    purpose: fleet.LeaseRenewal, controllers: Controllers, reply: store.Reply, now: float
+    purpose: fleet.LeaseRenewal, controllers: Controllers, message: commands.StoreReply, now: float
 ) -> None:
-    controllers.members.on_lease_renewal(reply, now)
+    controllers.members.on_lease_renewal(message.reply, now)
 
 
 @on_store.register
-def _(purpose: fleet.EntryWrite, controllers: Controllers, reply: store.Reply, now: float) -> None:
-    controllers.members.on_entry_write(reply, now)
+def _(
+    purpose: fleet.EntryWrite, controllers: Controllers, message: commands.StoreReply, now: float
+) -> None:
+    controllers.members.on_entry_write(message.reply, now)
 
 
 @on_store.register
-def _(purpose: LeaseRevocation, controllers: Controllers, reply: store.Reply, now: float) -> None:
-    if type(reply) is store.CallFailed:
-        controllers.outbox.append(commands.LogEvent(events.Event.STORE_LOST, detail=reply.detail))
+def _(
+    purpose: LeaseRevocation, controllers: Controllers, message: commands.StoreReply, now: float
+) -> None:
+    if type(message.reply) is store.CallFailed:
+        log_event = commands.LogEvent(events.Event.STORE_LOST, detail=message.reply.detail)
+        controllers.outbox.append(log_event)
 
 
 @functools.singledispatch
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -321,7 +321,7 @@
 
     def on_store(self, reply: commands.StoreReply, now: float) -> None:
         """Process a reply of the store."""
-        _edge_inputs.on_store(reply.purpose, self, reply.reply, now)
+        _edge_inputs.on_store(reply.purpose, self, reply, now)
 
     def on_report(self, report: pulses.Pulse | feeds.FeedReport, now: float) -> None:
         """Apply a report of another instance."""
--- a/yuccahitch/controllers/feed.py
+++ b/yuccahitch/controllers/feed.py
@@ -103,8 +103,17 @@
         """Schedule a read of the whole store, as changes of it were missed."""
         self.next_read_at = now
 
-    def apply_page(self, purpose: Listing, reply: store.Reply, now: float) -> None:
-        """Apply a page that was read, then ask for the next one or follow the changes."""
+    def apply_page(
+        self, purpose: Listing, reply: store.Reply, now: float, *, era: int | None = None
+    ) -> None:
+        """Apply a page that was read, then ask for the next one or follow the changes.
+
+        Args:
+            purpose: Purpose of the call, with the pages before.
+            reply: The reply.
+            now: Monotonic seconds.
+            era: Era of the store that replied, or None if the reply names none.
+        """
         if type(reply) is not store.RangeReply:
             self.next_read_at = now + RETRY_S
             return
@@ -115,7 +124,16 @@
             call = store.Range(WHOLE_STORE, prefix=True, after_key=reply.items[-1].key)
             self.outbox.append(commands.StoreCall(call, Listing(entries, revision)))
             return
-        if revision >= self.revision:
+        is_newer = revision >= self.revision
+        log_event = commands.LogEvent(
+            events.Event.STORE_READ,
+            revision=revision,
+            known=self.revision,
+            era=era,
+            applied=is_newer,
+        )
+        self.outbox.append(log_event)
+        if is_newer:
             self.revision = revision
             self.updated_at = now
             self._apply_snapshot(entries, now)
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -116,6 +116,7 @@
         "report-missed",
         "Changes of the store were not passed on; they are read again.",
     )
+    STORE_READ = (412, "store-read", "The whole store was read.")
     MEMBER_JOINED = (500, "member-joined", "An instance was discovered.")
     MEMBER_LOST = (
         501,
--- a/yuccahitch/messages/commands.py
+++ b/yuccahitch/messages/commands.py
@@ -30,14 +30,23 @@
         purpose: Purpose of the call.
         reply: The reply, or the failure of the call.
         sent_at: Time at which the call was sent, in monotonic seconds.
+        era: Era of the store that replied, or None if the reply names none.
     """
 
-    __slots__ = ("purpose", "reply", "sent_at")
+    __slots__ = ("purpose", "reply", "sent_at", "era")
 
-    def __init__(self, *, purpose: typing.Any, reply: store.Reply, sent_at: float) -> None:
+    def __init__(
+        self,
+        *,
+        purpose: typing.Any,
+        reply: store.Reply,
+        sent_at: float,
+        era: int | None = None,
+    ) -> None:
         self.purpose = purpose
         self.reply = reply
         self.sent_at = sent_at
+        self.era = era
 
 
 class PeerCall(records.Record):
@@ -144,14 +153,17 @@
         revision: Revision at which the watch starts; the etcd dialect reports changes from this
             revision on, the platform's dialect changes after it.
         active: Whether to start the watch; False stops it.
+        era: Era of the store that the revision belongs to, or None if that is not known; the watch
+            ends when the store replies from another one.
     """
 
-    __slots__ = ("prefix", "revision", "active")
+    __slots__ = ("prefix", "revision", "active", "era")
 
-    def __init__(self, *, prefix: str, revision: int, active: bool) -> None:
+    def __init__(self, *, prefix: str, revision: int, active: bool, era: int | None = None) -> None:
         self.prefix = prefix
         self.revision = revision
         self.active = active
+        self.era = era
 
 
 class SendOrder(records.Record):
--- a/yuccahitch/messages/store.py
+++ b/yuccahitch/messages/store.py
@@ -227,6 +227,24 @@
         self.detail = detail
 
 
+class EraReply(records.Record):
+    """Reply to a call, with the era of the store that sent it.
+
+    The era rises when the store is restored from an older copy: its revisions then go back and are
+    given out again.
+
+    Attributes:
+        reply: The reply.
+        era: The era, or None if the reply names none.
+    """
+
+    __slots__ = ("reply", "era")
+
+    def __init__(self, reply: Reply, *, era: int | None) -> None:
+        self.reply = reply
+        self.era = era
+
+
 Reply = RangeReply | CommitReply | CommitManyReply | LeaseReply | CallFailed
 
 
@@ -254,14 +272,26 @@
         changes: The changes, in the order in which they were made.
         revision: Revision of the store after the changes.
         prefix: Watched prefix; the etcd dialect leaves it empty.
+        after: Revision after which these are all changes; 0 in the etcd dialect.
+        era: Era of the store, or None if it names none.
     """
 
-    __slots__ = ("changes", "revision", "prefix")
-
-    def __init__(self, changes: list[KeyChange], *, revision: int, prefix: str = "") -> None:
+    __slots__ = ("changes", "revision", "prefix", "after", "era")
+
+    def __init__(
+        self,
+        changes: list[KeyChange],
+        *,
+        revision: int,
+        prefix: str = "",
+        after: int = 0,
+        era: int | None = None,
+    ) -> None:
         self.changes = changes
         self.revision = revision
         self.prefix = prefix
+        self.after = after
+        self.era = era
 
 
 class WatchFailing(records.Record):
@@ -285,13 +315,15 @@
     Attributes:
         detail: Cause of the break.
         prefix: Watched prefix.
+        era: Era of the store that ended it, or None if that is not known.
     """
 
-    __slots__ = ("detail", "prefix")
+    __slots__ = ("detail", "prefix", "era")
 
-    def __init__(self, detail: str, *, prefix: str = "") -> None:
+    def __init__(self, detail: str, *, prefix: str = "", era: int | None = None) -> None:
         self.detail = detail
         self.prefix = prefix
+        self.era = era
 
 
 WatchEvent = KeysChanged | WatchFailing | WatchLost
--- a/yuccahitch/platform/names.py
+++ b/yuccahitch/platform/names.py
@@ -70,6 +70,8 @@
 PUBLICATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 
+# Header of the store's replies: how often the store has been restored from an older copy.
+STORE_ERA_HEADER = "store-era"
 # Paths of the store's calls.
 STORE_KEY_PATH = "/api/kv-key"
 STORE_RANGE_PATH = "/api/kv-range"
--- a/yuccahitch/platform/store.py
+++ b/yuccahitch/platform/store.py
@@ -18,6 +18,7 @@
 # Status of a watch whose revision is no longer in the history.
 STATUS_GONE = 410
 WATCH_PATH = names.STORE_WATCH_PATH
+ERA_HEADER = names.STORE_ERA_HEADER
 # Statuses that guarantee that the call changed nothing.
 NOT_APPLIED_STATUSES = frozenset((429, 503))
 
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -201,7 +201,7 @@
         if not store_session.lease or not self.core.decisions.shutdown.hand_over_complete:
             return
         departure_ttl_s = self.settings.limits.horizon_s
-        grant_reply = await self.store.execute_call(store.GrantLease(departure_ttl_s))
+        grant_reply = (await self.store.execute_call(store.GrantLease(departure_ttl_s))).reply
         lease = grant_reply.lease if type(grant_reply) is store.LeaseReply else 0
         commit = store.Commit(
             conditions=[],
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -29,6 +29,23 @@
 MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
 
 
+class _PollReply:
+    """The reply to one call of a watch.
+
+    Attributes:
+        status: HTTP status.
+        body: Body of the reply.
+        era: Era of the store, or None if the reply names none.
+    """
+
+    __slots__ = ("status", "body", "era")
+
+    def __init__(self, status: int, body: bytes, era: int | None) -> None:
+        self.status = status
+        self.body = body
+        self.era = era
+
+
 class StoreClient:
     """Owns the connections to the store; each call of the core is one HTTP request.
 
@@ -121,7 +138,7 @@
             finally:
                 await self.children.stop()
 
-    async def execute_call(self, call: store.Call) -> store.Reply:
+    async def execute_call(self, call: store.Call) -> store.EraReply:
         """Make one call and return its reply, or its failure.
 
         After a failure to connect, the call was not applied; after any other failure, such as a
@@ -141,27 +158,32 @@
                 response_body = await response.read()
                 self._count_call(call_type, str(response.status))
                 reply = self.dialect.decode(call, response.status, response_body)
-                return _unprefixed(reply, self.prefix)
+                return store.EraReply(_unprefixed(reply, self.prefix), era=self._era_of(response))
         except aiohttp.ClientConnectorError as error:
             self._count_call(call_type, "unreachable")
-            return store.CallFailed(may_have_applied=False, detail=type(error).__name__)
+            failure = store.CallFailed(may_have_applied=False, detail=type(error).__name__)
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
             self._count_call(call_type, "failed")
-            return store.CallFailed(may_have_applied=True, detail=type(error).__name__)
+            failure = store.CallFailed(may_have_applied=True, detail=type(error).__name__)
+        return store.EraReply(failure, era=None)
 
     async def execute_command(self, command: commands.StoreCall) -> None:
         """Make a call for the core and pass its reply to ``on_reply``; a failure is delayed."""
         async with self.call_slots:
             sent_at = self.time.now()
-            reply = await self.execute_call(command.call)
+            era_reply = await self.execute_call(command.call)
+        reply = era_reply.reply
         if type(reply) is store.CallFailed:
             self._record_failure(reply.detail)
             await asyncio.sleep(self._backoff_s(self.consecutive_failures))
         else:
             self._record_success()
-        self.on_reply(commands.StoreReply(purpose=command.purpose, reply=reply, sent_at=sent_at))
+        message = commands.StoreReply(
+            purpose=command.purpose, reply=reply, sent_at=sent_at, era=era_reply.era
+        )
+        self.on_reply(message)
 
-    def watch(self, prefix: str, revision: int) -> reactivex.Observable:
+    def watch(self, command: commands.WatchStore) -> reactivex.Observable:
         """Return an observable of the changes under a prefix after a revision.
 
         Failed calls of the watch are items too. The last item is ``store.WatchLost``. Each
@@ -174,7 +196,7 @@
             run_watch = (
                 self._run_long_poll if self.dialect.WATCH_BY_POLLING else self._run_streaming_watch
             )
-            task = self.children.start(run_watch(prefix, revision, observer))
+            task = self.children.start(run_watch(command, observer))
             return reactivex.disposable.Disposable(task.cancel)
 
         return reactivex.create(subscribe)
@@ -185,15 +207,15 @@
         if previous_watch is not None:
             previous_watch.dispose()
         if command.active:
-            observable = self.watch(command.prefix, command.revision)
+            observable = self.watch(command)
             self.watches[command.prefix] = observable.subscribe(on_next=self.on_watch_event)
 
     async def _run_streaming_watch(
-        self, prefix: str, revision: int, observer: reactivex_abc.ObserverBase
+        self, command: commands.WatchStore, observer: reactivex_abc.ObserverBase
     ) -> None:
         """Read changes from a streaming response until it breaks, then report the loss."""
         detail = "closed"
-        body = etcd.watch_request(self.prefix + prefix, revision)
+        body = etcd.watch_request(self.prefix + command.prefix, command.revision)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.timeout_s)
         try:
             async with self.session.post(
@@ -209,31 +231,36 @@
         except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
             detail = type(error).__name__
         await asyncio.sleep(INITIAL_BACKOFF_S)
-        observer.on_next(store.WatchLost(detail, prefix=prefix))
+        observer.on_next(store.WatchLost(detail, prefix=command.prefix))
         observer.on_completed()
 
     async def _run_long_poll(
-        self, prefix: str, revision: int, observer: reactivex_abc.ObserverBase
+        self, command: commands.WatchStore, observer: reactivex_abc.ObserverBase
     ) -> None:
-        """Poll for changes until the store no longer has the history after the revision."""
+        """Poll for changes until the store no longer has the history after the revision.
+
+        That is so as well once the store was restored: the revision then means something else.
+        """
+        prefix, revision = command.prefix, command.revision
         consecutive_failures = 0
         while True:
             try:
-                status, response_body = await self._fetch_changes(prefix, revision)
-                if status == self.dialect.STATUS_GONE:
+                poll = await self._fetch_changes(prefix, revision)
+                was_restored = None not in (poll.era, command.era) and poll.era != command.era
+                if poll.status == self.dialect.STATUS_GONE or was_restored:
                     break
-                if status == 200:
-                    change = self.dialect.decode_watch(self.prefix + prefix, response_body)
-                    revision = max(revision, change.revision)
+                if poll.status == 200:
+                    change = self.dialect.decode_watch(self.prefix + prefix, poll.body)
                     change = _unprefixed_change(change, self.prefix)
-                    change.prefix = prefix
+                    change.prefix, change.after, change.era = prefix, revision, poll.era
+                    revision = max(revision, change.revision)
                     observer.on_next(change)
                     self._record_success()
                     consecutive_failures = 0
                     # The pause lets changes that follow closely arrive in one poll.
                     await asyncio.sleep(LONG_POLL_PAUSE_S)
                     continue
-                detail = f"status {status}"
+                detail = f"status {poll.status}"
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, OSError) as error:
                 detail = type(error).__name__
             consecutive_failures += 1
@@ -242,13 +269,15 @@
             await asyncio.sleep(self._backoff_s(consecutive_failures))
         observer.on_next(
             store.WatchLost(
-                "the store no longer has the changes after the watched revision", prefix=prefix
+                "the store no longer has the changes after the watched revision",
+                prefix=prefix,
+                era=poll.era,
             )
         )
         observer.on_completed()
 
-    async def _fetch_changes(self, prefix: str, revision: int) -> tuple[int, bytes]:
-        """Return status and body of one poll for the changes under a prefix after a revision."""
+    async def _fetch_changes(self, prefix: str, revision: int) -> _PollReply:
+        """Poll once for the changes under a prefix after a revision."""
         query = self.dialect.watch_query(self.prefix + prefix, revision, self.poll_wait_s)
         timeout = aiohttp.ClientTimeout(total=self.poll_wait_s + self.timeout_s)
         result = "failed"
@@ -258,10 +287,19 @@
             ) as response:
                 response_body = await response.read()
                 result = str(response.status)
-                return response.status, response_body
+                return _PollReply(response.status, response_body, self._era_of(response))
         finally:
             self._count_call("watch", result)
 
+    def _era_of(self, response: aiohttp.ClientResponse) -> int | None:
+        """Return the era that a reply names, or None.
+
+        Raises:
+            ValueError: When the era is not a whole number.
+        """
+        text = response.headers.get(self.dialect.ERA_HEADER) if self.dialect.ERA_HEADER else None
+        return None if text is None else int(text)
+
     def _count_call(self, call_type: str, result: str) -> None:
         """Count a call by its type and its HTTP status, or ``unreachable`` or ``failed``."""
         labels = (("kind", call_type), ("result", result))
