--- a/tests/zone_simulation.py
+++ b/tests/zone_simulation.py
@@ -10,6 +10,7 @@
 
 from tests import platform_builders
 from yuccahitch.codecs import datagrams
+from yuccahitch.controllers import fleet
 from yuccahitch.messages import commands, pulses, store
 
 STEP_S = 0.05
@@ -23,13 +24,26 @@
     Attributes:
         revision: Revision up to which changes were reported.
         polled_at: When its present call began, in virtual seconds.
+        era: Era of the store that it was begun in, or None.
     """
 
-    __slots__ = ("revision", "polled_at")
+    __slots__ = ("revision", "polled_at", "era")
 
-    def __init__(self, revision: int, now: float) -> None:
+    def __init__(self, revision: int, now: float, era: int | None) -> None:
         self.revision = revision
         self.polled_at = now
+        self.era = era
+
+
+class Copy:
+    """What the store held at one moment."""
+
+    __slots__ = ("items", "history", "leases")
+
+    def __init__(self, site: Site) -> None:
+        self.items = dict(site.items)
+        self.history = list(site.history)
+        self.leases = dict(site.leases)
 
 
 class Site:
@@ -46,9 +60,12 @@
         cut: Names of instances that don't reach the store.
         muted: Names of instances whose watches get no replies.
         loss: Share of the datagrams that are lost, from 0 to 1.
+        era: How often the store was restored from an older copy.
+        leases: Names of the instances whose entries hang on each lease that the store knows.
         versions: Versions of the configuration that each instance had in force, in order.
         logged: Names of the events that the instances logged.
         dropped: Names of instances whose datagrams are lost.
+        copies: Copies of the store, by name.
     """
 
     def __init__(self, count: int, *, zone: str = "east-a") -> None:
@@ -57,6 +74,9 @@
         self.items: dict[str, store.KeyValue] = {}
         self.history: list[store.KeyChange] = []
         self.oldest_revision = 0
+        self.era = 1
+        self.leases: dict[int, str] = {}
+        self.copies: dict[str, Copy] = {}
         self.watches: dict[tuple[str, str], Watch] = {}
         self.calls = 0
         self.cut: set[str] = set()
@@ -103,6 +123,29 @@
         document = platform_builders.a_publication(version)
         self.write(CONFIG_KEY, platform_builders.to_bytes(document) + b" " * padding)
 
+    def copy(self, name: str = "") -> None:
+        """Keep a copy of the store."""
+        self.copies[name] = Copy(self)
+
+    def restore(self, name: str = "") -> None:
+        """Let the store come back from a copy: what was written since is gone."""
+        copy = self.copies[name]
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.leases = dict(copy.leases)
+        self.oldest_revision = 0
+        self.era += 1
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease, and delete the entry that hangs on it."""
+        name = self.leases.pop(lease, None)
+        if name is not None:
+            self.write(fleet.PREFIX + name, None)
+
+    def listed(self) -> set[str]:
+        """Return the names of the instances that the store lists."""
+        return {key.removeprefix(fleet.PREFIX) for key in self.items if fleet.PREFIX in key}
+
     def readers(self) -> list[str]:
         """Return the names of the instances that watch the store."""
         return sorted({name for name, _ in self.watches})
@@ -137,9 +180,11 @@
                 self.calls += 1
                 edge.decisions.on_watch(store.WatchFailing("cut", prefix=prefix), self.now)
             return
-        if watch.revision < self.oldest_revision:
+        is_past = watch.revision < self.oldest_revision or watch.revision > self.revision
+        if is_past or watch.era not in (None, self.era):
             del self.watches[name, prefix]
-            edge.decisions.on_watch(store.WatchLost("history", prefix=prefix), self.now)
+            lost = store.WatchLost("history", prefix=prefix, era=self.era)
+            edge.decisions.on_watch(lost, self.now)
             return
         news = [
             change
@@ -148,8 +193,10 @@
         ]
         if news or self.now - watch.polled_at >= WATCH_S:
             self.calls += 1
+            event = store.KeysChanged(
+                news, revision=self.revision, prefix=prefix, after=watch.revision, era=self.era
+            )
             watch.revision, watch.polled_at = self.revision, self.now
-            event = store.KeysChanged(news, revision=self.revision, prefix=prefix)
             edge.decisions.on_watch(event, self.now)
 
     def _execute_all(self, name: str) -> None:
@@ -162,7 +209,12 @@
         reply: store.Reply = store.CallFailed(may_have_applied=False, detail="cut")
         if name not in self.cut:
             reply = _reply(command.call, self)
-        message = commands.StoreReply(purpose=command.purpose, reply=reply, sent_at=self.now)
+        message = commands.StoreReply(
+            purpose=command.purpose,
+            reply=reply,
+            sent_at=self.now,
+            era=None if name in self.cut else self.era,
+        )
         self.edges[name].decisions.on_store(message, self.now)
         self._execute_all(name)
 
@@ -191,7 +243,7 @@
     site.watches.pop((name, command.prefix), None)
     if command.active:
         site.calls += 1
-        site.watches[name, command.prefix] = Watch(command.revision, site.now)
+        site.watches[name, command.prefix] = Watch(command.revision, site.now, command.era)
 
 
 @_execute.register
@@ -217,21 +269,27 @@
 
 @_reply.register
 def _(call: store.GrantLease, site: Site) -> store.Reply:
-    return store.LeaseReply(lease=1 + len(site.history), ttl_s=math.inf)
+    lease = 1 + max(site.leases, default=0)
+    site.leases[lease] = ""
+    return store.LeaseReply(lease=lease, ttl_s=math.inf)
 
 
 @_reply.register
 def _(call: store.KeepAlive, site: Site) -> store.Reply:
-    return store.LeaseReply(lease=call.lease, ttl_s=math.inf)
+    return store.LeaseReply(lease=call.lease, ttl_s=math.inf if call.lease in site.leases else 0.0)
 
 
 @_reply.register
 def _(call: store.RevokeLease, site: Site) -> store.Reply:
+    site.end_lease(call.lease)
     return store.LeaseReply(lease=call.lease, ttl_s=0.0)
 
 
 @_reply.register
 def _(call: store.Commit, site: Site) -> store.Reply:
     for change in call.changes:
+        if change.lease not in site.leases:
+            return store.CallFailed(may_have_applied=False, detail="no such lease")
+        site.leases[change.lease] = change.key.removeprefix(fleet.PREFIX)
         site.write(change.key, change.value)
     return store.CommitReply(applied=True, items=[], revision=site.revision)
