Follow a store that comes back from an older copy by its era

Cause: revisions of before the restore were compared with revisions of after it. The same class elsewhere: upstreams that had left were used again, entries of former starts replaced live instances, and a lease could be ended that had been given to another.

Each reply, watch and report now carries the store's era, and nothing of one era is compared with another's; what is known beats the copy until a second read.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -294,3 +294,8 @@
       | fault        | value |
       | says_leaving | 1     |
       | shed_pause_s | 60    |
+
+  Scenario: A route that is added after the store came back from an older copy is served everywhere
+    Given the store keeps a copy of itself before configuration 2 is published
+    When the store comes back from its copy and configuration 3 adds a route
+    Then every instance serves that route within 2 seconds, and the log has store-restored
--- a/yuccahitch/codecs/feeds.py
+++ b/yuccahitch/codecs/feeds.py
@@ -8,7 +8,7 @@
 
 def to_protobuf(report: feeds.FeedReport) -> pb.FeedReport:
     """Return a report as a protobuf message."""
-    message = pb.FeedReport(instance=report.instance, revision=report.revision)
+    message = pb.FeedReport(instance=report.instance, revision=report.revision, era=report.era)
     if report.news is not None:
         message.news.CopyFrom(
             pb.StoreChanges(
@@ -29,7 +29,8 @@
             revision=message.news.revision,
             changes=[_change_from_protobuf(change) for change in message.news.changes],
         )
-    return feeds.FeedReport(message.instance, revision=message.revision, news=news)
+    era = message.era if message.HasField("era") else None
+    return feeds.FeedReport(message.instance, revision=message.revision, era=era, news=news)
 
 
 def _change_to_protobuf(change: store.KeyChange) -> pb.KeyChange:
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -321,6 +321,7 @@
 
     def on_store(self, reply: commands.StoreReply, now: float) -> None:
         """Process a reply of the store."""
+        self.feed.observe_era(reply.era, now)
         _edge_inputs.on_store(reply.purpose, self, reply, now)
 
     def on_report(self, report: pulses.Pulse | feeds.FeedReport, now: float) -> None:
--- a/yuccahitch/controllers/feed.py
+++ b/yuccahitch/controllers/feed.py
@@ -3,6 +3,11 @@
 The changes come from a watch of this instance, or from another instance of the zone that watches
 the store (``relay``). Both say between which revisions their changes were made, so that the
 instance can change from one to the other without missing or repeating any.
+
+The store may come back from an older copy. It then names a higher era, and its revisions go back
+and are given out again, so nothing of the former era can be compared with them. The store is read
+again, and subscribers keep what they know better than the copy. Once everybody has had time to
+write again what was lost, a second read settles what still differs.
 """
 
 from __future__ import annotations
@@ -15,6 +20,9 @@
 
 # Pause before the store is read again after a failed call, in seconds.
 RETRY_S = 0.3
+# Time after the first read of a restored store until the second one, in seconds: longer than
+# entries of the copy that nobody renews last, and than it takes others to write theirs again.
+SETTLE_S = 4.5
 # All keys are read and watched together: one call instead of one a prefix.
 WHOLE_STORE = ""
 
@@ -25,20 +33,32 @@
     Attributes:
         entries: Items of the pages read before.
         revision: Revision of the store at the first page; 0 while that one is read.
+        era: Era of the store at the first page, or None.
     """
 
-    __slots__ = ("entries", "revision")
+    __slots__ = ("entries", "revision", "era")
 
-    def __init__(self, entries: list[store.KeyValue], revision: int) -> None:
+    def __init__(
+        self, entries: list[store.KeyValue], revision: int, *, era: int | None = None
+    ) -> None:
         self.entries = entries
         self.revision = revision
+        self.era = era
 
 
 class Subscriber(typing.Protocol):
     """A controller that applies what the store holds under a prefix."""
 
-    def apply_snapshot(self, items: list[store.KeyValue], now: float) -> None:
-        """Apply all items, with keys relative to the prefix; other items no longer exist."""
+    def apply_snapshot(
+        self, items: list[store.KeyValue], now: float, *, restored: bool = False
+    ) -> None:
+        """Apply all items, with keys relative to the prefix; other items no longer exist.
+
+        If the store was ``restored``, the items may be older than what is known.
+        """
+
+    def begin_era(self, now: float) -> None:
+        """Forget the revisions and leases of the store, which came back from an older copy."""
 
     def apply_change(self, key: str, item: store.KeyValue | None, now: float) -> None:
         """Apply one change, with the key relative to the prefix; None means a deletion."""
@@ -52,6 +72,10 @@
 
     Attributes:
         revision: Revision up to which the store is known; 0 before it was read.
+        era: Era of the store that the revision belongs to, or None if it names none.
+        is_restored: Whether the store came back from an older copy and was not read since.
+        settles_at: Until when a restored store may be older than what is known, in monotonic
+            seconds; then it is read again.
         updated_at: When the store was last known to be up to date, in monotonic seconds, or minus
             infinity.
         watched_at: When the watch last replied, or the read before it, in monotonic seconds; minus
@@ -65,6 +89,9 @@
     __slots__ = (
         "subscribers",
         "revision",
+        "era",
+        "is_restored",
+        "settles_at",
         "updated_at",
         "watched_at",
         "next_read_at",
@@ -75,6 +102,9 @@
     def __init__(self, subscribers: dict[str, Subscriber]) -> None:
         self.subscribers = subscribers
         self.revision = 0
+        self.era: int | None = None
+        self.is_restored = False
+        self.settles_at = -math.inf
         self.updated_at = -math.inf
         self.watched_at = -math.inf
         self.next_read_at = -math.inf
@@ -103,6 +133,33 @@
         """Schedule a read of the whole store, as changes of it were missed."""
         self.next_read_at = now
 
+    def observe_era(self, era: int | None, now: float) -> bool:
+        """Compare the era of a reply or report with the known one; a higher one begins.
+
+        Returns:
+            Whether it is the present era; None counts as the present one.
+        """
+        if era is None or era == self.era:
+            return True
+        if self.era is not None and era < self.era:
+            return False
+        if self.is_complete():
+            self._begin_era(era, now)
+        self.era = era
+        return True
+
+    def _begin_era(self, era: int, now: float) -> None:
+        """Stop following the store of the former era, and read it again."""
+        log_event = commands.LogEvent(
+            events.Event.STORE_RESTORED, era=era, former_era=self.era, known=self.revision
+        )
+        self.outbox.append(log_event)
+        self.is_restored = True
+        self.watched_at = -math.inf
+        self.next_read_at = now
+        for subscriber in self.subscribers.values():
+            subscriber.begin_era(now)
+
     def apply_page(
         self, purpose: Listing, reply: store.Reply, now: float, *, era: int | None = None
     ) -> None:
@@ -114,17 +171,21 @@
             now: Monotonic seconds.
             era: Era of the store that replied, or None if the reply names none.
         """
-        if type(reply) is not store.RangeReply:
+        is_present = self.observe_era(era, now)
+        if type(reply) is not store.RangeReply or not is_present:
             self.next_read_at = now + RETRY_S
             return
+        if purpose.revision and purpose.era != era:
+            self.next_read_at = now
+            return
         entries = purpose.entries + reply.items
         # Pages are read one after another: the changes since the first one must follow.
         revision = purpose.revision or reply.revision
         if reply.has_more and reply.items:
             call = store.Range(WHOLE_STORE, prefix=True, after_key=reply.items[-1].key)
-            self.outbox.append(commands.StoreCall(call, Listing(entries, revision)))
+            self.outbox.append(commands.StoreCall(call, Listing(entries, revision, era=era)))
             return
-        is_newer = revision >= self.revision
+        is_newer = self.is_restored or revision >= self.revision
         log_event = commands.LogEvent(
             events.Event.STORE_READ,
             revision=revision,
@@ -133,10 +194,14 @@
             applied=is_newer,
         )
         self.outbox.append(log_event)
+        if self.is_restored:
+            self.settles_at = now + SETTLE_S
+            self.is_restored = False
         if is_newer:
             self.revision = revision
             self.updated_at = now
             self._apply_snapshot(entries, now)
+        self.next_read_at = self.settles_at if now < self.settles_at else math.inf
         if self.watching:
             self.watched_at = now
             self._update_watch()
@@ -144,6 +209,9 @@
     def apply_watched(self, event: store.KeysChanged, now: float) -> feeds.StoreChanges:
         """Apply what the watch reported; return the changes that were not known before."""
         after = self.revision
+        is_present = self.observe_era(event.era, now)
+        if self.is_restored or not is_present or event.after > after:
+            return feeds.StoreChanges(after=after, revision=after, changes=[])
         news = feeds.StoreChanges(
             after=after,
             revision=max(after, event.revision),
@@ -156,7 +224,8 @@
 
     def apply_relayed(self, news: feeds.StoreChanges, now: float) -> None:
         """Apply changes that another instance passed on, unless changes before them are missing."""
-        if self.is_complete() and news.after <= self.revision < news.revision:
+        follows = news.after <= self.revision < news.revision
+        if self.is_complete() and not self.is_restored and follows:
             self._apply(news, now)
 
     def on_watch_failing(self) -> None:
@@ -165,6 +234,7 @@
 
     def on_watch_lost(self, event: store.WatchLost, now: float) -> None:
         """Schedule a new read of the store, as the watch broke or lost its history."""
+        self.observe_era(event.era, now)
         self.watched_at = -math.inf
         self.next_read_at = now
         self.outbox.append(commands.LogEvent(events.Event.WATCH_BROKEN, detail=event.detail))
@@ -183,7 +253,7 @@
         """Pass all items of the store to the subscribers of their prefixes."""
         for prefix, subscriber in self.subscribers.items():
             items = [_relative(item, prefix) for item in entries if item.key.startswith(prefix)]
-            subscriber.apply_snapshot(items, now)
+            subscriber.apply_snapshot(items, now, restored=now < self.settles_at)
 
     def _prefix_of(self, key: str) -> str | None:
         """Return the prefix of a key that has a subscriber, or None."""
@@ -192,7 +262,7 @@
     def _update_watch(self) -> None:
         """Open or close the watch."""
         watch = commands.WatchStore(
-            prefix=WHOLE_STORE, revision=self.revision, active=self.watching
+            prefix=WHOLE_STORE, revision=self.revision, active=self.watching, era=self.era
         )
         self.outbox.append(watch)
 
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -25,6 +25,8 @@
 NEAR_PULSE_PERIOD_PER_PEER_S = 0.02
 # Time between two pulses to each other region, in seconds.
 FAR_PULSE_PERIOD_S = 0.25
+# Time over which the instances spread their registration in a restored store, in seconds.
+REGISTER_SPREAD_S = 1.0
 # Time for which the demand of an unreachable instance still counts, in seconds: longer than most
 # partitions.
 DEMAND_LIFETIME_S = 30.0
@@ -102,14 +104,39 @@
         self.pulse_number = 0
         self.outbox: list[commands.Command] = []
 
-    def apply_snapshot(self, items: list[store.KeyValue], now: float) -> None:
-        """Apply the entries of all instances, by machine name."""
+    def begin_era(self, now: float) -> None:
+        """Forget the lease, whose id may be given to another, and register again."""
+        self.lease = 0
+        self.lease_due_at = now + self.rng.random() * REGISTER_SPREAD_S
+
+    def apply_snapshot(
+        self, items: list[store.KeyValue], now: float, *, restored: bool = False
+    ) -> None:
+        """Apply the entries of all instances, by machine name.
+
+        In a ``restored`` store, entries may be missing, and those of unknown instances are of
+        former ones: they count only once they are heard of.
+        """
+        if restored:
+            self._apply_restored(items, now)
+            return
         present = {item.key for item in items}
         for member in self.members.values():
             member.listed = fleet_member.machine_name(member.info) in present
         for item in items:
             self.apply_change(item.key, item, now)
 
+    def _apply_restored(self, items: list[store.KeyValue], now: float) -> None:
+        """Add the instances on machines that this one knows nothing of, as unreachable."""
+        known_machines = {fleet_member.machine_name(m.info) for m in self.members.values()}
+        known_ids = set(self.members)
+        for item in items:
+            if item.key not in known_machines and item.key != self.name:
+                self.apply_change(item.key, item, now)
+        for name in self.members.keys() - known_ids:
+            self.members[name].last_seen_at = -math.inf
+            self.members[name].was_reachable = False
+
     def apply_change(self, key: str, item: store.KeyValue | None, now: float) -> None:
         """Apply a new or changed entry under a machine name; None means that it was deleted.
 
--- a/yuccahitch/controllers/published.py
+++ b/yuccahitch/controllers/published.py
@@ -60,14 +60,26 @@
         """Return whether a configuration is in force."""
         return self.current is not None
 
-    def apply_snapshot(self, items: list[store.KeyValue], now: float) -> None:
-        """Apply all items that operators keep in the store."""
+    def begin_era(self, now: float) -> None:
+        """Forget the revision of the configuration; its version still tells older ones."""
+        self.revision = 0
+
+    def apply_snapshot(
+        self, items: list[store.KeyValue], now: float, *, restored: bool = False
+    ) -> None:
+        """Apply all items that operators keep in the store.
+
+        If the store was ``restored``, evacuations go on that it lacks, and none begins again that
+        has ended.
+        """
         self.updated_at = now
         present = {item.key: item for item in items}
-        for zone in self.evacuated - {self._evacuated_zone(name) for name in present}:
-            self._take_back(zone, now)
+        if not restored:
+            for zone in self.evacuated - {self._evacuated_zone(name) for name in present}:
+                self._take_back(zone, now)
         for name, item in present.items():
-            self.apply_change(name, item, now)
+            if not restored or self._evacuated_zone(name) not in self.taken_back_at:
+                self.apply_change(name, item, now)
 
     def apply_change(self, key: str, item: store.KeyValue | None, now: float) -> None:
         """Apply one changed item; None means that its key was deleted."""
--- a/yuccahitch/controllers/relay.py
+++ b/yuccahitch/controllers/relay.py
@@ -68,6 +68,7 @@
         readers: The readers heard of late, by instance id.
         started_at: When the relay first ran, in monotonic seconds, or infinity.
         missed_revision: Revision that a report told of when this instance was behind it.
+        missed_era: Era of the store that the revision belongs to, or None.
         missed_since: When that report arrived, in monotonic seconds.
         read_again_at: When the store may be read again for missed changes, in monotonic seconds.
         report_due_at: When the next report is due, in monotonic seconds.
@@ -82,6 +83,7 @@
         "readers",
         "started_at",
         "missed_revision",
+        "missed_era",
         "missed_since",
         "read_again_at",
         "report_due_at",
@@ -96,6 +98,7 @@
         self.readers: dict[str, HeardReader] = {}
         self.started_at = math.inf
         self.missed_revision = 0
+        self.missed_era: int | None = None
         self.missed_since = -math.inf
         self.read_again_at = -math.inf
         self.report_due_at = -math.inf
@@ -130,16 +133,21 @@
         if member is None or member.info.zone != self.members.own.zone:
             self.dropped += 1
             return
+        if not self.source.observe_era(report.era, now):
+            return
         reader = self.readers.setdefault(report.instance, HeardReader(now))
         if now - reader.last_at > SILENT_AFTER_S:
             reader.since = now
         reader.last_at = now
+        if self.source.is_restored:
+            return
         if report.news is not None:
             self.source.apply_relayed(report.news, now)
         if self.source.revision >= report.revision:
             self.source.updated_at = now
         elif self.source.revision >= self.missed_revision:
             self.missed_revision = report.revision
+            self.missed_era = self.source.era
             self.missed_since = now
 
     def _reason_to_watch(self, now: float) -> str:
@@ -169,6 +177,8 @@
 
     def _read_missed(self, now: float) -> None:
         """Read the store again if changes have been missing for too long."""
+        if self.missed_era != self.source.era:
+            self.missed_revision = 0
         known = self.source.revision
         if not known or known >= self.missed_revision:
             return
@@ -192,7 +202,10 @@
         addresses = [fleet_member.peer_address(info) for info in self.members.zone_infos(now)]
         if addresses:
             report = feeds.FeedReport(
-                self.members.own.instance, revision=self.source.revision, news=news
+                self.members.own.instance,
+                revision=self.source.revision,
+                era=self.source.era,
+                news=news,
             )
             self.outbox.append(pulses.SendDatagram(addresses, report))
 
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -20,6 +20,8 @@
 EJECTION_S = 2.0
 # Instances of a region that may send requests to one cold upstream; rendezvous hashing picks them.
 COLD_OWNERS = 3
+# Upstreams that are gone and remembered for a restored store; the oldest one is dropped.
+MAX_DEPARTED = 4096
 # States that count_by_state counts; each is a label of a metric.
 STATES = ("ready", "cold", "ejected", "evacuated", "leaving", "missing")
 
@@ -39,6 +41,8 @@
     Attributes:
         by_name: The upstreams by name.
         limits: The request rates that upstreams named.
+        departed: Start of the last known incarnation of upstreams that are gone, in milliseconds
+            since the Unix epoch, by name; the oldest first.
         outbox: Commands that wait for the next ``take_commands``.
     """
 
@@ -50,6 +54,7 @@
         "removal_grace_s",
         "by_name",
         "limits",
+        "departed",
         "outbox",
     )
 
@@ -69,15 +74,27 @@
         self.removal_grace_s = removal_grace_s
         self.by_name: dict[str, replica_state.Replica] = {}
         self.limits = upstream_limits.UpstreamLimits(instance)
+        self.departed: dict[str, int] = {}
         self.outbox: list[commands.Command] = []
 
-    def apply_snapshot(self, items: list[store.KeyValue], now: float) -> None:
-        """Apply all entries; upstreams that are not among them are missing."""
+    def begin_era(self, now: float) -> None:
+        """Forget the revisions of the entries."""
+        for replica in self.by_name.values():
+            replica.revision = 0
+
+    def apply_snapshot(
+        self, items: list[store.KeyValue], now: float, *, restored: bool = False
+    ) -> None:
+        """Apply all entries; upstreams that are not among them are missing.
+
+        Entries of a ``restored`` store that say nothing new of an upstream are ignored.
+        """
         present = {item.key: item for item in items}
         for name in [n for n in self.by_name if n not in present]:
             self._mark_missing(name, now)
         for key, item in present.items():
-            self.apply_change(key, item, now)
+            if not restored or self._is_news(key, item):
+                self.apply_change(key, item, now)
 
     def apply_change(self, key: str, item: store.KeyValue | None, now: float) -> None:
         """Apply a new or changed entry; None means that it was deleted.
@@ -114,6 +131,10 @@
                 self._log(events.Event.UPSTREAM_GONE, name, running=replica.running)
             if replica.removed and not replica.running:
                 del self.by_name[name]
+                self.departed.pop(name, None)
+                self.departed[name] = replica.upstream.born_ms
+        while len(self.departed) > MAX_DEPARTED:
+            del self.departed[next(iter(self.departed))]
         self.limits.keep({replica.incarnation for replica in self.by_name.values()})
         self.limits.tick(now)
 
@@ -305,6 +326,24 @@
                 reason="another upstream answers at its address",
             )
 
+    def _is_news(self, key: str, item: store.KeyValue) -> bool:
+        """Return whether an entry of a restored store is newer than what is known.
+
+        What was missing or gone was last written before that, so only another start of it is news.
+        """
+        try:
+            entry = self.decode(key, item.value)
+        except ValueError:
+            # Logged when the entry is applied.
+            return True
+        replica = self.by_name.get(key)
+        if replica is None:
+            return entry.born_ms > self.departed.get(key, -1)
+        known = replica.upstream
+        if replica.removal_at < math.inf:
+            return entry.born_ms > known.born_ms
+        return (entry.born_ms, entry.sequence) > (known.born_ms, known.sequence)
+
     def _state(self, replica: replica_state.Replica, now: float) -> str:
         """Return the state of an upstream, one of STATES."""
         if replica.removal_at < math.inf:
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -117,6 +117,11 @@
         "Changes of the store were not passed on; they are read again.",
     )
     STORE_READ = (412, "store-read", "The whole store was read.")
+    STORE_RESTORED = (
+        413,
+        "store-restored",
+        "The store came back from an older copy; it is read again.",
+    )
     MEMBER_JOINED = (500, "member-joined", "An instance was discovered.")
     MEMBER_LOST = (
         501,
--- a/yuccahitch/messages/feeds.py
+++ b/yuccahitch/messages/feeds.py
@@ -29,12 +29,21 @@
     Attributes:
         instance: Id of the sender.
         revision: Revision up to which the sender knows the store.
+        era: Era of the store that the revisions belong to, or None if it names none.
         news: Changes that the sender has just seen, or None.
     """
 
-    __slots__ = ("instance", "revision", "news")
+    __slots__ = ("instance", "revision", "era", "news")
 
-    def __init__(self, instance: str, *, revision: int, news: StoreChanges | None = None) -> None:
+    def __init__(
+        self,
+        instance: str,
+        *,
+        revision: int,
+        era: int | None = None,
+        news: StoreChanges | None = None,
+    ) -> None:
         self.instance = instance
         self.revision = revision
+        self.era = era
         self.news = news
--- a/yuccahitch/platform/upstreams.py
+++ b/yuccahitch/platform/upstreams.py
@@ -37,6 +37,7 @@
             slots=_check_whole_number(data["capacity"], minimum=1),
             leaving=LEAVING_BY_STATE[_check_text(data["state"])],
             born_ms=_check_whole_number(data.get("born", 0)),
+            sequence=_check_whole_number(data.get("sequence", 0)),
             cold_s=_check_whole_number(data.get("warmupLeftMs", 0)) / 1000,
             leaves_in_s=(
                 None if shutdown_in_ms is None else _check_whole_number(shutdown_in_ms) / 1000
--- a/yuccahitch/resources/upstream.py
+++ b/yuccahitch/resources/upstream.py
@@ -22,6 +22,7 @@
         born_ms: Start of this incarnation, in milliseconds since the Unix epoch, or 0.
         cold_s: Time for which the upstream stays cold, in seconds after the entry was written.
         leaves_in_s: Time until the upstream shuts down, in seconds, or None.
+        sequence: Number of the statement of this incarnation; a larger one is newer.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "born_ms",
         "cold_s",
         "leaves_in_s",
+        "sequence",
     )
 
     def __init__(
@@ -54,6 +56,7 @@
         born_ms: int = 0,
         cold_s: float = 0.0,
         leaves_in_s: float | None = None,
+        sequence: int = 0,
     ) -> None:
         self.name = name
         self.service = service
@@ -67,3 +70,4 @@
         self.born_ms = born_ms
         self.cold_s = cold_s
         self.leaves_in_s = leaves_in_s
+        self.sequence = sequence
