Read each entry of the store and of the platform's lists by itself

A report of other operators: one odd entry among those of upstreams, and the machines that read the list ended or stopped following it.

Each entry is now read by itself, whatever is wrong with it, and numbers, texts, names and addresses must be in range. What an upstream's answers said of its leaving outlasts an entry that is odd or gone for a moment.

--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -25,6 +25,7 @@
 NEAR_PULSE_PERIOD_PER_PEER_S = 0.02
 # Time between two pulses to each other region, in seconds.
 FAR_PULSE_PERIOD_S = 0.25
+MAX_PORT = 65535
 # Time over which the instances spread their registration in a restored store, in seconds.
 REGISTER_SPREAD_S = 1.0
 # Time for which the demand of an unreachable instance still counts, in seconds: longer than most
@@ -148,10 +149,10 @@
                 member.listed = member.listed and fleet_member.machine_name(member.info) != key
             return
         try:
-            info = peers.InstanceInfo(**json.loads(item.value))
-        except (ValueError, TypeError) as error:
+            info = _read_entry(item.value)
+        except Exception as error:  # no entry of another writer may hide the others
             log_event = commands.LogEvent(
-                events.Event.ENTRY_UNREADABLE, key=key, detail=str(error)[:200]
+                events.Event.ENTRY_UNREADABLE, key=key, detail=repr(error)[:200]
             )
             self.outbox.append(log_event)
             return
@@ -431,3 +432,20 @@
             if member.info.region == self.own.region and not self._is_reachable(member, now)
         ]
         return [fleet_member.peer_address(self.rng.choice(unreachable))] if unreachable else []
+
+
+def _read_entry(value: bytes) -> peers.InstanceInfo:
+    """Return the instance that an entry describes.
+
+    Raises:
+        ValueError: When the entry is not JSON, or a field has a wrong type.
+        TypeError: When a field is missing or not known.
+    """
+    info = peers.InstanceInfo(**json.loads(value))
+    texts = (info.instance, info.region, info.zone, info.host, info.wan_address)
+    ports = (info.caller_port, info.peer_port)
+    if not all(type(text) is str for text in texts):
+        raise ValueError("a field is not a text")
+    if not all(type(port) is int and 0 < port <= MAX_PORT for port in ports):
+        raise ValueError("a field is not a port")
+    return info
--- a/yuccahitch/controllers/published.py
+++ b/yuccahitch/controllers/published.py
@@ -111,8 +111,8 @@
             return
         try:
             decoded = self.decode(item.value)
-        except ValueError as error:
-            log_event = commands.LogEvent(events.Event.CONFIG_UNREADABLE, detail=str(error)[:200])
+        except Exception as error:  # whatever is wrong with it, the last one stays in force
+            log_event = commands.LogEvent(events.Event.CONFIG_UNREADABLE, detail=repr(error)[:200])
             self.outbox.append(log_event)
             return
         self.revision = item.revision
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -43,6 +43,8 @@
         limits: The request rates that upstreams named.
         departed: Start of the last known incarnation of upstreams that are gone, in milliseconds
             since the Unix epoch, by name; the oldest first.
+        left: Incarnations of upstreams whose answers said that they are leaving, by name; the
+            oldest first. They outlast an entry that is gone or odd for a moment.
         outbox: Commands that wait for the next ``take_commands``.
     """
 
@@ -55,6 +57,7 @@
         "by_name",
         "limits",
         "departed",
+        "left",
         "outbox",
     )
 
@@ -75,6 +78,7 @@
         self.by_name: dict[str, replica_state.Replica] = {}
         self.limits = upstream_limits.UpstreamLimits(instance)
         self.departed: dict[str, int] = {}
+        self.left: dict[str, str] = {}
         self.outbox: list[commands.Command] = []
 
     def begin_era(self, now: float) -> None:
@@ -111,9 +115,9 @@
             return
         try:
             decoded = self.decode(key, item.value)
-        except ValueError as error:
+        except Exception as error:  # no entry of another writer may hide the others
             log_event = commands.LogEvent(
-                events.Event.ENTRY_UNREADABLE, key=key, detail=str(error)[:200]
+                events.Event.ENTRY_UNREADABLE, key=key, detail=repr(error)[:200]
             )
             self.outbox.append(log_event)
             self.by_name.pop(key, None)
@@ -133,8 +137,9 @@
                 del self.by_name[name]
                 self.departed.pop(name, None)
                 self.departed[name] = replica.upstream.born_ms
-        while len(self.departed) > MAX_DEPARTED:
-            del self.departed[next(iter(self.departed))]
+        for memory in (self.departed, self.left):
+            while len(memory) > MAX_DEPARTED:
+                del memory[next(iter(memory))]
         self.limits.keep({replica.incarnation for replica in self.by_name.values()})
         self.limits.tick(now)
 
@@ -303,6 +308,8 @@
         if replica is None or replica.incarnation != incarnation or replica.said_leaving:
             return
         replica.said_leaving = True
+        self.left.pop(replica.upstream.name, None)
+        self.left[replica.upstream.name] = incarnation
         self._log(events.Event.UPSTREAM_LEAVING, replica.upstream.name, reason=reason)
 
     def departures(self) -> list[str]:
@@ -333,8 +340,7 @@
         """
         try:
             entry = self.decode(key, item.value)
-        except ValueError:
-            # Logged when the entry is applied.
+        except Exception:  # logged when the entry is applied
             return True
         replica = self.by_name.get(key)
         if replica is None:
@@ -379,6 +385,7 @@
         )
         if not is_same:
             existing = self.by_name[key] = replica_state.Replica(entry, revision=revision)
+            existing.said_leaving = self.left.get(key) == existing.incarnation
             self._log(
                 events.Event.UPSTREAM_FOUND,
                 entry.name,
--- a/yuccahitch/platform/upstreams.py
+++ b/yuccahitch/platform/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import typing
 
@@ -9,6 +10,13 @@
 
 # Whether an upstream in this state is leaving.
 LEAVING_BY_STATE = {"ready": False, "draining": True}
+# Longest text and largest numbers of a usable entry; milliseconds since 1970 are far below.
+MAX_TEXT_LENGTH = 200
+MAX_SLOTS = 1_000_000
+MAX_NUMBER = 2**53
+MAX_PORT = 65535
+# What reading an entry that another writer left may raise.
+READ_ERRORS = (KeyError, TypeError, AttributeError, ValueError, ArithmeticError, RecursionError)
 
 
 def decode(name: str, entry_value: bytes, *, regions: dict[str, str]) -> upstream.Upstream:
@@ -29,12 +37,12 @@
         data = json.loads(entry_value)
         shutdown_in_ms = data.get("shutdownInMs")
         return upstream.Upstream(
-            name=name,
+            name=_check_name(name),
             service=_check_text(data["service"]),
             region=regions[_check_text(data["zone"])],
             zone=data["zone"],
             address=_check_address(data["address"]),
-            slots=_check_whole_number(data["capacity"], minimum=1),
+            slots=_check_whole_number(data["capacity"], minimum=1, maximum=MAX_SLOTS),
             leaving=LEAVING_BY_STATE[_check_text(data["state"])],
             born_ms=_check_whole_number(data.get("born", 0)),
             sequence=_check_whole_number(data.get("sequence", 0)),
@@ -43,27 +51,36 @@
                 None if shutdown_in_ms is None else _check_whole_number(shutdown_in_ms) / 1000
             ),
         )
-    except (KeyError, TypeError, AttributeError, ValueError) as error:
+    except READ_ERRORS as error:
         raise ValueError(f"{type(error).__name__}: {error}") from error
 
 
+def _check_name(name: str) -> str:
+    """Return a name that can stand in a header unchanged; raise ValueError for any other one."""
+    if not name or not name.isascii() or not name.isprintable() or " " in name:
+        raise ValueError("expected a name of printable characters")
+    return name
+
+
 def _check_text(value: typing.Any) -> str:
-    """Return a non-empty string unchanged; raise TypeError for any other value."""
-    if type(value) is not str or not value:
-        raise TypeError("expected a non-empty string")
+    """Return a short, non-empty string unchanged; raise TypeError or ValueError for others."""
+    if type(value) is not str or not 0 < len(value) <= MAX_TEXT_LENGTH:
+        raise TypeError("expected a short, non-empty string")
+    value.encode()
     return value
 
 
-def _check_whole_number(value: typing.Any, *, minimum: int = 0) -> int:
-    """Return a number as a whole number; raise TypeError if it is not a number or too small."""
-    if type(value) not in (int, float) or value < minimum:
+def _check_whole_number(value: typing.Any, *, minimum: int = 0, maximum: int = MAX_NUMBER) -> int:
+    """Return a number as a whole number; raise TypeError if it is not a number in range."""
+    if type(value) not in (int, float) or not minimum <= value <= maximum:
         raise TypeError("expected a number in range")
     return int(value)
 
 
 def _check_address(value: typing.Any) -> str:
-    """Return an address HOST:PORT unchanged; raise TypeError or ValueError for other values."""
+    """Return an address IP:PORT unchanged; raise TypeError or ValueError for other values."""
     host, _, port = _check_text(value).rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError("expected an address and a port")
+    ipaddress.ip_address(host.strip("[]"))
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise ValueError("expected a port")
     return value
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -97,6 +97,21 @@
         self.entries = entries
 
 
+class EntriesUnreadable(records.Record):
+    """Log the entries of a list of the platform that can't be read.
+
+    Attributes:
+        source: Name of the list.
+        details: What is wrong with each entry.
+    """
+
+    __slots__ = ("source", "details")
+
+    def __init__(self, source: str, details: list[str]) -> None:
+        self.source = source
+        self.details = details
+
+
 class WatchEventReceived(records.Record):
     """Process an event of a watch on the store.
 
@@ -388,6 +403,12 @@
     core.decisions.upstream_states.record_report(message.load, now)
 
 
+@handle_without_reply.register
+def _(message: EntriesUnreadable, core: Core, now: float) -> None:
+    for detail in message.details:
+        core.log.write(events.Event.ENTRY_UNREADABLE, key=message.source, detail=detail)
+
+
 @handle_without_reply.register
 def _(message: SeedsDiscovered, core: Core, now: float) -> None:
     known_seeds = core.decisions.members.seeds
--- a/yuccahitch/tasks/pollers.py
+++ b/yuccahitch/tasks/pollers.py
@@ -21,7 +21,16 @@
 from yuccahitch.tasks import core, mailbox
 
 # Exceptions of a failed or malformed response; the poll is skipped.
-READ_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError)
+READ_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    ValueError,
+    KeyError,
+    TypeError,
+    ArithmeticError,
+    RecursionError,
+)
 
 
 class PollAssignment(records.Record):
@@ -96,9 +105,18 @@
         session: HTTP connections for polling, or None before ``run``.
         assignment: The polls assigned to this instance.
         ticks: Numbers of the timer ticks, each of which starts the polls that are due.
+        unreadable: Entries that the last poll of each list could not read, by its name.
     """
 
-    __slots__ = ("settings", "core_inbox", "children", "session", "assignment", "ticks")
+    __slots__ = (
+        "settings",
+        "core_inbox",
+        "children",
+        "session",
+        "assignment",
+        "ticks",
+        "unreadable",
+    )
 
     def __init__(self, settings: config_file.Settings, *, core_inbox: mailbox.Mailbox) -> None:
         self.settings = settings
@@ -107,6 +125,7 @@
         self.session: aiohttp.ClientSession | None = None
         self.assignment = PollAssignment([], polls_platform=False)
         self.ticks = mailbox.Mailbox()
+        self.unreadable: dict[str, list[str]] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -157,9 +176,11 @@
         if body is None:
             return
         try:
-            listed_instances = platform.instances_from_json(body)
+            listing = platform.instances_from_json(body)
         except READ_ERRORS:
             return
+        self._report_unreadable("instance list", listing.unreadable)
+        listed_instances = listing.entries
         seeds = [item.address for item in listed_instances if item.gateway and not item.leaving]
         self.core_inbox.post(core.SeedsDiscovered(seeds))
         for item in listed_instances:
@@ -172,10 +193,17 @@
         if body is None:
             return
         try:
-            entries = platform.clients_from_json(body)
+            listing = platform.clients_from_json(body)
         except READ_ERRORS:
             return
-        self.core_inbox.post(core.ClientDirectoryRead(entries))
+        self._report_unreadable("client directory", listing.unreadable)
+        self.core_inbox.post(core.ClientDirectoryRead(listing.entries))
+
+    def _report_unreadable(self, source: str, details: list[str]) -> None:
+        """Post the entries of a list that can't be read, unless they were posted before."""
+        if details and details != self.unreadable.get(source):
+            self.core_inbox.post(core.EntriesUnreadable(source, details))
+        self.unreadable[source] = details
 
     async def _get_json(self, url: str) -> typing.Any:
         """Return the JSON at a URL, or None if it can't be read."""
