--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -15,7 +15,7 @@
 from tests import builders, platform_builders
 from yuccahitch import cli, clock, errors, events
 from yuccahitch.messages import commands, store
-from yuccahitch.tasks import core, log_pipe, mailbox, metrics
+from yuccahitch.tasks import core, core_messages, log_pipe, mailbox, metrics
 
 FAILURE_COUNT = 10
 STATE_WAIT_S = 3.0
@@ -103,7 +103,7 @@
     async def work():
         task = asyncio.get_running_loop().create_task(context.core.run())
         context.core.inbox.post(object())
-        query = core.Query(lambda state: state.instance)
+        query = core_messages.Query(lambda state: state.instance)
         try:
             return await asyncio.wait_for(context.core.inbox.ask(query), 2.0)
         finally:
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -18,7 +18,7 @@
 from yuccahitch.codecs import callers
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import service as services
-from yuccahitch.tasks import _http_errors, core, mailbox, metrics, runner
+from yuccahitch.tasks import _http_errors, core_messages, mailbox, metrics, runner
 
 MAX_BUFFERED_ANSWER_BYTES = 1_048_576
 # Operation keys that one call may create.
@@ -355,7 +355,7 @@
 
     async def _query_core(self, read_state: typing.Callable[..., typing.Any]) -> typing.Any:
         """Return what a read-only function returns when the core calls it with its state."""
-        return await self.core_inbox.ask(core.Query(read_state))
+        return await self.core_inbox.ask(core_messages.Query(read_state))
 
 
 def _model_names(gateway: typing.Any, api_key_digest: str) -> list[str]:
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -7,158 +7,21 @@
 import traceback
 import typing
 
-from yuccahitch import clock, events, records
+from yuccahitch import clock, events
 from yuccahitch.controllers import configuration, gateway, orders, request_log
 from yuccahitch.filters import request_context
 from yuccahitch.messages import (
     commands,
-    feeds,
-    peers,
     pulses,
     request_lifecycle,
     upstream_notices,
 )
-from yuccahitch.tasks import mailbox, metrics
+from yuccahitch.tasks import core_messages, mailbox, metrics
 
 # An order is refused if it waits longer than an earlier order may take plus this time.
 ORDER_SEND_MARGIN_S = 60.0
 
 
-class ReportReceived(records.Record):
-    """Apply a report received from another instance as a datagram.
-
-    Attributes:
-        report: The report.
-    """
-
-    __slots__ = ("report",)
-
-    def __init__(self, report: pulses.Pulse | feeds.FeedReport) -> None:
-        self.report = report
-
-
-class Tick(records.Record):
-    """Run the periodic work of the decision logic; posted at a fixed interval."""
-
-    __slots__ = ()
-
-
-class PeerMessage(records.Record):
-    """Process a message of a peer; the reply is the message to return to it.
-
-    Attributes:
-        body: The message.
-        sender: Id of the peer.
-    """
-
-    __slots__ = ("body", "sender")
-
-    def __init__(self, body: peers.Body, sender: str) -> None:
-        self.body = body
-        self.sender = sender
-
-
-class LoadReported(records.Record):
-    """Record a load report of an upstream, read from the upstream or from the instance list.
-
-    Attributes:
-        load: The load report.
-    """
-
-    __slots__ = ("load",)
-
-    def __init__(self, load: peers.LoadReport) -> None:
-        self.load = load
-
-
-class SeedsDiscovered(records.Record):
-    """Add instances named by the instance list to the seeds.
-
-    Attributes:
-        addresses: Peer addresses of the instances, ``IP:PORT``.
-    """
-
-    __slots__ = ("addresses",)
-
-    def __init__(self, addresses: list[str]) -> None:
-        self.addresses = addresses
-
-
-class ClientDirectoryRead(records.Record):
-    """Merge the entries read from the client directory into the configuration.
-
-    Attributes:
-        entries: The entries.
-    """
-
-    __slots__ = ("entries",)
-
-    def __init__(self, entries: list[typing.Any]) -> None:
-        self.entries = entries
-
-
-class EntriesUnreadable(records.Record):
-    """Log the entries of a list of the platform that can't be read.
-
-    Attributes:
-        source: Name of the list.
-        details: What is wrong with each entry.
-    """
-
-    __slots__ = ("source", "details")
-
-    def __init__(self, source: str, details: list[str]) -> None:
-        self.source = source
-        self.details = details
-
-
-class WatchEventReceived(records.Record):
-    """Process an event of a watch on the store.
-
-    Attributes:
-        event: The changed keys, or the loss of the watch.
-    """
-
-    __slots__ = ("event",)
-
-    def __init__(self, event: typing.Any) -> None:
-        self.event = event
-
-
-class Query(records.Record):
-    """Read from the decision logic; the reply is sent at once.
-
-    Attributes:
-        read: Called with the decision logic; returns the reply and must not change anything.
-    """
-
-    __slots__ = ("read",)
-
-    def __init__(self, read: typing.Callable[[gateway.Gateway], typing.Any]) -> None:
-        self.read = read
-
-
-class ReleaseInstance(records.Record):
-    """Record an operator's statement that an instance is dead; the reply is whether it was stored.
-
-    Attributes:
-        instance: Id of the dead instance.
-        ticket: Id of the operator's call, which brings the reply back to it.
-    """
-
-    __slots__ = ("instance", "ticket")
-
-    def __init__(self, instance: str, ticket: str) -> None:
-        self.instance = instance
-        self.ticket = ticket
-
-
-class BeginDrain(records.Record):
-    """Begin the graceful shutdown."""
-
-    __slots__ = ()
-
-
 class Core:
     """Runs the decision logic of one instance, one message at a time.
 
@@ -302,12 +165,16 @@
 
 
 @handle_with_reply.register
-def _(message: PeerMessage, pending_reply: mailbox.PendingReply, core: Core, now: float) -> None:
+def _(
+    message: core_messages.PeerMessage, pending_reply: mailbox.PendingReply, core: Core, now: float
+) -> None:
     pending_reply.resolve(core.decisions.on_peer(message.body, message.sender, now))
 
 
 @handle_with_reply.register
-def _(message: Query, pending_reply: mailbox.PendingReply, core: Core, now: float) -> None:
+def _(
+    message: core_messages.Query, pending_reply: mailbox.PendingReply, core: Core, now: float
+) -> None:
     try:
         pending_reply.resolve(message.read(core.decisions))
     except Exception as error:  # raised in the task that sent the query
@@ -324,7 +191,10 @@
 
 @handle_with_reply.register
 def _(
-    message: ReleaseInstance, pending_reply: mailbox.PendingReply, core: Core, now: float
+    message: core_messages.ReleaseInstance,
+    pending_reply: mailbox.PendingReply,
+    core: Core,
+    now: float,
 ) -> None:
     core.pending_operator_calls[message.ticket] = pending_reply
     core.decisions.reclaimer.release(message.instance, message.ticket)
@@ -344,7 +214,7 @@
 
 
 @handle_without_reply.register
-def _(message: Tick, core: Core, now: float) -> None:
+def _(message: core_messages.Tick, core: Core, now: float) -> None:
     was_ready = core.decisions.members.own.ready
     core.decisions.tick(now)
     if core.decisions.members.own.ready and not was_ready:
@@ -354,7 +224,7 @@
 
 
 @handle_without_reply.register
-def _(message: ReportReceived, core: Core, now: float) -> None:
+def _(message: core_messages.ReportReceived, core: Core, now: float) -> None:
     core.decisions.on_report(message.report, now)
 
 
@@ -364,7 +234,7 @@
 
 
 @handle_without_reply.register
-def _(message: BeginDrain, core: Core, now: float) -> None:
+def _(message: core_messages.BeginDrain, core: Core, now: float) -> None:
     core.log.write(events.Event.DRAIN_BEGAN, open_requests=len(core.decisions.in_flight.contexts))
     core.decisions.begin_drain(now)
 
@@ -394,23 +264,23 @@
 
 
 @handle_without_reply.register
-def _(message: WatchEventReceived, core: Core, now: float) -> None:
+def _(message: core_messages.WatchEventReceived, core: Core, now: float) -> None:
     core.decisions.on_watch(message.event, now)
 
 
 @handle_without_reply.register
-def _(message: LoadReported, core: Core, now: float) -> None:
+def _(message: core_messages.LoadReported, core: Core, now: float) -> None:
     core.decisions.upstream_states.record_report(message.load, now)
 
 
 @handle_without_reply.register
-def _(message: EntriesUnreadable, core: Core, now: float) -> None:
+def _(message: core_messages.EntriesUnreadable, core: Core, now: float) -> None:
     for detail in message.details:
         core.log.write(events.Event.ENTRY_UNREADABLE, key=message.source, detail=detail)
 
 
 @handle_without_reply.register
-def _(message: SeedsDiscovered, core: Core, now: float) -> None:
+def _(message: core_messages.SeedsDiscovered, core: Core, now: float) -> None:
     known_seeds = core.decisions.members.seeds
     own = core.decisions.members.own
     excluded_addresses = {*known_seeds, own.address, own.wan_address}
@@ -420,7 +290,7 @@
 
 
 @handle_without_reply.register
-def _(message: ClientDirectoryRead, core: Core, now: float) -> None:
+def _(message: core_messages.ClientDirectoryRead, core: Core, now: float) -> None:
     core.decisions.config.merge_and_push(message.entries)
 
 
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -19,6 +19,7 @@
 from yuccahitch.platform import store as store_dialect
 from yuccahitch.tasks import (
     core,
+    core_messages,
     front_server,
     log_pipe,
     mailbox,
@@ -168,7 +169,9 @@
             time=self.time,
             log=self.log,
             on_reply=lambda reply: self.core.inbox.post(reply),
-            on_watch_event=lambda event: self.core.inbox.post(core.WatchEventReceived(event)),
+            on_watch_event=lambda event: self.core.inbox.post(
+                core_messages.WatchEventReceived(event)
+            ),
             rng=rng,
             dialect=store_dialect,
             poll_wait_s=store_settings.watch_s,
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -16,7 +16,7 @@
 from yuccahitch.controllers import edge
 from yuccahitch.messages import answers, requests
 from yuccahitch.platform import requests as platform_requests
-from yuccahitch.tasks import caller_server, core, mailbox, metrics, runner
+from yuccahitch.tasks import caller_server, core_messages, mailbox, metrics, runner
 
 # Size of one header line that the HTTP parser accepts; the published limits are checked later.
 MAX_HEADER_BYTES = 65536
@@ -201,7 +201,7 @@
 
     async def _query_core(self, read_state: typing.Callable[[edge.Edge], typing.Any]) -> typing.Any:
         """Return what a read-only function returns when the core calls it with its state."""
-        return await self.core_inbox.ask(core.Query(read_state))
+        return await self.core_inbox.ask(core_messages.Query(read_state))
 
     async def _proxy_request(self, request: web.BaseRequest) -> web.StreamResponse:
         """Read, parse and run a caller's request, and return the response that was sent."""
--- a/yuccahitch/tasks/operator_server.py
+++ b/yuccahitch/tasks/operator_server.py
@@ -20,7 +20,7 @@
 from yuccahitch.codecs import resources as codec
 from yuccahitch.controllers import configuration, orders
 from yuccahitch.resources import entry
-from yuccahitch.tasks import _http_errors, core, mailbox
+from yuccahitch.tasks import _http_errors, core_messages, mailbox
 
 STEP = "operators"
 # Longest wait for the core to confirm a write to the store.
@@ -111,7 +111,7 @@
         """Return all resources, or those of the kind in the path."""
         kind = request.match_info.get("kind", "")
         listed_entries = await self.core_inbox.ask(
-            core.Query(lambda gateway: _list_entries(gateway, kind))
+            core_messages.Query(lambda gateway: _list_entries(gateway, kind))
         )
         return web.json_response(
             {"resources": [codec.entry_to_dict(listed_entry) for listed_entry in listed_entries]}
@@ -121,7 +121,7 @@
         """Return the resource that the path names."""
         kind_and_name = _parse_kind_and_name(request)
         stored_entry = await self.core_inbox.ask(
-            core.Query(lambda gateway: gateway.config.catalog.entries.get(kind_and_name))
+            core_messages.Query(lambda gateway: gateway.config.catalog.entries.get(kind_and_name))
         )
         if stored_entry is None or stored_entry.spec is None:
             raise _gateway_error(errors.Code.RESOURCE_UNKNOWN, "/".join(kind_and_name))
@@ -169,7 +169,7 @@
         write = configuration.Write(ticket, item, expected_version=expected)
         if request.query.get("dry_run") in ("1", "true"):
             refusal = await self.core_inbox.ask(
-                core.Query(lambda gateway: gateway.config.check_write(write))
+                core_messages.Query(lambda gateway: gateway.config.check_write(write))
             )
             if refusal is not None:
                 raise refusal
@@ -204,7 +204,7 @@
         )
         try:
             current_entries = await self.core_inbox.ask(
-                core.Query(lambda gateway: _list_entries(gateway, ""))
+                core_messages.Query(lambda gateway: _list_entries(gateway, ""))
             )
             for item in current_entries:
                 await response.write(_encode_line(item))
@@ -217,7 +217,9 @@
     async def _release_instance(self, request: web.Request) -> web.Response:
         """Record that an instance is dead, so that its slices are released."""
         instance = request.match_info["instance"]
-        recorded = await self.core_inbox.ask(core.ReleaseInstance(instance, uuid.uuid4().hex))
+        recorded = await self.core_inbox.ask(
+            core_messages.ReleaseInstance(instance, uuid.uuid4().hex)
+        )
         if not recorded:
             raise _gateway_error(
                 errors.Code.STORE_UNSETTLED,
--- a/yuccahitch/tasks/peer_server.py
+++ b/yuccahitch/tasks/peer_server.py
@@ -11,7 +11,7 @@
 from yuccahitch.codecs import peer as codec
 from yuccahitch.codecs.generated import peer_grpc
 from yuccahitch.messages import answers, peers
-from yuccahitch.tasks import core, mailbox, peer_proof, runner
+from yuccahitch.tasks import core_messages, mailbox, peer_proof, runner
 
 
 class PartSink:
@@ -140,7 +140,7 @@
         except errors.GatewayError as error:
             raise self._invalid_message_error(sender, error) from error
         self.log.hybrid_clock.observe(envelope.stamp)
-        reply: peers.Body = await self.core_inbox.ask(core.PeerMessage(body, sender))
+        reply: peers.Body = await self.core_inbox.ask(core_messages.PeerMessage(body, sender))
         await stream.send_message(codec.to_envelope(reply, stamp=self.log.hybrid_clock.tick()))
 
     async def Forward(self, stream: server.Stream[typing.Any, typing.Any]) -> None:
--- a/yuccahitch/tasks/pollers.py
+++ b/yuccahitch/tasks/pollers.py
@@ -18,7 +18,7 @@
 from yuccahitch.codecs import platform, upstreams
 from yuccahitch.controllers import gateway, rendezvous
 from yuccahitch.messages import peers
-from yuccahitch.tasks import core, mailbox
+from yuccahitch.tasks import core_messages, mailbox
 
 # Exceptions of a failed or malformed response; the poll is skipped.
 READ_ERRORS = (
@@ -142,7 +142,7 @@
                     tick_number = await self.ticks.get()
                     previous = self.assignment
                     self.assignment = await self.core_inbox.ask(
-                        core.Query(
+                        core_messages.Query(
                             lambda gateway, previous=previous: assign_polls(gateway, previous)
                         )
                     )
@@ -168,7 +168,7 @@
             load = upstreams.decode_load_report(name, body)
         except READ_ERRORS:
             return
-        self.core_inbox.post(core.LoadReported(load))
+        self.core_inbox.post(core_messages.LoadReported(load))
 
     async def _poll_instances(self) -> None:
         """Read the instance list; post gateways as seeds and leaving upstreams as load reports."""
@@ -182,10 +182,10 @@
         self._report_unreadable("instance list", listing.unreadable)
         listed_instances = listing.entries
         seeds = [item.address for item in listed_instances if item.gateway and not item.leaving]
-        self.core_inbox.post(core.SeedsDiscovered(seeds))
+        self.core_inbox.post(core_messages.SeedsDiscovered(seeds))
         for item in listed_instances:
             if not item.gateway and item.leaving:
-                self.core_inbox.post(core.LoadReported(_leaving_report(item.name)))
+                self.core_inbox.post(core_messages.LoadReported(_leaving_report(item.name)))
 
     async def _poll_directory(self) -> None:
         """Read the client directory and post its entries to the core."""
@@ -197,12 +197,12 @@
         except READ_ERRORS:
             return
         self._report_unreadable("client directory", listing.unreadable)
-        self.core_inbox.post(core.ClientDirectoryRead(listing.entries))
+        self.core_inbox.post(core_messages.ClientDirectoryRead(listing.entries))
 
     def _report_unreadable(self, source: str, details: list[str]) -> None:
         """Post the entries of a list that can't be read, unless they were posted before."""
         if details and details != self.unreadable.get(source):
-            self.core_inbox.post(core.EntriesUnreadable(source, details))
+            self.core_inbox.post(core_messages.EntriesUnreadable(source, details))
         self.unreadable[source] = details
 
     async def _get_json(self, url: str) -> typing.Any:
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -17,6 +17,7 @@
 from yuccahitch.tasks import (
     caller_server,
     core,
+    core_messages,
     mailbox,
     metrics,
     operator_server,
@@ -130,7 +131,9 @@
             time=self.time,
             log=self.log,
             on_reply=lambda reply: self.core.inbox.post(reply),
-            on_watch_event=lambda event: self.core.inbox.post(core.WatchEventReceived(event)),
+            on_watch_event=lambda event: self.core.inbox.post(
+                core_messages.WatchEventReceived(event)
+            ),
             rng=rng,
         )
         self.peers = peer_client.PeerClient(
--- a/yuccahitch/tasks/process_lifecycle.py
+++ b/yuccahitch/tasks/process_lifecycle.py
@@ -10,7 +10,7 @@
 import reactivex
 from reactivex.scheduler import eventloop
 
-from yuccahitch.tasks import core, mailbox
+from yuccahitch.tasks import core, core_messages, mailbox
 
 TICK_INTERVAL_S = 0.1
 
@@ -37,8 +37,8 @@
     """
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, core_task.inbox.post, core.BeginDrain())
-    tick_call: PeriodicCall = (TICK_INTERVAL_S, lambda: core_task.inbox.post(core.Tick()))
+        loop.add_signal_handler(signal_number, core_task.inbox.post, core_messages.BeginDrain())
+    tick_call: PeriodicCall = (TICK_INTERVAL_S, lambda: core_task.inbox.post(core_messages.Tick()))
     scheduler = eventloop.AsyncIOScheduler(loop)
     subscriptions = [
         reactivex.interval(seconds, scheduler=scheduler).subscribe(
@@ -46,7 +46,7 @@
         )
         for seconds, call in itertools.chain([tick_call], periodic_calls)
     ]
-    core_task.inbox.post(core.Tick())
+    core_task.inbox.post(core_messages.Tick())
     drained = children.start(core_task.drained.wait())
     await asyncio.wait([drained, *tasks], return_when=asyncio.FIRST_COMPLETED)
     for subscription in subscriptions:
--- a/yuccahitch/tasks/pulse_socket.py
+++ b/yuccahitch/tasks/pulse_socket.py
@@ -8,7 +8,7 @@
 from yuccahitch import events
 from yuccahitch.codecs import datagrams
 from yuccahitch.messages import pulses
-from yuccahitch.tasks import core, mailbox
+from yuccahitch.tasks import core_messages, mailbox
 
 
 class PulseSocket(asyncio.DatagramProtocol):
@@ -50,7 +50,7 @@
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
         """Decode a received report and post it to the core; log one that is invalid."""
         try:
-            self.core_inbox.post(core.ReportReceived(datagrams.decode(data)))
+            self.core_inbox.post(core_messages.ReportReceived(datagrams.decode(data)))
         except ValueError as error:
             self.log.write(events.Event.PEER_GARBAGE, peer=str(addr), detail=str(error))
 
