--- a/tests/features/steps/leaving.py
+++ b/tests/features/steps/leaving.py
@@ -76,3 +76,35 @@
     """Return whether an instance knows that the upstream is leaving."""
     spec = instance.decisions.config.catalog.upstream(UPSTREAM)
     return instance.decisions.upstream_states.is_leaving(spec, instance.local_time(fleet.now))
+
+
+@behave.given("{count:d} fleets of 3 regions with 2 instances each that start together")
+def step_start_fleets(context, count):
+    context.fleets = []
+    for seed in range(count):
+        fleet = fleets.Fleet(seed, make_settings=builders.quick_settings)
+        fleet.net.store_region = REGIONS[0]
+        for number, region in itertools.product((1, 2), REGIONS):
+            fleet.add(f"{region}-{number}", region, f"{region}{number}")
+        fleet.load([builders.an_entry(spec) for spec in builders.a_site(regions=REGIONS)])
+        context.fleets.append(fleet)
+
+
+@behave.when("all instances are ready and {seconds:g} seconds of virtual time pass")
+def step_wait_until_ready(context, seconds):
+    for fleet in context.fleets:
+        while not all(instance.decisions.members.own.ready for instance in fleet.alive()):
+            fleet.run(0.1)
+        fleet.run(seconds)
+
+
+@behave.then("every instance knows a serving instance of each region, in each of 20 histories")
+def step_regions_known(context):
+    unaware = [
+        (seed, instance.name, region)
+        for seed, fleet in enumerate(context.fleets)
+        for instance in fleet.alive()
+        for region in REGIONS
+        if not instance.decisions.members.serving(region=region)
+    ]
+    assert not unaware, unaware[:5]
