Don't forward requests to a region that has just declined one for want of upstreams that take more

Of 4,000 requests in 4 s 8,800 were forwarded and 6,000 retried: each region refused what it could not take, and the entry asked the next instance of the same region. Callers waited for it.

Such a refusal has a code of its own now (upstreams-limited). The entry forwards nothing for that service to that region for 0.5 s, and a region that refuses reports no places for as long. The division of a rate is worked out when its inputs change, and who shares it ten times a second, not for each candidate of each request.

--- a/tests/features/steps/upstream_limits.py
+++ b/tests/features/steps/upstream_limits.py
@@ -128,3 +128,11 @@
     assert refusals
     assert all(error.run is errors.RunStatus.NOT_RUN for error in refusals)
     assert all(0 < error.retry_after <= 2.0 for error in refusals), refusals[:3]
+
+
+@behave.then("at most a third of the requests of the last {seconds:d} seconds were forwarded")
+def step_check_forwards(context, seconds):
+    since = context.site.now - seconds
+    forwards = sum(time > since for time in context.site.forwards)
+    refused = sum(time > since for time, _, _ in context.site.refusals)
+    assert forwards <= refused / 3, (forwards, refused)
--- a/tests/features/upstream_limits.feature
+++ b/tests/features/upstream_limits.feature
@@ -65,3 +65,4 @@
     And callers of east send 30 requests a second for 10 seconds
     Then no upstream gets more than it takes
     And requests are refused as not run, with a time after which to come back
+    And at most a third of the requests of the last 8 seconds were forwarded
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -29,6 +29,7 @@
         limit_changes: Times and rates of the changes of each upstream's limit, infinite for none.
         told_at: When each instance first got an answer with a limit, by upstream and instance.
         arrivals: Time, upstream and instance of each request that reached an upstream.
+        forwards: Times at which requests were forwarded to another region.
         unheard: Ids of instances that get no pulses.
         leaving: Upstreams that say in their answers that they are leaving.
         told_leaving_at: When each instance was first told so, by upstream and instance.
@@ -39,6 +40,7 @@
         "limit_changes",
         "told_at",
         "arrivals",
+        "forwards",
         "unheard",
         "leaving",
         "told_leaving_at",
@@ -49,6 +51,7 @@
         self.limit_changes = collections.defaultdict(list)
         self.told_at = {}
         self.arrivals = []
+        self.forwards = []
         self.unheard = set()
         self.leaving = set()
         self.told_leaving_at = {}
@@ -74,6 +77,8 @@
         """Record a request that reaches an upstream."""
         if type(work) is actions.Dispatch:
             self.arrivals.append((self.now, work.upstream, attempt.edge.decisions.instance))
+        else:
+            self.forwards.append(self.now)
         super().start(attempt, work)
 
     def begin_answer(self, attempt, upstream):
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import typing
 
@@ -16,6 +17,7 @@
     estimates,
     fleet,
     placement_inputs,
+    remote_regions,
     rendezvous,
     replica_state,
     replicas,
@@ -28,11 +30,8 @@
 RETRY_AFTER_S = 0.4
 # Longest Retry-After, in seconds.
 MAX_RETRY_AFTER_S = 2.0
-# Assumed wait in a region that has reported no room for the service, in seconds.
-UNKNOWN_WAIT_S = 0.3
-# Added when a shared prompt part is read by an upstream other than the one that holds it, in
-# seconds.
-REREAD_PENALTY_S = 0.15
+# Time for which this region reports no room for a service after a refusal, in seconds.
+SHORTAGE_S = 0.5
 # Scales the time to read a shared part at the upstream that all instances prefer after its holder,
 # so that they agree on one as far as loads allow.
 SECOND_HOLDER_FACTOR = 0.9
@@ -56,20 +55,20 @@
     Attributes:
         assignments: Placed requests by request id, until they are released.
         estimates: Estimates the time that requests take.
-        recent_forwards: For each pair of region and service, when the current window of one second
-            began, in monotonic seconds, and the requests forwarded in it.
+        short_until: Until when a service counts as without room here, by its name, in monotonic
+            seconds; set when a request is refused as its upstreams take no more.
+        remote: Estimates of the other regions.
     """
 
     __slots__ = (
         "members",
         "registry",
         "rng",
-        "link_bytes_per_s",
-        "link_delay_s",
         "spill_gain_s",
         "assignments",
         "estimates",
-        "recent_forwards",
+        "short_until",
+        "remote",
     )
 
     def __init__(
@@ -85,12 +84,18 @@
         self.members = members
         self.registry = registry
         self.rng = rng
-        self.link_bytes_per_s = link_bytes_per_s
-        self.link_delay_s = link_delay_s
         self.spill_gain_s = spill_gain_s
         self.assignments: dict[str, assignments.Assignment] = {}
         self.estimates = estimates.WorkEstimates()
-        self.recent_forwards: dict[tuple[str, str], tuple[float, int]] = {}
+        self.short_until: dict[str, float] = {}
+        self.remote = remote_regions.RemoteRegions(
+            members=members,
+            registry=registry,
+            work=self.estimates,
+            rng=rng,
+            link_bytes_per_s=link_bytes_per_s,
+            link_delay_s=link_delay_s,
+        )
 
     @property
     def region(self) -> str:
@@ -115,7 +120,7 @@
         ):
             remote_s, info = remote_choice
             if remote_s < request.left_s:
-                self._count_forward(info.region, request.service.name, now)
+                self.remote.count_forward(info.region, request.service.name, now)
                 return choices.ToInstance(
                     info, better_than_s=local_s if best else 0.0, placement_inputs=inputs
                 )
@@ -176,7 +181,10 @@
                 + min(MAX_RETRY_AFTER_S, self.registry.send_wait_s(replica, now, sharers))
                 for replica in warm
             ]
-            places = sum(self._count_places(replica, service) for replica in warm)
+            is_short = now < self.short_until.get(service.name, -math.inf)
+            places = sum(
+                0 if is_short else self._count_places(replica, service) for replica in warm
+            )
             taken = sum(self._count_running(replica, uses) for replica in warm)
             room = pulses.ServiceCapacity(
                 service.name, places=places, taken=taken, wait_s=min(costs_s)
@@ -200,13 +208,15 @@
             self.registry.send_wait_s(replica, now, sharers)
             for replica in self.registry.usable(request.service.name, now, avoid=request.avoid)
         ]
-        if not any(waits_s):
+        if any(waits_s):
+            self.short_until[request.service.name] = now + SHORTAGE_S
+        else:
             detail = "no usable upstream for the service"
             return _refuse(errors.Code.NO_UPSTREAM, detail, inputs)
         retry_after_s = min(waits_s) + self.rng.random() * RETRY_AFTER_S
         return _refuse(
-            errors.Code.OVERLOADED,
-            "the upstreams of the service take no further requests at present",
+            errors.Code.UPSTREAMS_LIMITED,
+            "all of them named a rate or asked for a pause",
             inputs,
             retry_after_s=min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S / 2, retry_after_s)),
         )
@@ -336,7 +346,7 @@
         unread = _unread_tokens(replica, request.parts, holder)
         prefill_s = unread / estimates.PREFILL_TOKENS_PER_S
         if holder and unread > request.parts[-1][1]:
-            prefill_s += REREAD_PENALTY_S
+            prefill_s += remote_regions.REREAD_PENALTY_S
             prefill_s *= SECOND_HOLDER_FACTOR if replica.upstream.name == second_holder else 1.0
         return self._estimate_wait(replica, request.service, uses) + prefill_s
 
@@ -378,55 +388,7 @@
         self, request: assignments.PlacementRequest, now: float
     ) -> tuple[float, peers.InstanceInfo] | None:
         """Return the best other region's estimated time to first token, and an instance there."""
-        regions = {m.info.region for m in self.members.reachable_members(now)} - {self.region}
-        if request.regions is not None:
-            regions &= request.regions
-        options = []
-        for region in sorted(regions):
-            if not self.registry.usable(request.service.name, now, region=region):
-                continue
-            serving_infos = [
-                info
-                for info in self.members.serving_instances(now, region=region)
-                if info.instance not in request.avoid
-            ]
-            if serving_infos:
-                remote_estimate_s = self._estimate_remote(region, request, now)
-                options.append((remote_estimate_s, self.rng.choice(serving_infos)))
-        return min(options, key=lambda option: option[0]) if options else None
-
-    def _estimate_remote(
-        self, region: str, request: assignments.PlacementRequest, now: float
-    ) -> float:
-        """Return the estimated time to first token in another region, in seconds.
-
-        Requests that this instance forwarded there in the last second count on top of the reported
-        room, which may not include them yet.
-        """
-        room = self.members.newest_room(region, request.service.name, now)
-        link_s = 2 * self.link_delay_s + request.body_bytes / self.link_bytes_per_s
-        holder = self.registry.by_name.get(self._part_holder(request, now))
-        is_held = holder is None or holder.upstream.region == region
-        unread = sum(tokens for _, tokens in (request.parts[-1:] if is_held else request.parts))
-        prefill_s = unread / estimates.PREFILL_TOKENS_PER_S + (0.0 if is_held else REREAD_PENALTY_S)
-        if room is None:
-            return link_s + prefill_s + UNKNOWN_WAIT_S
-        work_s = self.estimates.work_time(request.service)
-        counted_since, forward_count = self.recent_forwards.get(
-            (region, request.service.name), (0.0, 0)
-        )
-        own_forwards = forward_count if now - counted_since < 1.0 else 0
-        remote_queue_s = (
-            max(0, room.taken + own_forwards - room.places) * work_s / max(1, room.places)
-        )
-        return link_s + prefill_s + room.wait_s + remote_queue_s
-
-    def _count_forward(self, region: str, service: str, now: float) -> None:
-        """Count a request that is forwarded to a region, in windows of one second."""
-        window_start, forward_count = self.recent_forwards.get((region, service), (now, 0))
-        if now - window_start >= 1.0:
-            window_start, forward_count = now, 0
-        self.recent_forwards[(region, service)] = (window_start, forward_count + 1)
+        return self.remote.choose(request, self._part_holder(request, now), now)
 
     def _assign(
         self, replica: replica_state.Replica, request: assignments.PlacementRequest, now: float
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -26,6 +26,8 @@
 # Time between two pulses to each other region, in seconds.
 FAR_PULSE_PERIOD_S = 0.25
 MAX_PORT = 65535
+# Time for which the list of instances that divide rates is used, in seconds.
+SHARERS_LIFETIME_S = 0.1
 # Time over which the instances spread their registration in a restored store, in seconds.
 REGISTER_SPREAD_S = 1.0
 # Time for which the demand of an unreachable instance still counts, in seconds: longer than most
@@ -68,6 +70,8 @@
         lease_due_at: When the lease is requested or renewed next, in monotonic seconds.
         near_pulse_due_at: When the next pulse to near instances is due, in monotonic seconds.
         far_pulse_due_at: When the next pulse to other regions is due, in monotonic seconds.
+        sharers: Ids of the instances that divide the rates of upstreams.
+        sharers_until: When these are worked out anew, in monotonic seconds.
         pulse_number: Number of the last pulse that this instance sent.
         outbox: Commands that wait for the next ``take_commands``.
     """
@@ -84,6 +88,8 @@
         "lease_due_at",
         "near_pulse_due_at",
         "far_pulse_due_at",
+        "sharers",
+        "sharers_until",
         "pulse_number",
         "outbox",
     )
@@ -102,6 +108,8 @@
         self.lease_due_at = -math.inf
         self.near_pulse_due_at = -math.inf
         self.far_pulse_due_at = -math.inf
+        self.sharers: list[str] = []
+        self.sharers_until = -math.inf
         self.pulse_number = 0
         self.outbox: list[commands.Command] = []
 
@@ -226,8 +234,11 @@
         """Return the ids of the instances of this region that divide the rates of its upstreams.
 
         Unreachable ones are included while the store lists them, as they may send on. Those that
-        are shutting down leave their part to the others, unless all are.
+        are shutting down leave their part to the others, unless all are. The list is worked out
+        anew each SHARERS_LIFETIME_S.
         """
+        if now < self.sharers_until:
+            return self.sharers
         near = [m for m in self.members.values() if m.info.region == self.own.region]
         present = [
             m
@@ -238,7 +249,9 @@
         if self.own.leaving:
             leaving.add(self.own.instance)
         ids = [self.own.instance, *(m.info.instance for m in present)]
-        return [name for name in ids if name not in leaving] or ids
+        self.sharers = [name for name in ids if name not in leaving] or ids
+        self.sharers_until = now + SHARERS_LIFETIME_S
+        return self.sharers
 
     def count_recent(self, now: float) -> int:
         """Return the number of instances whose demand counts, this one included.
--- a/yuccahitch/controllers/upstream_limits.py
+++ b/yuccahitch/controllers/upstream_limits.py
@@ -43,6 +43,9 @@
             seconds.
         answered_at: When the newest answer arrived at this instance, in monotonic seconds.
         tokens: Requests that this instance may send now; below 1 none.
+        sharers: Ids of the instances among which the limit was last divided.
+        shared_rate_per_s: The limit that was divided then, in requests a second.
+        share_per_s: Part of this instance then, in requests a second.
         refilled_at: When tokens were last added, in monotonic seconds.
         logged_requests_per_s: The limit that was logged last; infinite before that.
         logged_at: When it was logged, in monotonic seconds.
@@ -54,6 +57,9 @@
         "heard_at",
         "answered_at",
         "tokens",
+        "sharers",
+        "shared_rate_per_s",
+        "share_per_s",
         "refilled_at",
         "logged_requests_per_s",
         "logged_at",
@@ -65,6 +71,9 @@
         self.heard_at = -math.inf
         self.answered_at = -math.inf
         self.tokens = 0.0
+        self.sharers: list[str] = []
+        self.shared_rate_per_s = upstream_notices.UNLIMITED
+        self.share_per_s = 0.0
         self.refilled_at = math.inf
         self.logged_requests_per_s = upstream_notices.UNLIMITED
         self.logged_at = -math.inf
@@ -197,12 +206,17 @@
 
     def _share(self, incarnation: str, limit: NamedLimit, instances: list[str]) -> float:
         """Return this instance's part of a limit, in requests a second."""
+        if limit.shared_rate_per_s == limit.requests_per_s and limit.sharers == instances:
+            return limit.share_per_s
         rate_per_s = max(MIN_RATE_PER_S, limit.requests_per_s)
         count = min(len(instances), max(1, int(rate_per_s / MIN_SHARE_PER_S)))
         holders = instances
         if count < len(instances):
             holders = rendezvous.ranked(incarnation, instances)[:count]
-        return rate_per_s / count if self.instance in holders else 0.0
+        limit.sharers = instances
+        limit.shared_rate_per_s = limit.requests_per_s
+        limit.share_per_s = rate_per_s / count if self.instance in holders else 0.0
+        return limit.share_per_s
 
     def _log(self, incarnation: str, limit: NamedLimit, now: float) -> None:
         """Log a limit and what this instance has sent since it was last logged."""
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -47,6 +47,11 @@
         503,
         "The upstream is at capacity and did not run the request.",
     )
+    UPSTREAMS_LIMITED = (
+        "upstreams-limited",
+        503,
+        "The upstreams of the service take no further requests at present.",
+    )
     UPSTREAM_MOVED = ("upstream-moved", 503, "Another upstream answers at this upstream's address.")
     ANSWER_CUT = ("answer-cut", 502, "The answer ended before it was complete.")
     PEER_FAILED = ("peer-failed", 502, "The instance in the other region failed.")
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -202,6 +202,9 @@
         poison.record_crash(context, send_filter.suspects, incarnation, now)
     if context.upstream and error.code is errors.Code.UPSTREAM_MOVED:
         send_filter.registry.mark_misdirected(context.upstream)
+    member = send_filter.members.members.get(context.instance)
+    if member is not None and error.code is errors.Code.UPSTREAMS_LIMITED:
+        send_filter.policy.remote.record_declined(member.info.region, context.service.name, now)
     _record_failed_target(send_filter, context, now)
 
 
