Answer the requests that are open when a planned stop ends

It can happen here: with upstreams that work for 15 s, all 13 requests sent before and after SIGTERM lost their connection without a byte (scenario, failed before). What comes late in the grace is refused as not run already.

Before its connections close, a server now gives up what it still runs, each with an answer: 502 once it was sent to an upstream, 503 before that; a stream that has begun is broken off visibly. Both interfaces use it; the test is on the platform's.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -299,3 +299,8 @@
     Given the store keeps a copy of itself before configuration 2 is published
     When the store comes back from its copy and configuration 3 adds a route
     Then every instance serves that route within 2 seconds, and the log has store-restored
+
+  Scenario: Requests that are at work when the grace of a planned stop ends get a truthful answer
+    Given configuration 1 gives the routes 20 seconds
+    When edge-east-2 is stopped while upstreams work 15 seconds on requests sent before and after
+    Then each request was answered, as not run only if no upstream ran it, and the exit code is 0
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -18,7 +18,7 @@
 from yuccahitch.codecs import callers
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import service as services
-from yuccahitch.tasks import _http_errors, core_messages, mailbox, metrics, runner
+from yuccahitch.tasks import _http_errors, core_messages, mailbox, metrics, open_requests, runner
 
 MAX_BUFFERED_ANSWER_BYTES = 1_048_576
 # Operation keys that one call may create.
@@ -134,7 +134,7 @@
         time: Source of monotonic and wall-clock time.
 
     Attributes:
-        children: Tasks that run requests.
+        open_requests: The requests that are being run.
         app_runner: Runner of the HTTP server, or None before ``start``.
     """
 
@@ -144,7 +144,7 @@
         "mailboxes",
         "metrics_registry",
         "time",
-        "children",
+        "open_requests",
         "app_runner",
     )
 
@@ -162,7 +162,7 @@
         self.mailboxes = mailboxes
         self.metrics_registry = metrics_registry
         self.time = time
-        self.children = mailbox.ChildTasks()
+        self.open_requests = open_requests.OpenRequests()
         self.app_runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -194,10 +194,11 @@
         ).start()
 
     async def stop(self) -> None:
-        """Stop listening, and close the connections and the tasks that run requests."""
+        """Answer the open requests, stop listening, and close the connections and the tasks."""
+        await self.open_requests.answer_all()
         if self.app_runner is not None:
             await self.app_runner.cleanup()
-        await self.children.stop()
+        await self.open_requests.stop()
 
     @web.middleware
     async def _convert_errors(
@@ -284,7 +285,7 @@
         """Run a parsed request in a child task and return the response that was sent."""
         sink = HttpSink(request, request_id=parsed.id, is_streaming=parsed.stream)
         request_runner = runner.Runner(self.mailboxes, parsed, sink, now=self.time.now)
-        task = self.children.start(request_runner.run())
+        task = self.open_requests.start(request_runner)
         try:
             await asyncio.shield(task)
         except asyncio.CancelledError:
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -16,7 +16,7 @@
 from yuccahitch.controllers import edge
 from yuccahitch.messages import answers, requests
 from yuccahitch.platform import requests as platform_requests
-from yuccahitch.tasks import caller_server, core_messages, mailbox, metrics, runner
+from yuccahitch.tasks import caller_server, core_messages, mailbox, metrics, open_requests, runner
 
 # Size of one header line that the HTTP parser accepts; the published limits are checked later.
 MAX_HEADER_BYTES = 65536
@@ -106,7 +106,7 @@
         time: Source of monotonic and wall-clock time.
 
     Attributes:
-        children: Tasks that run requests.
+        open_requests: The requests that are being run.
         runners: Runners of the HTTP servers that listen.
     """
 
@@ -117,7 +117,7 @@
         "mailboxes",
         "metrics_registry",
         "time",
-        "children",
+        "open_requests",
         "runners",
     )
 
@@ -137,7 +137,7 @@
         self.mailboxes = mailboxes
         self.metrics_registry = metrics_registry
         self.time = time
-        self.children = mailbox.ChildTasks()
+        self.open_requests = open_requests.OpenRequests()
         self.runners: list[web.ServerRunner] = []
 
     async def start(self) -> None:
@@ -154,10 +154,11 @@
                 await self._listen(address, handler)
 
     async def stop(self) -> None:
-        """Stop listening, and close the connections and the tasks that run requests."""
+        """Answer the open requests, stop listening, and close the connections and the tasks."""
+        await self.open_requests.answer_all()
         for server in self.runners:
             await server.cleanup()
-        await self.children.stop()
+        await self.open_requests.stop()
 
     async def _listen(self, address: str, handler: typing.Any) -> None:
         """Start an HTTP server on an address, ``IP:PORT``, that calls a handler per request."""
@@ -262,7 +263,7 @@
         """
         sink = FrontSink(request, request_id=parsed.id, is_leaving=self._is_leaving)
         request_runner = runner.Runner(self.mailboxes, parsed, sink, now=self.time.now)
-        task = self.children.start(request_runner.run())
+        task = self.open_requests.start(request_runner)
         try:
             await asyncio.shield(task)
         except asyncio.CancelledError:
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -95,6 +95,8 @@
         crashed_upstream_name: Name of the upstream that crashed during the answer, or empty.
         request_timeout: Timeout of the whole request; unlimited until an attempt sets it.
         last_sent_event_id: Id of the last event sent to the caller, or empty.
+        can_expire: Whether request_timeout can still end the request.
+        stopping: Whether the request is given up because the instance stops.
     """
 
     __slots__ = (
@@ -114,6 +116,8 @@
         "crashed_upstream_name",
         "request_timeout",
         "last_sent_event_id",
+        "can_expire",
+        "stopping",
     )
 
     def __init__(
@@ -140,6 +144,8 @@
         self.crashed_upstream_name = ""
         self.request_timeout: asyncio.Timeout | None = None
         self.last_sent_event_id = request.resume_after
+        self.can_expire = False
+        self.stopping = False
 
     async def run(self, hop: requests.Hop | None = None) -> None:
         """Run the request to its end and always post its ``Finish`` message to the core.
@@ -149,11 +155,7 @@
         """
         try:
             async with asyncio.timeout(None) as self.request_timeout:
-                next_action = await self.mailboxes.core.ask(
-                    request_lifecycle.Begin(self.request, hop)
-                )
-                while next_action is not None:
-                    next_action = await _execute_action(next_action.action, next_action, self)
+                await self._execute_actions(hop)
         except asyncio.CancelledError:
             self.caller_connected = False
             raise
@@ -166,6 +168,16 @@
                 self.stream.close()
             self.mailboxes.core.post(self._finish_message())
 
+    async def _execute_actions(self, hop: requests.Hop | None) -> None:
+        """Execute the actions of the core until the request is done."""
+        self.can_expire = True
+        try:
+            next_action = await self.mailboxes.core.ask(request_lifecycle.Begin(self.request, hop))
+            while next_action is not None:
+                next_action = await _execute_action(next_action.action, next_action, self)
+        finally:
+            self.can_expire = False
+
     async def await_first_part(
         self, stream: answer_stream.AnswerStream
     ) -> request_lifecycle.NextAction:
@@ -190,6 +202,12 @@
         if give_up_at is not None:
             self.request_timeout.reschedule(give_up_at + TIMEOUT_MARGIN_S)
 
+    def give_up(self) -> None:
+        """End the request now, as the instance stops; the caller still gets an answer."""
+        if self.can_expire:
+            self.stopping = True
+            self.request_timeout.reschedule(self.now())
+
     async def _on_timeout(self) -> None:
         """Refuse a request that timed out.
 
@@ -200,12 +218,25 @@
             return
         if self.stream is not None:
             self.stream.close()
-        next_action = await self.mailboxes.core.ask(request_lifecycle.Expire(self.request.id))
+        next_action = await self._timeout_action()
         try:
             await _execute_action(next_action.action, next_action, self)
         except (ConnectionError, TimeoutError):
             self.caller_connected = False
 
+    async def _timeout_action(self) -> request_lifecycle.NextAction:
+        """Return the refusal of a request that timed out or is given up."""
+        if not self.stopping:
+            return await self.mailboxes.core.ask(request_lifecycle.Expire(self.request.id))
+        was_sent = self.stream is not None
+        error = errors.GatewayError(
+            errors.Code.DRAINING,
+            step="runner",
+            detail="the instance stopped before the answer was complete",
+            run=errors.RunStatus.MAY_HAVE_RUN if was_sent else errors.RunStatus.NOT_RUN,
+        )
+        return request_lifecycle.NextAction(self.request.id, actions.Refuse(error))
+
     def open_stream(self, attempt: int) -> answer_stream.AnswerStream:
         """Return a new stream for the answer of an attempt."""
         return answer_stream.AnswerStream(
