Settle a restored store by the heartbeats of upstreams

Found in review: the second read of a restored store came after 4.5 s, which fits entries that lapse after three heartbeats of 1.2 s, and no slower ones: a gone upstream would have been used again where they beat less often. The time follows the heartbeat of the deployment, a new setting that the platform fills in.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -268,6 +268,7 @@
             "directory": f"{host}:7103",
         },
         "internalPorts": [7104, 7109],
+        "heartbeatMs": 1200,
         "bounds": BOUNDS,
         "provider": {"address": STORE_ADDRESSES[ZONE_REGIONS[zone]]},
     }
@@ -277,7 +278,10 @@
     """Render a template: values by dotted path, and one level of sections over a table."""
 
     def section(match: re.Match[str]) -> str:
-        table = list(fields[match[1]].items())
+        value = fields.get(match[1])
+        if not isinstance(value, dict):
+            return match[2] if value else ""
+        table = list(value.items())
         return "".join(
             match[2]
             .replace("{{@}}", str(key))
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -358,6 +358,9 @@
         "lease_s": _number_rule(
             "Time to live of the instance's entry in the store.", "seconds", 15.0, 1, 600
         ),
+        "upstream_heartbeat_ms": _number_rule(
+            "Time between two writes of an upstream's entry.", "ms", 1200, 10, 600000
+        ),
         "watch_s": _number_rule(
             "Longest wait of a long-polling call for changes.", "seconds", 2.0, 0.5, 30
         ),
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -208,11 +208,10 @@
             self.registry.send_wait_s(replica, now, sharers)
             for replica in self.registry.usable(request.service.name, now, avoid=request.avoid)
         ]
-        if any(waits_s):
-            self.short_until[request.service.name] = now + SHORTAGE_S
-        else:
+        if not any(waits_s):
             detail = "no usable upstream for the service"
             return _refuse(errors.Code.NO_UPSTREAM, detail, inputs)
+        self.short_until[request.service.name] = now + SHORTAGE_S
         retry_after_s = min(waits_s) + self.rng.random() * RETRY_AFTER_S
         return _refuse(
             errors.Code.UPSTREAMS_LIMITED,
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -177,7 +177,8 @@
                 keyspace.OPERATOR_PREFIX: self.config,
                 keyspace.UPSTREAM_PREFIX: self.registry,
                 fleet.PREFIX: self.members,
-            }
+            },
+            upstream_heartbeat_s=self.settings.store.upstream_heartbeat_ms / 1000,
         )
         self.relay = relay.StoreRelay(self.members, self.feed, watch_s=self.settings.store.watch_s)
         grace_s = self.settings.bounds.grace_s
--- a/yuccahitch/controllers/feed.py
+++ b/yuccahitch/controllers/feed.py
@@ -20,9 +20,10 @@
 
 # Pause before the store is read again after a failed call, in seconds.
 RETRY_S = 0.3
-# Time after the first read of a restored store until the second one, in seconds: longer than
-# entries of the copy that nobody renews last, and than it takes others to write theirs again.
-SETTLE_S = 4.5
+# Heartbeats that an upstream misses until the store drops its entry.
+MISSED_HEARTBEATS = 3
+# Time by which that may come later, in seconds.
+SETTLE_MARGIN_S = 1.0
 # All keys are read and watched together: one call instead of one a prefix.
 WHOLE_STORE = ""
 
@@ -69,8 +70,11 @@
 
     Args:
         subscribers: The controller that applies the items of each prefix, by prefix.
+        upstream_heartbeat_s: Time between two writes of an upstream's entry, in seconds.
 
     Attributes:
+        settle_s: Time after the first read of a restored store until the second one, in seconds:
+            entries of the copy that nobody renews are gone then.
         revision: Revision up to which the store is known; 0 before it was read.
         era: Era of the store that the revision belongs to, or None if it names none.
         is_restored: Whether the store came back from an older copy and was not read since.
@@ -88,6 +92,7 @@
 
     __slots__ = (
         "subscribers",
+        "settle_s",
         "revision",
         "era",
         "is_restored",
@@ -99,8 +104,9 @@
         "outbox",
     )
 
-    def __init__(self, subscribers: dict[str, Subscriber]) -> None:
+    def __init__(self, subscribers: dict[str, Subscriber], *, upstream_heartbeat_s: float) -> None:
         self.subscribers = subscribers
+        self.settle_s = MISSED_HEARTBEATS * upstream_heartbeat_s + SETTLE_MARGIN_S
         self.revision = 0
         self.era: int | None = None
         self.is_restored = False
@@ -195,7 +201,7 @@
         )
         self.outbox.append(log_event)
         if self.is_restored:
-            self.settles_at = now + SETTLE_S
+            self.settles_at = now + self.settle_s
             self.is_restored = False
         if is_newer:
             self.revision = revision
