Report only what is open now as room of a region

Callers of other regions were forwarded to regions that refused them: a region's room counted upstreams that their named rate held back at the moment, so its wait was that for their next token, which its own callers used.

Rooms now leave out what is held back by a rate or a pause; nothing changes where no upstream names one.

--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -176,18 +176,19 @@
             warm = [replica for replica in usable if not self.registry.is_cold(replica, now)]
             if not warm:
                 continue
-            costs_s = [
-                self._estimate_cost(replica, service, uses)
-                + min(MAX_RETRY_AFTER_S, self.registry.send_wait_s(replica, now, sharers))
+            is_short = now < self.short_until.get(service.name, -math.inf)
+            # What is held back now by a named rate or a pause is no room for other regions.
+            open_now = [
+                replica
                 for replica in warm
+                if not is_short and self.registry.send_wait_s(replica, now, sharers) <= 0
             ]
-            is_short = now < self.short_until.get(service.name, -math.inf)
-            places = sum(
-                0 if is_short else self._count_places(replica, service) for replica in warm
-            )
-            taken = sum(self._count_running(replica, uses) for replica in warm)
+            costs_s = [self._estimate_cost(r, service, uses) for r in open_now or warm]
             room = pulses.ServiceCapacity(
-                service.name, places=places, taken=taken, wait_s=min(costs_s)
+                service.name,
+                places=sum(self._count_places(replica, service) for replica in open_now),
+                taken=sum(self._count_running(replica, uses) for replica in open_now),
+                wait_s=min(costs_s),
             )
             rooms.append(room)
         return rooms
