--- a/yuccahitch/codecs/upstreams.py
+++ b/yuccahitch/codecs/upstreams.py
@@ -16,6 +16,8 @@
 RETRY_AFTER_HEADER = "retry-after"
 # Status of a refusal whose Retry-After tells how long the upstream wants no requests.
 BUSY_STATUS = 503
+# Digits of Retry-After that are read.
+MAX_PAUSE_DIGITS = 9
 # Start of each server-sent event of a stream.
 EVENT_MARKER = b"data:"
 # Occurs once in each event that carries a token.
@@ -69,11 +71,13 @@
     work: actions.Dispatch, status: int, headers: typing.Mapping[str, str]
 ) -> upstream_notices.UpstreamNotice:
     """Return what the head of an answer says of the upstream that sent it."""
-    pause_text = headers.get(RETRY_AFTER_HEADER, "") if status == BUSY_STATUS else ""
+    # A header that holds a date asks for no pause.
+    pause_text = headers.get(RETRY_AFTER_HEADER, "")[:MAX_PAUSE_DIGITS]
+    is_pause = status == BUSY_STATUS and pause_text.isascii() and pause_text.isdigit()
     return upstream_notices.UpstreamNotice(
         work.upstream,
         leaving=headers.get(LEAVING_HEADER, "").strip() == "1",
-        pause_s=float(pause_text) if pause_text.isascii() and pause_text.isdigit() else 0.0,
+        pause_s=float(pause_text) if is_pause else 0.0,
     )
 
 
--- a/yuccahitch/controllers/upstream_limits.py
+++ b/yuccahitch/controllers/upstream_limits.py
@@ -137,22 +137,16 @@
             for answered_at, incarnation in heapq.nlargest(MAX_REPORTED, recent)
         ]
 
-    def admits(self, incarnation: str, instances: list[str], now: float) -> bool:
-        """Return whether this instance may send an upstream another request now.
+    def wait_s(self, incarnation: str, instances: list[str], now: float) -> float:
+        """Return the time until this instance may send an upstream a request, in seconds.
+
+        It is infinite if the instance has no part of the rate.
 
         Args:
             incarnation: Incarnation of the upstream.
             instances: Ids of the instances that share its rate, this one included if it does.
             now: Monotonic seconds.
         """
-        return self.wait_s(incarnation, instances, now) <= 0
-
-    def wait_s(self, incarnation: str, instances: list[str], now: float) -> float:
-        """Return the time until this instance may send an upstream a request, in seconds.
-
-        It is infinite if the instance has no part of the rate. The arguments are those of
-        ``admits``.
-        """
         limit = self.by_incarnation.get(incarnation)
         if limit is None or not limit.is_in_force():
             return 0.0
