Accept port 0 in entries of instances again, and refuse hosts that are no addresses

An entry of an instance with port 0 counted as odd, so that the scenario that lets only the pulses to it fail found no pulse-failed: it is accepted again. A host that is no address is refused instead: sending to it would have ended the task of the datagrams, and with it the process.

--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -46,6 +46,7 @@
       | lists nested 100000 deep | yuccahitch/instances/odd   |
       | a list                   | yuccahitch/instances/odd   |
       | an instance of numbers   | yuccahitch/instances/odd   |
+      | a NUL in the host        | yuccahitch/instances/odd   |
       | lists nested 100000 deep | op/config                  |
       | a list                   | op/config                  |
       | no text                  | op/evacuate/               |
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -228,6 +228,27 @@
     Then no directory names edge-east-2 within 5 seconds
     And edge-east-2 starts again and is ready
 
+  Scenario Outline: An upstream that says in an answer that it wants no more requests gets none
+    Given desk-1 asks for less in its answers by <fault> of <value>
+    When 30 requests GET /status/x go to edge-east-1 over one connection
+    Then all answers are 200 and each belongs to its request
+    And desk-1 received at most 1 of them, and others received some
+
+    Examples:
+      | fault        | value |
+      | says_leaving | 1     |
+      | shed_pause_s | 60    |
+
+  Scenario: A route that is added after the store came back from an older copy is served everywhere
+    Given the store keeps a copy of itself before configuration 2 is published
+    When the store comes back from its copy and configuration 3 adds a route
+    Then every instance serves that route within 2 seconds, and the log has store-restored
+
+  Scenario: Requests that are at work when the grace of a planned stop ends get a truthful answer
+    Given configuration 1 gives the routes 20 seconds
+    When edge-east-2 is stopped while upstreams work 15 seconds on requests sent before and after
+    Then each request was answered, as not run only if no upstream ran it, and the exit code is 0
+
   Scenario: Requests are served while nobody reads the log
     When edge-west-1 starts again with a log that nobody reads
     And it is asked 2000 times for GET /open/x
@@ -283,24 +304,3 @@
     When all instances are killed, the configuration is deleted and edge-east-1 starts
     And a caller with the account's key asks edge-east-1 for POST /book/x
     Then the answer is 503 and no upstream saw it
-
-  Scenario Outline: An upstream that says in an answer that it wants no more requests gets none
-    Given desk-1 asks for less in its answers by <fault> of <value>
-    When 30 requests GET /status/x go to edge-east-1 over one connection
-    Then all answers are 200 and each belongs to its request
-    And desk-1 received at most 1 of them, and others received some
-
-    Examples:
-      | fault        | value |
-      | says_leaving | 1     |
-      | shed_pause_s | 60    |
-
-  Scenario: A route that is added after the store came back from an older copy is served everywhere
-    Given the store keeps a copy of itself before configuration 2 is published
-    When the store comes back from its copy and configuration 3 adds a route
-    Then every instance serves that route within 2 seconds, and the log has store-restored
-
-  Scenario: Requests that are at work when the grace of a planned stop ends get a truthful answer
-    Given configuration 1 gives the routes 20 seconds
-    When edge-east-2 is stopped while upstreams work 15 seconds on requests sent before and after
-    Then each request was answered, as not run only if no upstream ran it, and the exit code is 0
--- a/tests/features/steps/odd_entries.py
+++ b/tests/features/steps/odd_entries.py
@@ -34,6 +34,10 @@
         dict.fromkeys("instance region zone host caller_port peer_port wan_address".split(), 7)
     ),
 }
+VALUES["a NUL in the host"] = json.dumps(
+    dict.fromkeys(("instance", "region", "zone", "wan_address"), "east")
+    | {"host": "127.0.0.1\0", "caller_port": 1, "peer_port": 1}
+)
 RAW_ENTRIES = {"no text": b"\xff\xfe\xfd", "no JSON": b"{", "a sound entry": None}
 
 
@@ -74,6 +78,7 @@
     used = {edge_simulation.dispatched_upstream(edge.begin_request()) for _ in range(60)}
     assert {"a-before", "z-after"} <= used, (edge.decisions.instance, used)
     edge.decisions.registry.count_by_state(now)
+    assert "east" not in edge.decisions.members.members
     assert len(edge.decisions.members.reachable_members(now)) >= 2
 
 
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/fleet.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import math
 import random
@@ -459,6 +460,7 @@
     ports = (info.caller_port, info.peer_port)
     if not all(type(text) is str for text in texts):
         raise ValueError("a field is not a text")
-    if not all(type(port) is int and 0 < port <= MAX_PORT for port in ports):
+    ipaddress.ip_address(info.host)
+    if not all(type(port) is int and 0 <= port <= MAX_PORT for port in ports):
         raise ValueError("a field is not a port")
     return info
