--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,150 +1,124 @@
-"""A prompt is larger than a replica can hold, by its header; the machines' processes end."""
+"""Two machines of a zone are cut off from the store; the third uses a replica that has left."""
 
 from __future__ import annotations
 
 import asyncio
-import collections
 import pathlib
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from lab import replica, site  # noqa: E402
+from lab import link, replica, site  # noqa: E402
 
+CONTACT_S = 5.0
+DRAIN_S = 3.0
+CUT_S = 7.5
 ZONE = "muscat-a"
-# Memory of a replica in tokens, as on the sheet of sahil-flood.
-MEMORY_TOKENS = 604_507
-# Time in which a replica that is full says so, and in which it answers a sound request.
-REFUSAL_S = 0.03
-WORK_S = 0.1
-LIMIT_S = 60.0
-RESTART_S = 0.5
-# Ends by themselves that the rule allows on a machine, and machines that may have more.
-MOST_ENDS = 2
-MOST_MACHINES = 1
-SOUND_PROMPT = "5c1e07a2:800,91bd3f06:410,e4402b7d:250"
-LARGE_PART_TOKENS = 999_999_999
-
-
-class ModelReplica(replica.Replica):
-    """A replica that rejects what is larger than its memory as if it were full."""
+# How long a replica that left goes on after the time that it must still serve ("a little longer").
+LINGER_S = 0.5
+REQUESTS_PER_S = 40
+
+
+class LeavingReplica(replica.Replica):
+    """A replica that can leave: it ends with what it runs.
+
+    Attributes:
+        arrivals: Monotonic times of the requests that reached it, with their ids.
+    """
+
+    def __init__(self, deployment: site.Site, name: str) -> None:
+        super().__init__(deployment, name=name, service="desk", zone=ZONE, work_s=0.06)
+        self.arrivals: list[tuple[float, str]] = []
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def run(self, request: replica.Request, writer: asyncio.StreamWriter) -> None:
-        """Reject a request that is too large, without running it, or run it."""
-        parts = request.headers.get("x-prefix-hash", "").split(",")
-        tokens = sum(int(part.partition(":")[2] or 0) for part in parts)
-        if tokens > MEMORY_TOKENS:
-            self.record.write(f"{self.name} rejects {request.id}: {tokens} tokens")
-            await asyncio.sleep(REFUSAL_S)
-            refusal = replica.answer(503, request.id, b"", signature="")
-            writer.write(refusal.replace(b"\r\n", b"\r\nX-Not-Executed: 1\r\n", 1))
-        else:
-            await asyncio.sleep(WORK_S)
-            writer.write(replica.answer(200, request.id, b"an answer"))
+        """Note the arrival, then work on the request."""
+        self.arrivals.append((time.monotonic(), request.id))
+        self.writers.add(writer)
+        await super().run(request, writer)
+
+    def exit(self) -> None:
+        """End as a process does: the listener and all connections are gone."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
 
 
 async def case(record: site.Record, with_trouble: bool) -> bool:
-    """Return whether processes ended by themselves three times on two machines or more."""
+    """Return whether a request reached the replica later than drainMs after it was gone."""
     async with site.Site({ZONE: "muscat"}, record) as deployment:
-        for number in (1, 2):
-            model = ModelReplica(deployment, name=f"i-m-{number}", service="model", zone=ZONE)
-            await model.start()
-            await deployment.register(model)
+        replicas = [LeavingReplica(deployment, f"i-desk-{number}") for number in (1, 2, 3)]
+        for item in replicas:
+            await item.start()
+            await deployment.register(item)
         await deployment.put(
-            "op/config", site.config([site.route("ask", "model", "unsafe", timeoutMs=4000)])
+            "op/config", site.config([site.route("orders", "desk", "unsafe", timeoutMs=4000)])
         )
         instances = [deployment.add_instance(f"edge-{ZONE}-{n}", ZONE) for n in (1, 2, 3)]
+        links = {item.name: link.StoreLink(deployment, item) for item in instances}
         for item in instances:
+            await links[item.name].start()
             await deployment.start(item)
         await deployment.wait_until_ready(*instances)
-        ends: collections.Counter[str] = collections.Counter()
-        lost: list[str] = []
-        tasks = [
-            asyncio.create_task(_send(instances, lost, record, is_large=False, kind="sound")),
-            asyncio.create_task(
-                _send(
-                    instances,
-                    [],
-                    record,
-                    is_large=with_trouble,
-                    kind="large" if with_trouble else "other",
-                )
-            ),
-            *(
-                asyncio.create_task(_run_as_platform(deployment, item, ends, record))
-                for item in instances
-            ),
-        ]
-        limit = time.monotonic() + (LIMIT_S if with_trouble else LIMIT_S / 3)
-        broken = False
-        while time.monotonic() < limit and not broken:
-            await asyncio.sleep(0.2)
-            if any(task.done() for task in tasks):
-                break
-            broken = sum(count > MOST_ENDS for count in ends.values()) > MOST_MACHINES
-        for task in tasks:
-            task.cancel()
-        results = await asyncio.gather(*tasks, return_exceptions=True)
-        failed = [r for r in results if not isinstance(r, asyncio.CancelledError)]
-        if failed:
-            raise site.CannotRunError(f"a stand-in failed: {failed!r}")
-        for item in instances:
-            causes = [t for t in deployment.log_of(item).split("\n") if t.startswith("ValueError")]
-            record.write(f"{item.name} ended {ends[item.name]} times by itself: {set(causes)}")
-        record.write(f"{len(lost)} sound requests were answered 502 or not at all")
-        return broken
+        await asyncio.sleep(CONTACT_S)
+        # The platform sees who watches the store: two machines of the zone do.
+        now = time.monotonic()
+        watchers = [i for i in instances if now - links[i.name].last_watch_at < 3.0]
+        calm = [item for item in instances if item not in watchers]
+        if len(calm) != 1:
+            raise site.CannotRunError(f"{len(watchers)} of 3 machines watch the store")
+        record.write(f"in touch all the while: {calm[0].name}; clients use only this machine")
+        replies: dict[str, int] = {}
+        load = asyncio.create_task(_send_orders(calm[0], replies, record))
+        await asyncio.sleep(2.0)
+        if with_trouble:
+            for item in watchers:
+                links[item.name].is_cut = True
+            record.write(f"cut off from the store: {', '.join(i.name for i in watchers)}")
+        await asyncio.sleep(0.5)
+        leaving = replicas[0]
+        await deployment.put(f"servers/{leaving.name}", None)
+        gone_at = time.monotonic()
+        record.write(f"the store acknowledged that {leaving.name} is gone")
+        await asyncio.sleep(DRAIN_S + LINGER_S)
+        leaving.exit()
+        record.write(f"{leaving.name} exits")
+        await asyncio.sleep(CUT_S - DRAIN_S - LINGER_S - 0.5)
+        for item in links.values():
+            item.is_cut = False
+        record.write("the cut has ended")
+        await asyncio.sleep(1.0)
+        load.cancel()
+        late = [(at, name) for at, name in leaving.arrivals if at > gone_at + DRAIN_S]
+        lost = [name for _, name in leaving.arrivals if replies.get(name) in (0, 502, 504)]
+        last_s = max(at for at, _ in leaving.arrivals) - gone_at
+        record.write(
+            f"{len(leaving.arrivals)} requests reached {leaving.name}, the last one {last_s:.3f} s"
+            f" after it was gone; {len(late)} of them later than {DRAIN_S} s;"
+            f" {len(lost)} orders that it had begun got no answer of its own"
+        )
+        return bool(late)
 
 
-async def _run_as_platform(
-    deployment: site.Site,
-    instance: site.Instance,
-    ends: collections.Counter[str],
-    record: site.Record,
-) -> None:
-    """Start a process again after a short delay each time that it ends."""
-    while True:
-        code = await instance.process.wait()
-        ends[instance.name] += 1
-        record.write(f"the process of {instance.name} ended by itself with {code}")
-        await asyncio.sleep(RESTART_S)
-        await deployment.start(instance)
-        await deployment.wait_until_ready(instance)
-
-
-async def _send(
-    instances: list[site.Instance],
-    lost: list[str],
-    record: site.Record,
-    *,
-    is_large: bool,
-    kind: str,
+async def _send_orders(
+    instance: site.Instance, replies: dict[str, int], record: site.Record
 ) -> None:
-    """Send twenty requests a second, in turn to all instances; note those that were lost."""
+    """Send orders at a steady rate, each as an attempt of its own."""
 
-    async def send_one(instance: site.Instance, name: str) -> None:
-        prompt = _large_prompt(name) if is_large else SOUND_PROMPT
-        headers = [("X-Model", "m"), ("X-Token-Usage", "1460,80"), ("X-Prefix-Hash", prompt)]
+    async def send_one(name: str) -> None:
         reply = await replica.send(
-            instance, request_id=name, path="/ask/1", body=b"q" * 80, headers=headers
+            instance, request_id=name, path="/orders/1", body=b"order " + name.encode()
         )
-        record.write(f"{name} ({kind}) to {instance.name} is answered {reply.status}")
-        if reply.status in (0, 502):
-            lost.append(name)
+        replies[name] = reply.status
+        record.write(f"{name} is answered {reply.status}")
 
     async with asyncio.TaskGroup() as group:
         number = 0
         while True:
             number += 1
-            instance = instances[number % len(instances)]
-            group.create_task(send_one(instance, f"{kind.encode().hex()}{number:06x}"))
-            await asyncio.sleep(0.05)
-
-
-def _large_prompt(name: str) -> str:
-    """Return the parts of a prompt that no replica can hold, which it shares with no other."""
-    parts = [f"{name[-8:]}{number:02x}:{LARGE_PART_TOKENS}" for number in range(5)]
-    return ",".join([*parts, f"{name[-8:]}ff:250"])
+            group.create_task(send_one(f"{number:016x}"))
+            await asyncio.sleep(1 / REQUESTS_PER_S)
 
 
 if __name__ == "__main__":
