--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -41,6 +41,11 @@
         "answer-dropped",
         "A late answer, one to another request, or bytes that are no part of one were dropped.",
     )
+    ATTEMPT_CLOSED = (
+        211,
+        "attempt-closed",
+        "The connection of an attempt was closed before the end of its answer.",
+    )
     UPSTREAM_EJECTED = (
         300,
         "upstream-ejected",
--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -163,7 +163,7 @@
 
         A failure goes into the stream as well; it says whether the request may have run.
         """
-        may_have_sent = False
+        may_have_sent, cause = False, "given up"
         try:
             deadline = max(0.05, action.deadline_in)
             # Connects before sending, so that a failure to connect proves that nothing was sent.
@@ -172,13 +172,29 @@
                 await channel.__connect__()
             may_have_sent = True
             await self._relay(action, stream)
+            cause = ""
         except TRANSPORT_ERRORS as error:
+            cause = str(error) or type(error).__name__
             await stream.put(_forward_failure(action, error, may_have_sent=may_have_sent))
         except errors.GatewayError as error:
+            cause = error.detail
             failure = answers.Failure(
                 request_id=action.request.id, attempt=action.attempt, error=error
             )
             await stream.put(failure)
+        finally:
+            if cause and may_have_sent:
+                self._log_closed(action, cause)
+
+    def _log_closed(self, action: actions.Forward, cause: str) -> None:
+        """Log that an attempt ends before its answer does."""
+        self.log.write(
+            events.Event.ATTEMPT_CLOSED,
+            request=action.request.id,
+            attempt=action.attempt,
+            peer=action.instance,
+            cause=cause,
+        )
 
     async def _relay(self, action: actions.Forward, stream: answer_stream.AnswerStream) -> None:
         """Send the request over gRPC and put each part of the answer into the stream."""
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -83,13 +83,15 @@
                 )
             )
             return
-        answer_complete = False
+        answer_complete, cause = False, "given up"
         try:
             exchange = replica_exchange.Exchange(
                 action, stream, connection, self.log, self.on_notice
             )
             answer_complete = await exchange.run(self.time.now())
+            cause = "the rest of the answer is not read"
         except replica_connection.CONNECTION_ERRORS as error:
+            cause = str(error) or type(error).__name__
             # Bytes that are no answer don't show that the upstream crashed; a lost connection does.
             crashed = connection.protocol.eof_reached or connection.protocol.closed
             await stream.put(
@@ -98,11 +100,24 @@
                 )
             )
         except replica_connection.InvalidAnswerError as error:
+            cause = str(error)
             await stream.put(replica_exchange.failure(action, errors.Code.UPSTREAM_FAILED, error))
         finally:
+            if not answer_complete:
+                self._log_closed(action, cause)
             if not answer_complete or not self._return_to_pool(action, connection):
                 connection.protocol.abort()
 
+    def _log_closed(self, action: actions.Dispatch, cause: str) -> None:
+        """Log that an attempt ends before its answer does."""
+        self.log.write(
+            events.Event.ATTEMPT_CLOSED,
+            request=action.request.id,
+            attempt=action.attempt,
+            upstream=action.upstream,
+            cause=cause,
+        )
+
     async def _take_connection(self, action: actions.Dispatch) -> replica_connection.Connection:
         """Return a reusable connection from the pool, or open a new one."""
         pool = self.pools.get(action.address)
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -125,8 +125,9 @@
         meter = upstreams.AnswerMeter(
             stream=action.request.stream, prompt_tokens=action.request.prompt_tokens
         )
+        answer_complete = False
         try:
-            await self._exchange(action, stream, meter)
+            answer_complete = await self._exchange(action, stream, meter)
         except aiohttp.ClientConnectorError as error:
             failure = _failure(
                 action, errors.Code.UPSTREAM_REFUSED, error, run=errors.RunStatus.NOT_RUN
@@ -145,13 +146,21 @@
             )
             code = errors.Code.ANSWER_CUT if meter.counted_tokens else errors.Code.UPSTREAM_FAILED
             await stream.put(_failure(action, code, error, crashed=crashed, meter=meter))
+        finally:
+            if not answer_complete:
+                self.log.write(
+                    events.Event.ATTEMPT_CLOSED,
+                    request=action.request.id,
+                    attempt=action.attempt,
+                    upstream=action.upstream,
+                )
 
     async def _exchange(
         self,
         action: actions.Dispatch,
         stream: answer_stream.AnswerStream,
         meter: upstreams.AnswerMeter,
-    ) -> None:
+    ) -> bool:
         """Send the request and relay the answer; the deadline applies until the headers arrive.
 
         Args:
@@ -159,6 +168,9 @@
             stream: Receives the parts of the answer.
             meter: Counts the tokens of the answer.
 
+        Returns:
+            Whether the answer was read to its end.
+
         Raises:
             aiohttp.ClientError: When the connection or the answer fails.
             OSError: When the connection fails.
@@ -181,7 +193,7 @@
                 auto_decompress=False,
             ) as response:
                 deadline_timeout.reschedule(None)
-                await self._relay(action, stream, meter, response)
+                return await self._relay(action, stream, meter, response)
 
     async def _relay(
         self,
@@ -189,11 +201,14 @@
         stream: answer_stream.AnswerStream,
         meter: upstreams.AnswerMeter,
         response: aiohttp.ClientResponse,
-    ) -> None:
+    ) -> bool:
         """Put a response into the stream: its head, its body in chunks and its end.
 
         A response to another request, or one of an overloaded upstream, becomes a failure; so does
         the end of an event stream that lacks its end marker.
+
+        Returns:
+            Whether the response was read to its end.
         """
         if _is_answer_to(action, response):
             self.on_notice(upstreams.decode_notice(action, response.status, response.headers))
@@ -201,7 +216,7 @@
         if response_failure is not None:
             self.log.write(events.Event.ANSWER_DROPPED, request=action.request.id)
             await stream.put(response_failure)
-            return
+            return False
         request_id, attempt = action.request.id, action.attempt
         head = answers.Head(
             request_id=request_id,
@@ -215,7 +230,7 @@
             if defect:
                 error = ValueError(defect)
                 await stream.put(_failure(action, errors.Code.ANSWER_CUT, error, meter=meter))
-                return
+                return False
         else:
             await stream.put(head)
             async for data in response.content.iter_any():
@@ -224,6 +239,7 @@
                 await stream.put(part)
         end = answers.End(request_id=request_id, attempt=attempt, usage=meter.usage())
         await stream.put(end)
+        return True
 
     async def _relay_events(
         self,
