--- a/standins/link.py
+++ b/standins/link.py
@@ -1,7 +1,8 @@
 """Stand-in for a wide-area link: a TCP relay between two loopback addresses.
 
-Its fault switches delay traffic, limit the rate, cut the link, or block one direction. The relay
-listens at the address of the option ``listen``; the stand-in's own port serves the switches.
+Its fault switches delay traffic, limit the rate, cut the link, block one direction, or keep the end
+of a connection from the other side. The relay listens at the address of the option ``listen``; the
+stand-in's own port serves the switches.
 """
 
 from __future__ import annotations
@@ -29,13 +30,24 @@
 
     Attributes:
         faults: Fault switches; ``lose_forth`` and ``lose_back`` block the direction to and from
-            the target.
+            the target, and ``half_open`` leaves one side of a connection open when the other ends.
         server: The listening socket, or None before the start.
         open_writers: Both ends of each relayed connection.
+        relays: Tasks that relay one connection each.
+        near_writers: The ends on the side of those who connect to the relay.
         bytes_sent: Bytes relayed in both directions.
     """
 
-    __slots__ = ("listen", "target", "faults", "server", "open_writers", "bytes_sent")
+    __slots__ = (
+        "listen",
+        "target",
+        "faults",
+        "server",
+        "open_writers",
+        "near_writers",
+        "relays",
+        "bytes_sent",
+    )
 
     def __init__(self, listen: str, target: str, *, delay_s: float, bytes_per_s: float) -> None:
         self.listen = listen
@@ -47,10 +59,13 @@
                 "cut": False,
                 "lose_forth": False,
                 "lose_back": False,
+                "half_open": False,
             }
         )
         self.server: asyncio.Server | None = None
         self.open_writers: set[asyncio.StreamWriter] = set()
+        self.near_writers: set[asyncio.StreamWriter] = set()
+        self.relays: set[asyncio.Task[None]] = set()
         self.bytes_sent = 0
 
     async def serve(self, app: web.Application) -> typing.AsyncIterator[None]:
@@ -59,6 +74,8 @@
         self.server = await asyncio.start_server(self.relay_connection, host, int(port))
         yield
         self.server.close()
+        for task in list(self.relays):
+            task.cancel()
         for writer in list(self.open_writers):
             writer.transport.abort()
 
@@ -77,7 +94,9 @@
             writer.transport.abort()
             return
         connection_writers = {writer, target_writer}
+        self.relays.add(asyncio.current_task())
         self.open_writers |= connection_writers
+        self.near_writers.add(writer)
         try:
             await asyncio.gather(
                 self.relay_direction(reader, target_writer, "lose_forth"),
@@ -87,6 +106,8 @@
             return
         finally:
             self.open_writers -= connection_writers
+            self.near_writers.discard(writer)
+            self.relays.discard(asyncio.current_task())
             for connection_writer in connection_writers:
                 connection_writer.transport.abort()
 
@@ -121,13 +142,25 @@
                 if self.faults["bytes_per_s"]:
                     await asyncio.sleep(len(chunk) / self.faults["bytes_per_s"])
                 await in_transit.put((loop.time() + self.faults["delay_s"], chunk))
+            await self._withhold_end()
             await in_transit.put((loop.time() + self.faults["delay_s"], b""))
             await task
         except OSError:
+            await self._withhold_end()
             writer.transport.abort()
         finally:
             task.cancel()
 
+    def drop_near(self) -> None:
+        """Reset the connections on the side of those who connect to the relay."""
+        for writer in list(self.near_writers):
+            writer.transport.abort()
+
+    async def _withhold_end(self) -> None:
+        """Wait while the end of a connection is kept from the other side."""
+        while self.faults["half_open"]:
+            await asyncio.sleep(0.05)
+
 
 def application(
     listen: str, target: str, delay_s: str = "0", bytes_per_s: str = "0"
@@ -135,6 +168,7 @@
     """Return the application of a relay; ``GET /stats`` returns the bytes relayed."""
     link = Link(listen, target, delay_s=float(delay_s), bytes_per_s=float(bytes_per_s))
     app = faults.application(link.faults)
+    app["state"] = link
     app.cleanup_ctx.append(link.serve)
 
     async def stats(request: web.Request) -> web.Response:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 import struct
+import time
 import typing
 import weakref
 
@@ -90,7 +91,8 @@
         id: Id of the upstream.
         event_count: Number of events per stream; 0 for a plain service.
         faults: Fault switches of this upstream.
-        received: Requests received, and whether each was run, oldest first.
+        received: Requests received, oldest first; whether each was run, and when its run began and
+            ended, in monotonic seconds.
         running: Number of requests being run.
         abandoned: Number of runs that ended without a complete answer.
         used_transports: Connections that have carried a request.
@@ -163,6 +165,7 @@
     if refusal is not None:
         return refusal
     record["ran"] = True
+    record["began_at"] = time.monotonic()
     state.running += 1
     try:
         return await _answer(request, state)
@@ -171,6 +174,7 @@
         raise
     finally:
         state.running -= 1
+        record["ended_at"] = time.monotonic()
 
 
 def _refusal(request: web.Request, state: Replica) -> web.Response | None:
--- /dev/null
+++ b/tests/features/forwarded_runs.feature
@@ -0,0 +1,25 @@
+Feature: A request that goes on elsewhere no longer runs where it was before
+  An instance in east forwards to one in west over real connections through a relay.
+
+  # Guards against a stream that two upstreams work on at the same time (TWICE).
+  Scenario Outline: A forwarded stream goes on elsewhere only after its run has ended
+    Given an instance in east that forwards a stream to west, where an event takes 0.7 seconds
+    When the connection <breaks> after 2 events, and east has an upstream
+    Then the caller gets all 6 events once, in order
+    And the upstream before worked on it for at most 0.4 seconds after the next began
+
+    Examples:
+      | breaks                     |
+      | is lost on one side only   |
+      | falls silent               |
+
+  # Guards against runs for an instance that is gone (TWICE).
+  Scenario Outline: The run of a request that may be repeated ends when the one that forwarded it is silent
+    Given an instance in east that forwards a stream to west, where an event takes 3 seconds
+    When the connection <breaks> after 1 event
+    Then the upstream in west works on it for at most 2 more seconds
+
+    Examples:
+      | breaks                     |
+      | is lost on one side only   |
+      | falls silent               |
--- /dev/null
+++ b/tests/features/single_runs.feature
@@ -0,0 +1,60 @@
+Feature: A request that must run once runs once, whatever ends it
+
+  # Guards against an order that runs again because its first attempt had no reply yet (TWICE).
+  Scenario Outline: An order whose request ends while an upstream works on it does not run again
+    Given an order service behind 2 instances in each of 2 regions
+    When an order with a <kind> key is sent to instance 1
+    And its request ends at instance 1 after <seconds> seconds, without a reply of the upstream
+    And 6 seconds pass for the service
+    And the same order is sent to instance <second>
+    And 6 seconds pass for the service
+    Then the order ran 1 time
+    And the last sender gets the outcome may-have-run
+
+    Examples:
+      | kind   | seconds | second |
+      | minted | 0.05    | 1      |
+      | minted | 0.05    | 3      |
+      | chosen | 0.12    | 1      |
+      | chosen | 0.12    | 2      |
+      | chosen | 0.12    | 4      |
+
+  # Guards against a client account that gets more than its rate: tokens of runs were refunded (QUOTA).
+  Scenario: The tokens of a request that ends while an upstream works on it are not refunded
+    Given an instance whose client account may use 100 tokens at once
+    When 5 requests of 50 tokens begin, each given up by its caller while an upstream works on it
+    Then upstreams got at most 3 of them
+
+  # Guards against requests that are forgotten while they run (TWICE, REFUSED).
+  Scenario: A request whose id belongs to an open request ends nothing but itself
+    Given an instance with configuration 1 and upstreams u1 and u2
+    When a request to book begins, and two more with its id
+    Then both are refused with a status that does not promise that the request has not run
+    And the first one is answered
+
+  # Guards against clients that send a request again by themselves (TWICE).
+  Scenario Outline: A call whose answer is lost reaches its service once
+    Given a service that <loses> each request
+    When an instance sends it one <method> call
+    Then the service got the call 1 time, and its answer counts as lost
+
+    Examples:
+      | loses                      | method |
+      | closes without an answer   | DELETE |
+      | closes without an answer   | PUT    |
+      | closes without an answer   | GET    |
+      | closes without an answer   | POST   |
+      | resets after it has run    | DELETE |
+      | resets after it has run    | PUT    |
+
+  # Guards against attempts that begin after their request is over (TWICE, GONE).
+  Scenario Outline: An attempt whose request is over before it begins is not sent
+    Given <a client> with an attempt in its mailbox
+    When the request of that attempt ends before the mailbox is read
+    Then nothing is sent
+
+    Examples:
+      | a client                        |
+      | a client of platform upstreams  |
+      | a client of upstreams           |
+      | a client of other instances     |
--- a/tests/run.py
+++ b/tests/run.py
@@ -38,14 +38,14 @@
     for feature in json.loads(report or "[]"):
         for element in feature.get("elements", []):
             if element["type"] == "scenario":
-                statuses[f"{feature['name']} / {element['name']}"] = element["status"]
+                statuses[f"{feature['name']} / {element['name'].strip()}"] = element["status"]
     return statuses
 
 
 def failure_reasons(report: str) -> dict[str, str]:
     """Return the failed steps with their messages, by scenario, from a JSON report."""
     return {
-        f"{feature['name']} / {element['name']}": "\n".join(
+        f"{feature['name']} / {element['name'].strip()}": "\n".join(
             f"{step['name']}: {''.join(step['result'].get('error_message', []))}"
             for step in element["steps"]
             if step.get("result", {}).get("status") in ("failed", "error", "undefined")
