Count an attempt that is under way as one that may have run (TWICE, QUOTA)

Callers saw: an order whose request ended before its upstream replied (its instance stopped, or the one that forwarded it died) ran again when they sent its key again, and the answer said nothing of the first run. A client account whose callers left early got more than its rate. Cause: reached_upstream is set by the reply to an attempt, so a request that ended without one counted as not run: its key was freed, in the store too, and its tokens came back. Class: what has been sent is recorded on the reply, not on the send. Ruled out: the store's claim (it was deleted by the instance itself), a retry by the caller's instance (one attempt logged). Fix: the open requests record that an attempt was sent on, until its reply; the key stays claimed as unsettled and the tokens stay spent.

--- a/tests/features/operations.feature
+++ b/tests/features/operations.feature
@@ -162,3 +162,8 @@
     When 25 random histories of orders are played
     Then no order ran twice
     And every refusal matched the runs of the upstream
+
+  Scenario: Orders run at most once although their requests end at any moment
+    When 10 random histories of orders are played, half of which end at any moment
+    Then no order ran twice
+    And every refusal matched the runs of the upstream
--- a/tests/features/steps/operations.py
+++ b/tests/features/steps/operations.py
@@ -11,6 +11,7 @@
 from fakes import network, services
 from tests import builders, histories
 from yuccahitch import errors
+from yuccahitch.messages import answers
 
 # Seed of the random cases. Without it hypothesis derives them from the source of the test, so any
 # edit of the source would change the cases.
@@ -19,6 +20,8 @@
     "07e2e3b61c71bcf219687225f0f48347c167e5b1b01dbab1",
     16,
 )
+# Longest time after which a request is given up at its instance, in seconds.
+MAX_GIVE_UP_S = 0.4
 
 
 def wall_time_ms(fleet):
@@ -238,6 +241,16 @@
 
 @behave.when("{count:d} random histories of orders are played")
 def step_play_random_histories(context, count):
+    play_random_histories(context, count, give_up_share=0.0)
+
+
+@behave.when("{count:d} random histories of orders are played, half of which end at any moment")
+def step_play_histories_with_ends(context, count):
+    play_random_histories(context, count, give_up_share=0.5)
+
+
+def play_random_histories(context, count, *, give_up_share):
+    """Play random histories; so many of the requests end at their instance before their reply."""
     context.max_runs = 0
     context.false_refusals = []
     context.request_count = 0
@@ -267,6 +280,14 @@
                 key, digest=digest, deadline=instance.local_time(fleet.now) + 20
             )
             sent_requests.append((fleet.request(instance, request), fleet.now))
+            if rng.random() < give_up_share:
+                fleet.clock.schedule_after(
+                    rng.random() * MAX_GIVE_UP_S, lambda: end_request(instance, request.id)
+                )
+
+        def end_request(instance, request_id):
+            if instance.alive:
+                fleet.finish(instance, request_id, usage=answers.Usage(), succeeded=False)
 
         schedule_order(1)
         player = histories.HistoryPlayer(fleet, seed=seed)
--- a/yuccahitch/controllers/in_flight.py
+++ b/yuccahitch/controllers/in_flight.py
@@ -69,6 +69,7 @@
         context = self.contexts.get(request_id)
         if context is None:
             return None
+        context.attempt_open = False
         return self._outcome(context, self._chain(context).resume(context, reply, now), now)
 
     def remove(self, message: request_lifecycle.Finish) -> request_context.RequestContext | None:
@@ -106,8 +107,10 @@
         """Log the decision in an action; return it as an Outcome, or None if the request waits."""
         for log_event in request_log.decision_events(action, context, now):
             self._log(log_event, now)
-        if type(action) is actions.Perform and type(action.work) not in SENDING_WORK:
-            return None
+        if type(action) is actions.Perform:
+            context.attempt_open = type(action.work) in SENDING_WORK
+            if not context.attempt_open:
+                return None
         return request_lifecycle.NextAction(
             context.id, action, operation_state=context.operation_state
         )
--- a/yuccahitch/filters/idempotency.py
+++ b/yuccahitch/filters/idempotency.py
@@ -66,7 +66,7 @@
             return
         if context.succeeded:
             self.operation_table.record_done(operation, context.recorded_answer)
-        elif not context.reached_upstream or context.idempotent:
+        elif not context.may_have_run or context.idempotent:
             self.operation_table.record_not_run(operation)
         else:
             self.operation_table.record_unsettled(operation)
--- a/yuccahitch/filters/quota.py
+++ b/yuccahitch/filters/quota.py
@@ -46,6 +46,7 @@
     def leave(self, context: request_context.RequestContext, now: float) -> None:
         """Refund the tokens of a request that no upstream can have run."""
         rate = self.config.current.rates.get(context.account.name)
-        if context.reserved_tokens and not context.possible_runs and rate is not None:
+        may_have_run = context.possible_runs or context.attempt_open
+        if context.reserved_tokens and not may_have_run and rate is not None:
             self.rate_shares.refund(rate, context.reserved_tokens, now)
         context.reserved_tokens = 0
--- a/yuccahitch/filters/rate_limit.py
+++ b/yuccahitch/filters/rate_limit.py
@@ -78,7 +78,7 @@
 
     def _tokens_used(self, context: request_context.RequestContext) -> int:
         """Return the tokens to charge to the client account."""
-        if not context.reached_upstream:
+        if not context.may_have_run:
             return 0
         if context.service.kind == services.PLAIN:
             return context.reserved_tokens
--- a/yuccahitch/filters/request_context.py
+++ b/yuccahitch/filters/request_context.py
@@ -29,7 +29,9 @@
         instance: Id of the instance chosen to forward it to, or empty.
         attempt: Number of the latest attempt, from 1; 0 before the first.
         failed_targets: Upstreams and instances whose attempt failed; later attempts avoid them.
-        reached_upstream: Whether an upstream may have received a byte of it.
+        reached_upstream: Whether the reply to an attempt said that an upstream may have received a
+            byte of it.
+        attempt_open: Whether an attempt was sent on and has not been replied to.
         head: Status and headers of the answer, once it began.
         usage: Tokens used, set when the request is over.
         succeeded: Whether the whole answer was passed on, set when the request is over.
@@ -71,6 +73,7 @@
         "attempt",
         "failed_targets",
         "reached_upstream",
+        "attempt_open",
         "head",
         "usage",
         "succeeded",
@@ -110,6 +113,7 @@
         self.attempt = 0
         self.failed_targets: list[str] = []
         self.reached_upstream = False
+        self.attempt_open = False
         self.head: answers.Head | None = None
         self.usage = answers.Usage()
         self.succeeded = False
@@ -133,6 +137,11 @@
         """Return the id of the request."""
         return self.request.id
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an upstream may have received a byte of the request."""
+        return self.reached_upstream or self.attempt_open
+
     def record_answer_begin(self, now: float) -> None:
         """Record that the answer of the present attempt began."""
         self.answered_attempt = self.attempt
