Let a request with the id of an open one end nothing but itself (TWICE, REFUSED)

Callers saw: of three requests with one id, sent while the first ran, the second and the third got 503, which promises that it has not run; a further one would have run again. Cause: open requests are kept by id, and the end of a refused request removed the state of whichever was open under its id. The answer to the first was then ignored by the core, its place at the upstream was never given back, and the id was free. The same at an instance that gets a request again from another one while its former attempt is open there. Evidence: single_runs.feature, A request whose id belongs to an open request ..., with real connections: 503 before. Fix: the end of a request names the request object, and only that one is removed; the refusal has a code of its own and says that the request may have run, so 502 on the platform. Class: two things share a key and one of them cleans up.

--- a/tests/features/single_runs.feature
+++ b/tests/features/single_runs.feature
@@ -27,10 +27,10 @@
 
   # Guards against requests that are forgotten while they run (TWICE, REFUSED).
   Scenario: A request whose id belongs to an open request ends nothing but itself
-    Given an instance with configuration 1 and upstreams u1 and u2
-    When a request to book begins, and two more with its id
+    Given an instance in east that forwards to west
+    When a request that must run once is answered slowly, and two more with its id come
     Then both are refused with a status that does not promise that the request has not run
-    And the first one is answered
+    And the first one ran once and is answered in full
 
   # Guards against clients that send a request again by themselves (TWICE).
   Scenario Outline: A call whose answer is lost reaches its service once
--- a/tests/features/steps/single_runs.py
+++ b/tests/features/steps/single_runs.py
@@ -62,41 +62,47 @@
     assert 0 < context.dispatched <= count, context.dispatched
 
 
-@behave.when("a request to book begins, and two more with its id")
-def step_begin_same_id(context):
-    (edge,) = context.edges
-    headers = {"X-Request-Id": "same"}
-    context.first = edge.begin_request("/book/x", body=b"x", **headers)
-    context.repeats = []
-    for _ in range(2):
-        repeat = edge.begin_request("/book/x", body=b"x", **headers)
-        context.repeats.append(repeat)
-        if type(repeat.action) is actions.Refuse:
-            end_refused(edge, repeat)
+@behave.given("an instance in east that forwards to west")
+def step_start_pair(context):
+    async def work():
+        context.pair = forwarding_pair.ForwardingPair()
+        await context.pair.start()
 
+    context.closers = [lambda: context.pair.close()]
+    context.loop.run_until_complete(work())
 
-def end_refused(edge, next_action):
-    """Finish a refused request as the task that runs it does."""
-    edge.finish_request(next_action.request_id, succeeded=False, error=next_action.action.error)
+
+@behave.when("a request that must run once is answered slowly, and two more with its id come")
+def step_send_same_id(context):
+    async def work():
+        pair = context.pair
+        pair.upstreams["far"].faults.values["gap_s"] = 0.2
+        context.request_id, context.sink, task = pair.send("/ask/x")
+        await forwarding_pair.wait_for(lambda: context.sink.event_ids())
+        context.repeats = []
+        for _ in range(2):
+            _, sink, repeat_task = pair.send("/ask/x", request_id=context.request_id)
+            context.repeats.append(sink)
+            await asyncio.wait_for(repeat_task, 5)
+        await asyncio.wait_for(task, 5)
+
+    context.loop.run_until_complete(work())
 
 
 @behave.then("both are refused with a status that does not promise that the request has not run")
 def step_check_repeats(context):
-    for repeat in context.repeats:
-        assert type(repeat.action) is actions.Refuse, repeat.action
-        status, _, _ = platform_requests.encode_refusal(repeat.action.error, request_id="same")
+    for sink in context.repeats:
+        (error,) = sink.ends
+        status, _, _ = platform_requests.encode_refusal(error, request_id=context.request_id)
         assert status not in PROMISING_STATUSES, status
 
 
-@behave.then("the first one is answered")
+@behave.then("the first one ran once and is answered in full")
 def step_check_first(context):
-    (edge,) = context.edges
-    work = context.first.action.work
-    head = answers.Head(
-        request_id="same", attempt=work.attempt, status=200, headers=(), source=work.upstream
-    )
-    next_action = edge.resume_request("same", head)
-    assert next_action is not None and type(next_action.action) is actions.Deliver, next_action
+    received = [item["id"] for item in context.pair.upstreams["far"].received if item["ran"]]
+    assert received == [context.request_id], received
+    assert context.sink.ends == ["complete"], context.sink.ends
+    assert not context.pair.entry.edge.decisions.in_flight.contexts
 
 
 @behave.given("a service that {loses} each request")
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -145,7 +145,6 @@
         self._make_controllers(now)
         self.in_flight = in_flight.InFlight(
             self._make_chains(),
-            duplicate_id_code=errors.Code.OVERLOADED,
             state_fields=self._state_fields,
         )
 
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -119,7 +119,6 @@
         self._make_policy(rules or policy.Rules())
         self.in_flight = in_flight.InFlight(
             self._make_chains(),
-            duplicate_id_code=errors.Code.PEER_INVALID,
             state_fields=self._state_for_log,
         )
 
--- a/yuccahitch/controllers/in_flight.py
+++ b/yuccahitch/controllers/in_flight.py
@@ -20,7 +20,6 @@
     Args:
         chains: The filter chains: ``entry`` for requests of callers, ``arrival`` for requests that
             another instance forwarded.
-        duplicate_id_code: Error code for a request whose id belongs to another open request.
         state_fields: Returns log fields about the age of the state that decisions rest on; it is
             given monotonic seconds. The fields go into every event of this class.
 
@@ -29,17 +28,15 @@
         outbox: Commands that wait for the next ``take_commands``.
     """
 
-    __slots__ = ("chains", "duplicate_id_code", "state_fields", "contexts", "outbox")
+    __slots__ = ("chains", "state_fields", "contexts", "outbox")
 
     def __init__(
         self,
         chains: dict[str, chain.Chain],
         *,
-        duplicate_id_code: errors.Code,
         state_fields: typing.Callable[[float], dict[str, typing.Any]],
     ) -> None:
         self.chains = chains
-        self.duplicate_id_code = duplicate_id_code
         self.state_fields = state_fields
         self.contexts: dict[str, request_context.RequestContext] = {}
         self.outbox: list[commands.Command] = []
@@ -50,9 +47,7 @@
         """Start a new request; None means that it waits and an Outcome follows."""
         if request.id in self.contexts:
             error = errors.GatewayError(
-                self.duplicate_id_code,
-                step="core",
-                detail="the request id belongs to another open request",
+                errors.Code.REQUEST_ID_IN_USE, step="core", run=errors.RunStatus.MAY_HAVE_RUN
             )
             return request_lifecycle.NextAction(request.id, actions.Refuse(error))
         context = request_context.RequestContext(request, arrived_at=now, hop=hop)
@@ -73,12 +68,19 @@
         return self._outcome(context, self._chain(context).resume(context, reply, now), now)
 
     def remove(self, message: request_lifecycle.Finish) -> request_context.RequestContext | None:
-        """Remove a request that is over and return its context with the result, or None."""
-        context = self.contexts.pop(message.request_id, None)
-        if context is not None:
-            context.succeeded = message.succeeded
-            context.usage = message.usage
-            context.recorded_answer = message.recorded_answer
+        """Remove a request that is over and return its context with the result, or None.
+
+        A refused request whose id belongs to an open one leaves that one open.
+        """
+        context = self.contexts.get(message.request_id)
+        if context is None:
+            return None
+        if message.request is not None and message.request is not context.request:
+            return None
+        del self.contexts[message.request_id]
+        context.succeeded = message.succeeded
+        context.usage = message.usage
+        context.recorded_answer = message.recorded_answer
         return context
 
     def settle(
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -54,6 +54,11 @@
     )
     UPSTREAM_MOVED = ("upstream-moved", 503, "Another upstream answers at this upstream's address.")
     ANSWER_CUT = ("answer-cut", 502, "The answer ended before it was complete.")
+    REQUEST_ID_IN_USE = (
+        "request-id-in-use",
+        409,
+        "The request id belongs to another open request.",
+    )
     PEER_FAILED = ("peer-failed", 502, "The instance in the other region failed.")
     PEER_UNREACHABLE = ("peer-unreachable", 503, "No instance in an allowed region is reachable.")
     PEER_INVALID = ("peer-invalid", 400, "A peer sent a message that can't be read.")
--- a/yuccahitch/messages/request_lifecycle.py
+++ b/yuccahitch/messages/request_lifecycle.py
@@ -54,6 +54,8 @@
 
     Attributes:
         request_id: Id of the request.
+        request: The request itself, which tells it from another one with the same id; None stands
+            for whichever is open.
         succeeded: Whether the answer was complete.
         usage: Tokens used.
         recorded_answer: Answer to store for repeats of the idempotency key, or None.
@@ -65,6 +67,7 @@
 
     __slots__ = (
         "request_id",
+        "request",
         "succeeded",
         "usage",
         "recorded_answer",
@@ -80,6 +83,7 @@
         *,
         succeeded: bool,
         usage: answers.Usage,
+        request: requests.Request | None = None,
         recorded_answer: answers.RecordedAnswer | None = None,
         error: errors.GatewayError | None = None,
         abandoned: bool = False,
@@ -87,6 +91,7 @@
         first_byte_s: float | None = None,
     ) -> None:
         self.request_id = request_id
+        self.request = request
         self.succeeded = succeeded
         self.usage = usage
         self.recorded_answer = recorded_answer
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -241,10 +241,10 @@
 
 @handle_without_reply.register
 def _(message: request_lifecycle.Finish, core: Core, now: float) -> None:
-    core.pending_requests.pop(message.request_id, None)
     context = core.decisions.finish(message, now)
     if context is None:
         return
+    core.pending_requests.pop(message.request_id, None)
     _count_request_end(core, message, context, now)
 
 
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -302,6 +302,7 @@
             )
         return request_lifecycle.Finish(
             self.request.id,
+            request=self.request,
             succeeded=self.succeeded,
             usage=self.usage,
             recorded_answer=recorded,
