--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -226,7 +226,7 @@
 
 @_handle.register
 def _(message: OpenForward, peers: PeerClient) -> None:
-    message.stream.producer = peers.children.start(peers.forward(message.action, message.stream))
+    message.stream.start(peers.children, peers.forward(message.action, message.stream))
 
 
 def _peer_error(peer: str, cause: Exception, code: errors.Code) -> errors.GatewayError:
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -174,5 +174,4 @@
 
 @_handle.register
 def _(message: upstream_client.OpenDispatch, client: ReplicaClient) -> None:
-    task = client.children.start(client.run_attempt(message.action, message.stream))
-    message.stream.producer = task
+    message.stream.start(client.children, client.run_attempt(message.action, message.stream))
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -286,8 +286,7 @@
 
 @_handle.register
 def _(message: OpenDispatch, client: UpstreamClient) -> None:
-    task = client.children.start(client.run_attempt(message.action, message.stream))
-    message.stream.producer = task
+    message.stream.start(client.children, client.run_attempt(message.action, message.stream))
 
 
 @_handle.register
