--- a/tests/features/forwarded_runs.feature
+++ b/tests/features/forwarded_runs.feature
@@ -23,3 +23,21 @@
       | breaks                     |
       | is lost on one side only   |
       | falls silent               |
+
+  Scenario: Whatever the network does, an instance is sure of the end of a run only after it
+    When 2000 runs under a lease are played with delays, losses and cuts, seeded
+    Then each run had ended when the instance that forwarded it was sure of that
+    And none of those whose messages took at most 0.2 seconds ended in its 10 seconds
+
+  # Guards against an answer that is taken for lost with the instance that forwarded its request (TWICE).
+  Scenario Outline: An instance whose connection is lost goes on at once where nothing can run any more
+    Given an instance in east that forwards a stream to west, where an event takes 0.7 seconds
+    When the instance in west <ends> after 2 events, and east has an upstream
+    Then the caller gets all 6 events once, in order
+    And the upstream before worked on it for at most 0.4 seconds after the next began
+    And the caller waited at most 1 second for the next event
+
+    Examples:
+      | ends         |
+      | dies         |
+      | ends the run |
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -204,6 +204,13 @@
     When a caller disconnects 0.3 seconds after asking edge-east-1 for GET /ask/x
     Then no upstream works on it half a second later
 
+  # Guards against runs for an instance that is gone (TWICE).
+  Scenario: Work on a stream ends when the instance that forwarded it stands still
+    Given model-3 sheds every request
+    And the upstreams have the fault hang
+    When a caller asks edge-west-1 for GET /plan/x, and edge-west-1 stands still after 0.5 seconds
+    Then no upstream works on it 2 seconds later, while edge-west-1 still stands still
+
   Scenario: A request ends when its route's timeout has passed
     Given the upstreams have the fault hang
     When a caller with the account's key asks edge-east-1 for GET /brief/x
--- a/tests/features/steps/forwarded_runs.py
+++ b/tests/features/steps/forwarded_runs.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
 import behave
 
-from tests import forwarding_pair
+from tests import forwarding_pair, lease_simulation
+
+# Twice the renewal period and four delays fit into a lease.
+MAX_SOUND_DELAY_S = 0.2
 
 
 @behave.given(
@@ -81,3 +85,60 @@
     run = context.pair.runs(context.request_id)["far"]
     assert "ended_at" in run, "the upstream still works on it"
     assert run["ended_at"] - context.broken_at <= limit_s, run
+
+
+@behave.when("{count:d} runs under a lease are played with delays, losses and cuts, seeded")
+def step_play_leases(context, count):
+    context.outcomes, context.sound_outcomes = [], []
+    for seed in range(count):
+        rng = random.Random(seed)
+        outcome = lease_simulation.play(
+            seed,
+            max_delay_s=rng.choice([0.06, 0.3, 1.0, 3.0]),
+            loss=rng.choice([0.0, 0.1, 0.5]),
+            cut_at=rng.uniform(0, 8),
+            closed_at=rng.uniform(0, 10),
+        )
+        context.outcomes.append((seed, outcome))
+        sound = lease_simulation.play(
+            seed, max_delay_s=MAX_SOUND_DELAY_S, loss=0.0, cut_at=99.0, closed_at=10.0
+        )
+        context.sound_outcomes.append((seed, sound))
+
+
+@behave.then("each run had ended when the instance that forwarded it was sure of that")
+def step_check_leases(context):
+    wrong = [seed for seed, o in context.outcomes if o.run_ended_at > o.surely_ended_at]
+    assert not wrong, wrong[:5]
+
+
+@behave.then(
+    "none of those whose messages took at most 0.2 seconds ended in its {seconds:d} seconds"
+)
+def step_check_sound(context, seconds):
+    ended = [seed for seed, o in context.sound_outcomes if o.run_ended_at < seconds]
+    assert not ended, ended[:5]
+
+
+@behave.when("the instance in west {ends} after {count:d} events, and east has an upstream")
+def step_end_remote(context, ends, count):
+    pair = context.pair
+
+    async def work():
+        await forwarding_pair.wait_for(lambda: len(context.sink.event_ids()) >= count)
+        pair.register_near()
+        context.broken_at = time.monotonic()
+        if ends == "ends the run":
+            (task,) = pair.remote.server.leased_runs.tasks.values()
+            task.cancel()
+        else:
+            await pair.stop_remote()
+        await forwarding_pair.wait_for(lambda: len(context.sink.event_ids()) > count)
+        context.waited_s = time.monotonic() - context.broken_at
+
+    context.loop.run_until_complete(work())
+
+
+@behave.then("the caller waited at most {limit_s:g} second for the next event")
+def step_check_wait(context, limit_s):
+    assert context.waited_s <= limit_s, context.waited_s
--- a/tests/features/steps/platform_stops.py
+++ b/tests/features/steps/platform_stops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import signal
 import time
 
 import aiohttp
@@ -123,3 +124,47 @@
     statuses = {reply.status for reply in context.replies}
     assert statuses == {200}, statuses
     assert len(context.replies) >= 10 and context.exit_code == 0, context.exit_code
+
+
+@behave.when(
+    "a caller asks {instance} for GET {path}, and {name} stands still after {seconds:g} seconds"
+)
+def step_suspend(context, instance, path, name, seconds):
+    async def work():
+        async with aiohttp.ClientSession() as session:
+            task = asyncio.ensure_future(platform_calls.send(session, instance, "GET", path))
+            await asyncio.sleep(seconds)
+            running = await running_requests(context)
+            context.site.processes[name].send_signal(signal.SIGSTOP)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return running
+
+    context.closers = [lambda: resume_instance(context, name)]
+    assert platform_calls.run(context, work()) > 0, "no upstream worked on it"
+
+
+@behave.then("no upstream works on it {seconds:g} seconds later, while {name} still stands still")
+def step_check_no_work(context, seconds, name):
+    async def work():
+        await asyncio.sleep(seconds)
+        return await running_requests(context)
+
+    assert platform_calls.run(context, work()) == 0
+
+
+async def running_requests(context):
+    """Return the number of requests that the upstreams work on."""
+    return sum(
+        [
+            (await context.site.received_requests(name))["running"]
+            for name in platform_site.UPSTREAMS
+        ]
+    )
+
+
+async def resume_instance(context, name):
+    """Let an instance go on, and wait until it serves again."""
+    context.site.processes[name].send_signal(signal.SIGCONT)
+    await asyncio.sleep(1.0)
+    await context.site.wait_until_ready(name)
--- a/tests/forwarding_pair.py
+++ b/tests/forwarding_pair.py
@@ -222,6 +222,11 @@
             default=0.0,
         )
 
+    async def stop_remote(self):
+        """End the instance in west as its death does: its runs, connections and ports."""
+        await self.remote.server.stop()
+        await self.runners[0].cleanup()
+
     async def close(self):
         """Stop everything."""
         await self.requests.stop()
--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -331,6 +331,7 @@
         priority=message.priority,
         avoid=tuple(message.avoid),
         streams=message.streams,
+        leased=message.leased,
     )
     return request, hop, message.attempt
 
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -46,6 +46,16 @@
         "attempt-closed",
         "The connection of an attempt was closed before the end of its answer.",
     )
+    LEASE_LAPSED = (
+        212,
+        "lease-lapsed",
+        "A run was ended, as the instance that forwarded its request doesn't renew its lease.",
+    )
+    RUN_END_AWAITED = (
+        213,
+        "run-end-awaited",
+        "A request whose connection to another instance broke waits until its run there has ended.",
+    )
     UPSTREAM_EJECTED = (
         300,
         "upstream-ejected",
@@ -141,6 +151,11 @@
         "pulse-failed",
         "A state report (pulse) to another instance could not be sent.",
     )
+    LEASE_NOT_RENEWED = (
+        506,
+        "lease-not-renewed",
+        "A renewal of the lease under which another instance runs requests failed.",
+    )
     SLICE_CLAIMED = (600, "slice-claimed", "A slice of a client account's rate was claimed.")
     SLICE_MOVED = (
         601,
--- a/yuccahitch/filters/_forwarding.py
+++ b/yuccahitch/filters/_forwarding.py
@@ -37,6 +37,7 @@
         charged=not owned,
         granted_tokens=0 if owned else context.output_token_limit,
         better_than_s=0.0 if owned else context.better_than_s,
+        leased=context.idempotent and not owned,
     )
     return actions.Forward(
         instance=info.instance,
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -109,6 +109,7 @@
             priority=request_context.effective_priority(context),
             avoid=tuple(context.failed_targets),
             streams=context.route.streams,
+            leased=context.idempotent,
         )
         work = actions.Forward(
             instance=context.instance,
--- a/yuccahitch/messages/requests.py
+++ b/yuccahitch/messages/requests.py
@@ -114,6 +114,7 @@
         priority: Priority of the request on that route; 0 comes first.
         avoid: Upstreams and instances where the request already failed.
         streams: Whether the answers on that route are streams of events.
+        leased: Whether the request may be repeated, and so runs under a lease.
     """
 
     __slots__ = (
@@ -131,6 +132,7 @@
         "priority",
         "avoid",
         "streams",
+        "leased",
     )
 
     def __init__(
@@ -150,6 +152,7 @@
         priority: int = 0,
         avoid: tuple[str, ...] = (),
         streams: bool = False,
+        leased: bool = False,
     ) -> None:
         self.sender = sender
         self.account = account
@@ -165,3 +168,4 @@
         self.priority = priority
         self.avoid = tuple(avoid)
         self.streams = streams
+        self.leased = leased
--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -2,27 +2,30 @@
 
 from __future__ import annotations
 
-import asyncio
 import functools
 import typing
 
-from grpclib import client, exceptions, protocol
+from grpclib import client, protocol
 
 from yuccahitch import clock, errors, events, records
 from yuccahitch.codecs import peer as codec
+from yuccahitch.codecs import run_leases as lease_codec
 from yuccahitch.codecs.generated import peer_grpc
-from yuccahitch.messages import actions, answers, commands
-from yuccahitch.tasks import answer_stream, mailbox, peer_proof, tcp_connection
+from yuccahitch.messages import actions, commands
+from yuccahitch.tasks import (
+    answer_stream,
+    forward_attempt,
+    lease_keeper,
+    mailbox,
+    peer_proof,
+    tcp_connection,
+)
 
-STEP = "forward"
-CONNECT_TIMEOUT_S = 1.0
 # Time after which unacknowledged data closes a connection to a peer. TCP sends again ever more
 # rarely during a partition, so an old connection delivers requests long after it has ended.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 # Peers to which a connection is kept; the least recently used one is closed first.
 MAX_CHANNELS = 64
-# Errors of a connection to a peer, as opposed to errors in the content of a reply.
-TRANSPORT_ERRORS = (OSError, TimeoutError, exceptions.GRPCError, exceptions.StreamTerminatedError)
 
 
 class PeerChannel(client.Channel):
@@ -70,6 +73,7 @@
         inbox: Messages for this task, ``commands.PeerCall`` and ``OpenForward``.
         children: Tasks of the running calls.
         channels: gRPC channels by peer address, the least recently used one first.
+        keepers: What renews the leases of forwarded requests, by instance.
         messages_total: Messages that were answered.
         bytes_total: Size of these messages and their replies, in bytes.
     """
@@ -84,6 +88,7 @@
         "inbox",
         "children",
         "channels",
+        "keepers",
         "messages_total",
         "bytes_total",
     )
@@ -110,6 +115,7 @@
         self.inbox = mailbox.Mailbox()
         self.children = mailbox.ChildTasks()
         self.channels: dict[str, client.Channel] = {}
+        self.keepers: dict[str, lease_keeper.LeaseKeeper] = {}
         self.messages_total = 0
         self.bytes_total = 0
 
@@ -131,8 +137,7 @@
         """Return the channel to an address; closes the least recently used ones over the limit."""
         channel = self.channels.pop(address, None)
         if channel is None:
-            host, _, port = address.rpartition(":")
-            channel = PeerChannel(host.strip("[]"), int(port))
+            channel = _open_channel(address)
         self.channels[address] = channel
         while len(self.channels) > MAX_CHANNELS:
             self.channels.pop(next(iter(self.channels))).close()
@@ -151,66 +156,57 @@
             self.messages_total += 1
             self.bytes_total += envelope.ByteSize() + reply.ByteSize()
             body = codec.from_envelope(reply)
-        except TRANSPORT_ERRORS as error:
+        except forward_attempt.TRANSPORT_ERRORS as error:
             call_error = _peer_error(call.address, error, errors.Code.PEER_UNREACHABLE)
         except errors.GatewayError as error:
             self.log.write(events.Event.PEER_GARBAGE, peer=call.address, detail=error.detail)
             call_error = error
         self.on_reply(commands.PeerReply(call=call, body=body, error=call_error, sent_at=sent_at))
 
-    async def forward(self, action: actions.Forward, stream: answer_stream.AnswerStream) -> None:
-        """Forward a request to an instance and put the parts of its answer into the stream.
+    async def connect(self, address: str) -> None:
+        """Open the connection to an address if there is none."""
+        await self.channel(address).__connect__()
+
+    def keeper(self, action: actions.Forward) -> lease_keeper.LeaseKeeper:
+        """Return what renews the lease at the instance of an attempt."""
+        keeper = self.keepers.get(action.instance)
+        if keeper is None:
+            self._forget_idle_keepers()
+            keeper = self.keepers[action.instance] = lease_keeper.LeaseKeeper(
+                action.instance,
+                renew=functools.partial(self._renew, action.address),
+                time=self.time,
+                log=self.log,
+            )
+        return keeper
 
-        A failure goes into the stream as well; it says whether the request may have run.
-        """
-        may_have_sent, cause = False, "given up"
+    async def end_run(self, action: actions.Forward) -> None:
+        """End the run of an attempt over a new connection, as the former one may be broken."""
+        channel = _open_channel(action.address)
         try:
-            deadline = max(0.05, action.deadline_in)
-            # Connects before sending, so that a failure to connect proves that nothing was sent.
-            channel = self.channel(action.address)
-            async with asyncio.timeout(min(CONNECT_TIMEOUT_S, deadline)):
-                await channel.__connect__()
-            may_have_sent = True
-            await self._relay(action, stream)
-            cause = ""
-        except TRANSPORT_ERRORS as error:
-            cause = str(error) or type(error).__name__
-            await stream.put(_forward_failure(action, error, may_have_sent=may_have_sent))
-        except errors.GatewayError as error:
-            cause = error.detail
-            failure = answers.Failure(
-                request_id=action.request.id, attempt=action.attempt, error=error
+            await peer_grpc.PeerStub(channel).EndRun(
+                lease_codec.to_run_end(action), metadata=self.metadata
             )
-            await stream.put(failure)
         finally:
-            if cause and may_have_sent:
-                self._log_closed(action, cause)
-
-    def _log_closed(self, action: actions.Forward, cause: str) -> None:
-        """Log that an attempt ends before its answer does."""
-        self.log.write(
-            events.Event.ATTEMPT_CLOSED,
-            request=action.request.id,
-            attempt=action.attempt,
-            peer=action.instance,
-            cause=cause,
+            channel.close()
+
+    async def _renew(self, address: str, grant: float) -> float:
+        """Renew the lease at the peer at an address, and return the new grant."""
+        reply = await self.stub(address).Renew(
+            lease_codec.to_renewal(grant), timeout=lease_keeper.SILENCE_S, metadata=self.metadata
         )
+        return reply.grant
+
+    def _forget_idle_keepers(self) -> None:
+        """Forget the leases at instances that run nothing of this one."""
+        for instance in [name for name, keeper in self.keepers.items() if not keeper.silences]:
+            del self.keepers[instance]
 
-    async def _relay(self, action: actions.Forward, stream: answer_stream.AnswerStream) -> None:
-        """Send the request over gRPC and put each part of the answer into the stream."""
-        message = codec.to_forwarded(action, stamp=self.log.hybrid_clock.tick())
-        stub = self.stub(action.address)
-        ended = False
-        async with stub.Forward.open(metadata=self.metadata) as call:
-            await call.send_message(message, end=True)
-            async for raw_part in call:
-                part = codec.from_part(raw_part)
-                ended = type(part) in (answers.End, answers.Failure)
-                await stream.put(part)
-        if not ended:
-            raise exceptions.StreamTerminatedError(
-                "the stream closed before the last part of the answer"
-            )
+
+def _open_channel(address: str) -> PeerChannel:
+    """Return a channel to an address, ``IP:PORT``; it connects with its first call."""
+    host, _, port = address.rpartition(":")
+    return PeerChannel(host.strip("[]"), int(port))
 
 
 @functools.singledispatch
@@ -226,19 +222,12 @@
 
 @_handle.register
 def _(message: OpenForward, peers: PeerClient) -> None:
-    message.stream.start(peers.children, peers.forward(message.action, message.stream))
+    attempt = forward_attempt.ForwardAttempt(peers, message.action, message.stream)
+    message.stream.start(peers.children, attempt.run())
 
 
 def _peer_error(peer: str, cause: Exception, code: errors.Code) -> errors.GatewayError:
     """Return the error of a failed call to a peer, given by its address or id."""
-    return errors.GatewayError(code, step=STEP, peer=peer, detail=type(cause).__name__)
-
-
-def _forward_failure(
-    action: actions.Forward, cause: Exception, *, may_have_sent: bool
-) -> answers.Failure:
-    """Return the failure of a forwarded request; one that was not sent has not run."""
-    code = errors.Code.PEER_FAILED if may_have_sent else errors.Code.PEER_UNREACHABLE
-    error = _peer_error(action.instance, cause, code)
-    error.run = errors.RunStatus.MAY_HAVE_RUN if may_have_sent else errors.RunStatus.NOT_RUN
-    return answers.Failure(request_id=action.request.id, attempt=action.attempt, error=error)
+    return errors.GatewayError(
+        code, step=forward_attempt.STEP, peer=peer, detail=type(cause).__name__
+    )
--- a/yuccahitch/tasks/peer_server.py
+++ b/yuccahitch/tasks/peer_server.py
@@ -9,9 +9,10 @@
 
 from yuccahitch import clock, errors, events
 from yuccahitch.codecs import peer as codec
+from yuccahitch.codecs import run_leases as lease_codec
 from yuccahitch.codecs.generated import peer_grpc
 from yuccahitch.messages import answers, peers
-from yuccahitch.tasks import core_messages, mailbox, peer_proof, runner
+from yuccahitch.tasks import core_messages, leased_runs, mailbox, peer_proof, runner
 
 
 class PartSink:
@@ -99,10 +100,11 @@
         log: Event log; its hybrid clock stamps the messages.
 
     Attributes:
+        leased_runs: The runs of requests that the peers may repeat elsewhere.
         server: The gRPC server, or None before ``start``.
     """
 
-    __slots__ = ("secret", "core_inbox", "mailboxes", "time", "log", "server")
+    __slots__ = ("secret", "core_inbox", "mailboxes", "time", "log", "leased_runs", "server")
 
     def __init__(
         self,
@@ -118,6 +120,7 @@
         self.mailboxes = mailboxes
         self.time = time
         self.log = log
+        self.leased_runs = leased_runs.LeasedRuns(time=time, log=log)
         self.server: server.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -155,7 +158,25 @@
         sink = PartSink(
             stream, request_id=request.id, attempt=attempt, stamp_clock=self.log.hybrid_clock
         )
-        await runner.Runner(self.mailboxes, request, sink, now=self.time.now).run(hop)
+        request_runner = runner.Runner(self.mailboxes, request, sink, now=self.time.now)
+        if hop.leased:
+            await self.leased_runs.run(request_runner, hop, sender=sender, attempt=attempt)
+        else:
+            await request_runner.run(hop)
+
+    async def Renew(self, stream: server.Stream[typing.Any, typing.Any]) -> None:
+        """Renew the lease under which requests of a peer run."""
+        sender = self._authenticate_sender(stream)
+        message = await stream.recv_message()
+        grant = self.leased_runs.renew(sender, message.grant)
+        await stream.send_message(lease_codec.to_grant(grant))
+
+    async def EndRun(self, stream: server.Stream[typing.Any, typing.Any]) -> None:
+        """End the run of a peer's request, and reply once it has ended."""
+        sender = self._authenticate_sender(stream)
+        message = await stream.recv_message()
+        await self.leased_runs.end(sender, message.request_id, message.attempt)
+        await stream.send_message(lease_codec.to_run_ended())
 
     def _authenticate_sender(self, stream: server.Stream[typing.Any, typing.Any]) -> str:
         """Return the sender's id from the metadata; refuse the call if its proof is invalid."""
