--- a/tests/features/single_runs.feature
+++ b/tests/features/single_runs.feature
@@ -64,3 +64,10 @@
       | a client of platform upstreams  |
       | a client of upstreams           |
       | a client of other instances     |
+
+  # Guards against a request that arrives after it was given up and has gone on elsewhere (TWICE, GONE).
+  Scenario: What an upstream has not received of a request when it is given up never reaches it
+    Given an upstream that does not read what it receives
+    When an attempt to send it a body of 60000 bytes is given up
+    And the upstream reads on
+    Then it does not get the whole request
--- a/tests/features/steps/single_runs.py
+++ b/tests/features/steps/single_runs.py
@@ -200,3 +200,52 @@
         return
     connection.close()
     raise AssertionError("the client connected for an attempt whose request was over")
+
+
+@behave.given("an upstream that does not read what it receives")
+def step_start_unread_upstream(context):
+    context.listener = socket.socket()
+    context.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    context.listener.bind(("127.0.0.1", 0))
+    context.listener.listen()
+    context.add_cleanup(context.listener.close)
+
+
+@behave.when("an attempt to send it a body of {size:d} bytes is given up")
+def step_give_up_attempt(context, size):
+    client = attempt_clients.a_replica_client()
+    action = platform_builders.a_dispatch("u1", incarnation="u1~1")
+    action.address = f"127.0.0.1:{context.listener.getsockname()[1]}"
+    action.request.method, action.request.body = "POST", b"x" * size
+    action.request.headers = (("Host", "rinks.example"),)
+    stream = answer_stream.AnswerStream(action.request.id, action.attempt, capacity=8)
+
+    async def work():
+        task = asyncio.ensure_future(client.run())
+        attempt_clients.post_dispatch(client, action, stream)
+        await asyncio.sleep(0.3)
+        stream.close()
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    context.body_size = size
+    context.loop.run_until_complete(work())
+
+
+@behave.when("the upstream reads on")
+def step_read_on(context):
+    connection, _ = context.listener.accept()
+    context.add_cleanup(connection.close)
+    connection.settimeout(2.0)
+    context.received_size = 0
+    try:
+        while data := connection.recv(65536):
+            context.received_size += len(data)
+    except ConnectionResetError:
+        context.was_reset = True
+
+
+@behave.then("it does not get the whole request")
+def step_check_partial(context):
+    assert context.received_size < context.body_size, context.received_size
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -65,7 +65,7 @@
             await self.children.stop()
             for pool in self.pools.values():
                 for connection in pool:
-                    connection.protocol.abort()
+                    connection.protocol.close()
 
     async def run_attempt(
         self, action: actions.Dispatch, stream: answer_stream.AnswerStream
@@ -105,8 +105,9 @@
         finally:
             if not answer_complete:
                 self._log_closed(action, cause)
-            if not answer_complete or not self._return_to_pool(action, connection):
                 connection.protocol.abort()
+            elif not self._return_to_pool(action, connection):
+                connection.protocol.close()
 
     def _log_closed(self, action: actions.Dispatch, cause: str) -> None:
         """Log that an attempt ends before its answer does."""
@@ -126,7 +127,7 @@
             connection = pool.pop()
             if connection.reusable_until > now and connection.protocol.is_idle():
                 return connection
-            connection.protocol.abort()
+            connection.protocol.close()
         host, _, port = action.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.opened_total += 1
@@ -149,7 +150,7 @@
         http_state.start_next_cycle()
         pool = self.pools.setdefault(action.address, collections.deque(maxlen=MAX_IDLE_PER_ADDRESS))
         if len(pool) == MAX_IDLE_PER_ADDRESS:
-            pool.popleft().protocol.abort()
+            pool.popleft().protocol.close()
         connection.earlier_requests += 1
         pool.append(connection)
         return True
@@ -161,7 +162,7 @@
         """
         for address, pool in list(self.pools.items()):
             while pool and (pool[0].reusable_until <= now or not pool[0].protocol.is_idle()):
-                pool.popleft().protocol.abort()
+                pool.popleft().protocol.close()
             if not pool:
                 del self.pools[address]
 
--- a/yuccahitch/tasks/tcp_connection.py
+++ b/yuccahitch/tasks/tcp_connection.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import socket
+import struct
 
 # Unread bytes above which reading from the socket is paused.
 MAX_BUFFERED_BYTES = 262_144
 # Time after which unacknowledged data closes the connection, as in a network partition.
 UNACKNOWLEDGED_TIMEOUT_MS = 4_000
+# Value of SO_LINGER by which a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def limit_unacknowledged(transport: asyncio.BaseTransport, timeout_ms: int) -> None:
@@ -101,11 +104,20 @@
         open_and_drained = not self.unread and not self.eof_reached and not self.closed
         return open_and_drained and self.transport.get_write_buffer_size() == 0
 
-    def abort(self) -> None:
-        """Close the connection at once; unsent bytes are discarded."""
+    def close(self) -> None:
+        """Close a connection on which nothing is under way."""
         if self.transport is not None:
             self.transport.abort()
 
+    def abort(self) -> None:
+        """Reset the connection; bytes that the other side has not received are discarded."""
+        if self.transport is None:
+            return
+        tcp_socket = self.transport.get_extra_info("socket")
+        if tcp_socket is not None and not self.closed:
+            tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
     def _wake_reader(self) -> None:
         if self.read_waiter is not None and not self.read_waiter.done():
             self.read_waiter.set_result(None)
