--- a/tests/features/endless_bytes.feature
+++ b/tests/features/endless_bytes.feature
@@ -21,3 +21,20 @@
       | desk    | endless_signed   | read nothing | /status/x | /plan/x   |
       | desk    | endless_unframed | read nothing | /status/x | /plan/x   |
       | desk    | endless_after    | read at once | /status/x | /plan/x   |
+
+  # Guards against a report, a reply of the store or an upload that fills the memory (LOST).
+  Scenario Outline: What else comes without end is read up to a limit
+    Given a server whose bodies have no end
+    When an instance reads <what> from it
+    Then it gives up within 5 seconds, having taken at most <limit> MB
+
+    Examples:
+      | what                      | limit |
+      | a load report             | 12    |
+      | a reply of the store      | 24    |
+      | a watched change          | 24    |
+
+  Scenario: A caller whose body has no end is refused by an instance without a configuration
+    Given an instance on the platform that has read no configuration
+    When a caller sends it a body without an end
+    Then it is refused with 503 within 5 seconds, having sent at most 16 MB
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -16,6 +16,7 @@
 from yuccahitch.controllers import edge
 from yuccahitch.messages import answers, requests
 from yuccahitch.platform import requests as platform_requests
+from yuccahitch.resources import publication
 from yuccahitch.tasks import caller_server, core_messages, mailbox, metrics, open_requests, runner
 
 # Size of one header line that the HTTP parser accepts; the published limits are checked later.
@@ -238,29 +239,22 @@
         return await self._run_request(request, parsed)
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
-        """Return a request's body, checked against the published limits once they are known.
+        """Return a request's body, checked against the limits.
 
         Raises:
             errors.GatewayError: When headers or body are larger than their limit.
         """
-        publication = self.edge_state.config.current
-        if publication is None:
-            return await request.content.read()
-        size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
-        if size > publication.limits.max_header_bytes:
-            detail = (
-                f"the headers have {size} bytes; the limit is {publication.limits.max_header_bytes}"
-            )
-            raise errors.GatewayError(errors.Code.HEADERS_TOO_LARGE, step="front", detail=detail)
-        limit = publication.limits.max_body_bytes
-        body = bytearray()
-        while len(body) <= limit and (request.content_length or 0) <= limit:
-            received = await request.content.readany()
-            if not received:
-                return bytes(body)
-            body += received
-        detail = f"the body is larger than the limit of {limit} bytes"
-        raise errors.GatewayError(errors.Code.BODY_TOO_LARGE, step="front", detail=detail)
+        published = self.edge_state.config.current
+        limits = publication.CallerLimits() if published is None else published.limits
+        try:
+            return await _read_within(request, limits)
+        except errors.GatewayError as error:
+            if published is not None:
+                raise
+            # Limits that nobody published are no reason to tell the caller not to come again.
+            raise errors.GatewayError(
+                errors.Code.NOT_READY, step="front", detail=error.detail
+            ) from error
 
     async def _refuse_unparsed(
         self, request: web.BaseRequest, error: errors.GatewayError
@@ -295,6 +289,27 @@
         return self.edge_state.shutdown.leaving
 
 
+async def _read_within(request: web.BaseRequest, limits: publication.CallerLimits) -> bytes:
+    """Return a request's body.
+
+    Raises:
+        errors.GatewayError: When headers or body are larger than their limit.
+    """
+    size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+    if size > limits.max_header_bytes:
+        detail = f"the headers have {size} bytes; the limit is {limits.max_header_bytes}"
+        raise errors.GatewayError(errors.Code.HEADERS_TOO_LARGE, step="front", detail=detail)
+    body = bytearray()
+    limit = limits.max_body_bytes
+    while len(body) <= limit and (request.content_length or 0) <= limit:
+        received = await request.content.readany()
+        if not received:
+            return bytes(body)
+        body += received
+    detail = f"the body is larger than the limit of {limit} bytes"
+    raise errors.GatewayError(errors.Code.BODY_TOO_LARGE, step="front", detail=detail)
+
+
 def _add_headers(response: web.StreamResponse, headers: tuple[tuple[str, str], ...]) -> None:
     """Add headers to a response; a name that occurs more than once is kept each time."""
     for name, value in headers:
--- a/yuccahitch/tasks/pollers.py
+++ b/yuccahitch/tasks/pollers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import typing
 
 import aiohttp
@@ -19,7 +20,7 @@
 from yuccahitch.codecs import platform, upstreams
 from yuccahitch.controllers import gateway, rendezvous
 from yuccahitch.messages import peers
-from yuccahitch.tasks import core_messages, mailbox
+from yuccahitch.tasks import bounded_body, core_messages, mailbox
 
 # Exceptions of a failed or malformed response; the poll is skipped.
 READ_ERRORS = (
@@ -33,7 +34,8 @@
     RecursionError,
 )
 
-
+# Largest report or list that is read, in bytes.
+MAX_REPORT_BYTES = 4 * 1024 * 1024
 # Instances that may poll an upstream in place of its poller.
 MAX_BACKUPS = 1
 # Age of an upstream's report from which the first of them polls it, in seconds; each further one
@@ -267,7 +269,9 @@
         """Return the JSON at a URL, or None if it can't be read."""
         try:
             async with self.session.get(url) as response:
-                return await response.json() if response.status == 200 else None
+                if response.status != 200:
+                    return None
+                return json.loads(await bounded_body.read(response, MAX_REPORT_BYTES))
         except READ_ERRORS:
             return None
 
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -16,7 +16,7 @@
 from yuccahitch.codecs import etcd
 from yuccahitch.controllers import freshness
 from yuccahitch.messages import commands, store
-from yuccahitch.tasks import mailbox
+from yuccahitch.tasks import bounded_body, mailbox
 
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
@@ -28,6 +28,8 @@
 MAX_CONCURRENT_CALLS = 32
 # Longest line of a streaming watch; each line is one watch response.
 MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
+# Largest reply to a call: a page of values of 1 MiB, encoded as text, and more than one at its end.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 
 
 class _PollReply:
@@ -156,7 +158,7 @@
                 json=http_request.body,
                 timeout=timeout,
             ) as response:
-                response_body = await response.read()
+                response_body = await bounded_body.read(response, MAX_REPLY_BYTES)
                 self._count_call(call_type, str(response.status))
                 reply = self.dialect.decode(call, response.status, response_body)
                 return store.EraReply(_unprefixed(reply, self.prefix), era=self._era_of(response))
@@ -305,7 +307,7 @@
             async with self.session.get(
                 self.url + self.dialect.WATCH_PATH, params=query, timeout=timeout
             ) as response:
-                response_body = await response.read()
+                response_body = await bounded_body.read(response, MAX_REPLY_BYTES)
                 result = str(response.status)
                 return _PollReply(response.status, response_body, self._era_of(response))
         finally:
