--- a/yuccahitch/tasks/forward_attempt.py
+++ b/yuccahitch/tasks/forward_attempt.py
@@ -34,6 +34,9 @@
     time: clock.Clock
     log: events.Log
 
+    def calling(self, address: str) -> typing.ContextManager[None]:
+        """Keep the connection to an address while the body of the context runs."""
+
     async def connect(self, address: str) -> None:
         """Open the connection to an address if there is none."""
 
@@ -79,8 +82,9 @@
         """Make the attempt; a failure goes into the stream once the run has surely ended."""
         cause = "given up"
         try:
-            await self._connect()
-            await self._relay_under_lease()
+            with self.peers.calling(self.action.address):
+                await self._connect()
+                await self._relay_under_lease()
             cause = ""
         except errors.GatewayError as error:
             cause = error.detail
--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
 import functools
 import typing
 
@@ -24,7 +26,7 @@
 # Time after which unacknowledged data closes a connection to a peer. TCP sends again ever more
 # rarely during a partition, so an old connection delivers requests long after it has ended.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
-# Peers to which a connection is kept; the least recently used one is closed first.
+# Peers to which a connection is kept; the least recently used idle one is closed first.
 MAX_CHANNELS = 64
 
 
@@ -73,6 +75,7 @@
         inbox: Messages for this task, ``commands.PeerCall`` and ``OpenForward``.
         children: Tasks of the running calls.
         channels: gRPC channels by peer address, the least recently used one first.
+        calls: Number of open calls by peer address.
         keepers: What renews the leases of forwarded requests, by instance.
         messages_total: Messages that were answered.
         bytes_total: Size of these messages and their replies, in bytes.
@@ -88,6 +91,7 @@
         "inbox",
         "children",
         "channels",
+        "calls",
         "keepers",
         "messages_total",
         "bytes_total",
@@ -115,6 +119,7 @@
         self.inbox = mailbox.Mailbox()
         self.children = mailbox.ChildTasks()
         self.channels: dict[str, client.Channel] = {}
+        self.calls: collections.Counter[str] = collections.Counter()
         self.keepers: dict[str, lease_keeper.LeaseKeeper] = {}
         self.messages_total = 0
         self.bytes_total = 0
@@ -134,24 +139,40 @@
         return peer_grpc.PeerStub(self.channel(address))
 
     def channel(self, address: str) -> client.Channel:
-        """Return the channel to an address; closes the least recently used ones over the limit."""
+        """Return the channel to an address; closes the least recently used ones over the limit.
+
+        One with an open call is not closed.
+        """
         channel = self.channels.pop(address, None)
         if channel is None:
             channel = _open_channel(address)
         self.channels[address] = channel
-        while len(self.channels) > MAX_CHANNELS:
-            self.channels.pop(next(iter(self.channels))).close()
+        idle = [other for other in self.channels if other != address and not self.calls[other]]
+        for other in idle[: max(0, len(self.channels) - MAX_CHANNELS)]:
+            self.channels.pop(other).close()
         return channel
 
+    @contextlib.contextmanager
+    def calling(self, address: str) -> typing.Iterator[None]:
+        """Count a call to an address as open while the body of the context runs."""
+        self.calls[address] += 1
+        try:
+            yield
+        finally:
+            self.calls[address] -= 1
+            if not self.calls[address]:
+                del self.calls[address]
+
     async def perform_call(self, call: commands.PeerCall) -> None:
         """Send a message to a peer and pass its reply, or the failure, to ``on_reply``."""
         sent_at = self.time.now()
         body, call_error = None, None
         try:
             envelope = codec.to_envelope(call.body, stamp=self.log.hybrid_clock.tick())
-            reply = await self.stub(call.address).Tell(
-                envelope, timeout=self.timeout_s, metadata=self.metadata
-            )
+            with self.calling(call.address):
+                reply = await self.stub(call.address).Tell(
+                    envelope, timeout=self.timeout_s, metadata=self.metadata
+                )
             self.log.hybrid_clock.observe(reply.stamp)
             self.messages_total += 1
             self.bytes_total += envelope.ByteSize() + reply.ByteSize()
