--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -83,3 +83,9 @@
     And it is answered after the refusal
     And request status runs at an upstream that crashes
     Then the first table does not refuse request status
+
+  # Guards against links that are full of the news of crashes (GONE, LOST).
+  Scenario: However often upstreams crash, what instances tell of it fits into a third of the smallest link
+    Given an instance with 23 others in its region and 48 elsewhere, each on a link of 10 Mbit/s
+    When 300 requests a second end with crashes of 10 upstreams for 6 seconds
+    Then what it sends to the others needs at most a third of its link
--- a/tests/features/steps/crashing_parts.py
+++ b/tests/features/steps/crashing_parts.py
@@ -6,11 +6,15 @@
 
 from tests import builders, crash_simulation, edge_simulation, platform_builders
 from yuccahitch import errors
-from yuccahitch.controllers import suspects
+from yuccahitch.controllers import fleet, suspects
+from yuccahitch.messages import suspects as suspect_messages
 
 # First parts of prompts; requests with a crashing part have one of them too.
 FIRST_PARTS = tuple(f"first{number}" for number in range(6))
 
+# Time from one crash of an upstream that goes down and up by turns to the next, in seconds.
+FLAP_PERIOD_S = 1.4
+
 
 @behave.given("instances in {regions} and requests of which {share:g} hold a part of {crashing}")
 def step_start_site(context, regions, share, crashing):
@@ -245,3 +249,43 @@
 @behave.then("the first table does not refuse request {name}")
 def step_check_request_accepted(context, name):
     assert not refuses(context, name)
+
+
+@behave.given(
+    "an instance with {near:d} others in its region and {far:d} elsewhere, each on a link of"
+    " {link:d} Mbit/s"
+)
+def step_start_on_small_link(context, near, far, link):
+    context.near, context.far = near, far
+    context.link_bytes_per_s = link * 1_000_000 / 8
+    context.edge = platform_builders.EdgeUnderTest()
+
+
+@behave.when(
+    "{rate:d} requests a second end with crashes of {count:d} upstreams for {seconds:d} seconds"
+)
+def step_crash_often(context, rate, count, seconds):
+    table, edge = context.edge.decisions.suspects, context.edge
+    near_period_s = max(
+        fleet.NEAR_PULSE_PERIOD_S, fleet.NEAR_PULSE_PERIOD_PER_PEER_S * context.near
+    )
+    context.sent_bytes, pulse_due_at, began_at = 0.0, edge.now, edge.now
+    for number in range(rate * seconds):
+        edge.now += 1 / rate
+        # Each upstream crashes again and again, as one that goes down and up by turns.
+        incarnation = f"u{number % count}~{int((edge.now - began_at) / FLAP_PERIOD_S)}"
+        request = suspect_messages.SuspectRequest(number % 500, (number, number % 7))
+        table.record_crash(request, incarnation, edge.now)
+        table.expire(edge.now)
+        if table.announcement_due:
+            table.announcement_due = False
+            context.sent_bytes += (context.near + context.far) * len(edge.encode_pulse())
+        if edge.now >= pulse_due_at:
+            pulse_due_at += near_period_s
+            context.sent_bytes += context.near * len(edge.encode_pulse())
+    context.bytes_per_s = context.sent_bytes / seconds
+
+
+@behave.then("what it sends to the others needs at most a third of its link")
+def step_check_link(context):
+    assert context.bytes_per_s <= context.link_bytes_per_s / 3, context.bytes_per_s
--- a/yuccahitch/controllers/suspects.py
+++ b/yuccahitch/controllers/suspects.py
@@ -17,8 +17,11 @@
 SEARCH_DELAY_S = 0.1
 # Time for which an observation of a crash, or a clearance, is reported to the other instances.
 REPORT_S = 3.0
-# Traits in the crashes of one report, at most.
-MAX_REPORTED_TRAITS = 1024
+# Traits in the crashes of one report, at most. It bounds what instances send each other, however
+# often upstreams crash; what is newest goes first.
+MAX_REPORTED_TRAITS = 128
+# Time between two announcements to all instances at once, in seconds.
+ANNOUNCEMENT_PERIOD_S = 1.0
 MAX_REFUSALS = 256
 # Time for which a request is refused whose crashes may have had a common cause, in seconds. Then it
 # is tried again.
@@ -84,6 +87,7 @@
             infinite without news.
         announcement_due: Whether a cause was found that the peers have to be told of at once. The
             sender of the message clears it.
+        announced_at: When it was last set, in monotonic seconds.
         outbox: Commands that wait for the next ``take_commands``.
     """
 
@@ -97,6 +101,7 @@
         "explained_until",
         "search_at",
         "announcement_due",
+        "announced_at",
         "outbox",
     )
 
@@ -110,6 +115,7 @@
         self.explained_until: dict[int, float] = {}
         self.search_at = math.inf
         self.announcement_due = False
+        self.announced_at = -math.inf
         self.outbox: list[commands.Command] = []
 
     def record_crash(self, request: suspects.SuspectRequest, upstream: str, now: float) -> None:
@@ -285,7 +291,8 @@
         upstreams = sorted({crash.upstream for crash in crashes})
         self._refuse(trait, since=since, left_s=left_s, now=now)
         seen_here = any(item.crash in crashes for item in self.observations)
-        self.announcement_due = self.announcement_due or seen_here
+        if seen_here and now >= self.announced_at + ANNOUNCEMENT_PERIOD_S:
+            self.announcement_due, self.announced_at = True, now
         self._log(events.Event.POISON_FOUND, trait, kind=kind, upstreams=upstreams, seconds=left_s)
 
     def _refuse(self, trait: int, *, since: float, left_s: float, now: float) -> None:
