--- a/standins/replica.py
+++ b/standins/replica.py
@@ -40,6 +40,7 @@
     "stale_refusal": 0,
     "cut": 0,
     "early": 0,
+    "redirect": 0,
     "hang": 0,
     "unsigned": 0,
     "quiet_503": 0,
@@ -226,6 +227,9 @@
         raise ConnectionResetError
     if _consume_fault(state, "fail"):
         return web.Response(status=500, headers=_response_headers(request, state), text="failed")
+    if _consume_fault(state, "redirect"):
+        headers = _response_headers(request, state) | {"Location": request.raw_path}
+        return web.Response(status=307, headers=headers)
     if _consume_fault(state, "quiet_503"):
         return web.Response(status=503, headers=_response_headers(request, state), text="busy")
     if _consume_fault(state, "half_head"):
--- a/tests/features/forwarded_runs.feature
+++ b/tests/features/forwarded_runs.feature
@@ -41,3 +41,9 @@
       | ends         |
       | dies         |
       | ends the run |
+
+  # Guards against answers that wait for a caller of another one, and leases that lapse for it (LOST).
+  Scenario: A caller who reads nothing holds up no other answer that comes from the same instance
+    Given an instance in east that forwards to west, and 4 callers who read nothing of endless answers
+    When another caller asks for a stream of 6 events that takes 3 seconds
+    Then it gets the first within 0.5 seconds, and all 6 from a single upstream
--- a/tests/features/steps/forwarded_runs.py
+++ b/tests/features/steps/forwarded_runs.py
@@ -12,6 +12,8 @@
 
 # Twice the renewal period and four delays fit into a lease.
 MAX_SOUND_DELAY_S = 0.2
+# Time in which answers that nobody reads fill what they may, in seconds.
+FILL_S = 1.5
 
 
 @behave.given(
@@ -142,3 +144,54 @@
 @behave.then("the caller waited at most {limit_s:g} second for the next event")
 def step_check_wait(context, limit_s):
     assert context.waited_s <= limit_s, context.waited_s
+
+
+class UnreadSink(forwarding_pair.RecordingSink):
+    """A caller who reads nothing of the body."""
+
+    __slots__ = ()
+
+    async def write(self, chunk):
+        """Wait for ever."""
+        await asyncio.Event().wait()
+
+
+@behave.given(
+    "an instance in east that forwards to west, and {count:d} callers who read nothing of endless"
+    " answers"
+)
+def step_start_unread(context, count):
+    context.pair = forwarding_pair.ForwardingPair()
+
+    async def work():
+        pair = context.pair
+        await pair.start()
+        pair.register_plain()
+        pair.upstreams["plain"].faults.values["endless_signed"] = count
+        for _ in range(count):
+            pair.send("/status/x", sink=UnreadSink(), deadline_s=30.0)
+        await asyncio.sleep(FILL_S)
+
+    context.closers = [lambda: context.pair.close()]
+    context.loop.run_until_complete(work())
+
+
+@behave.when("another caller asks for a stream of 6 events that takes {seconds:g} seconds")
+def step_ask_beside(context, seconds):
+    async def work():
+        pair = context.pair
+        pair.upstreams["far"].faults.values["gap_s"] = seconds / forwarding_pair.EVENT_COUNT
+        began_at = time.monotonic()
+        context.request_id, context.sink, task = pair.send("/plan/x")
+        await forwarding_pair.wait_for(lambda: context.sink.event_ids())
+        context.waited_s = time.monotonic() - began_at
+        await asyncio.wait_for(task, 10)
+
+    context.loop.run_until_complete(work())
+
+
+@behave.then("it gets the first within {limit_s:g} seconds, and all 6 from a single upstream")
+def step_check_beside(context, limit_s):
+    assert context.sink.event_ids() == list(range(1, 7)), context.sink.event_ids()
+    assert context.waited_s <= limit_s, context.waited_s
+    assert len(context.pair.runs(context.request_id)) == 1
--- a/tests/forwarding_pair.py
+++ b/tests/forwarding_pair.py
@@ -163,9 +163,9 @@
             link.application(f"{HOST}:{relay_port}", f"{HOST}:{remote_port}"), free_ports(1)[0]
         )
         self.link = self.runners[0].app["state"]
-        for name in ("near", "far"):
+        for name, count in (("near", EVENT_COUNT), ("far", EVENT_COUNT), ("plain", 0)):
             (port,) = free_ports(1)
-            app = replica.application(id=name, events=str(EVENT_COUNT))
+            app = replica.application(id=name, events=str(count))
             await self._serve(app, port)
             self.upstreams[name] = app["state"]
             self.addresses[name] = f"{HOST}:{port}"
@@ -181,20 +181,25 @@
             self.register(node, "far", "west-a")
         self.entry.edge.discover(self.remote.edge)
 
-    def register(self, node, name, zone):
+    def register(self, node, name, zone, service="model"):
         """Let an instance know of an upstream."""
         node.edge.register_upstream(
-            name, service="model", zone=zone, address=self.addresses[name], capacity=8
+            name, service=service, zone=zone, address=self.addresses[name], capacity=8
         )
 
+    def register_plain(self):
+        """Let both instances know of a plain service in west."""
+        for node in (self.entry, self.remote):
+            self.register(node, "plain", "west-a", service="desk")
+
     def register_near(self):
         """Let the entry know of an upstream of its own region."""
         self.register(self.entry, "near", "east-a")
 
-    def send(self, path, *, method="GET", body=b"", deadline_s=8.0, request_id=None):
+    def send(self, path, *, method="GET", body=b"", deadline_s=8.0, request_id=None, sink=None):
         """Run a request at the entry; return its id, its sink and its task."""
         request_id = request_id or f"pair-{next(_request_numbers)}"
-        sink = RecordingSink()
+        sink = sink or RecordingSink()
         request = a_platform_request(path, method, body, deadline_s, request_id)
         task = self.requests.start(
             runner.Runner(self.entry.mailboxes, request, sink, now=time.monotonic).run()
--- a/tests/platform_calls.py
+++ b/tests/platform_calls.py
@@ -59,7 +59,7 @@
     try:
         target = aiohttp.client.URL(url + path, encoded=True)
         async with session.request(
-            method, target, headers=request_headers, data=body or None
+            method, target, headers=request_headers, data=body or None, allow_redirects=False
         ) as response:
             status, response_headers = response.status, response.headers
             async for chunk in response.content.iter_any():
--- a/yuccahitch/tasks/open_requests.py
+++ b/yuccahitch/tasks/open_requests.py
@@ -6,6 +6,7 @@
 import contextlib
 import typing
 
+from yuccahitch.messages import requests
 from yuccahitch.tasks import mailbox, runner
 
 # Time for which the last answers may be written when the instance stops, in seconds.
@@ -49,9 +50,16 @@
             async with asyncio.timeout(limit_s):
                 await self.idle.wait()
 
-    def start(self, request_runner: runner.Runner) -> asyncio.Task[None]:
-        """Run a request and return its task."""
-        task = self.children.start(request_runner.run())
+    def start(
+        self, request_runner: runner.Runner, hop: requests.Hop | None = None
+    ) -> asyncio.Task[None]:
+        """Run a request and return its task.
+
+        Args:
+            request_runner: Runs the request.
+            hop: Forwarding metadata if a peer forwarded the request, else None.
+        """
+        task = self.children.start(request_runner.run(hop))
         self.runners.add(request_runner)
         task.add_done_callback(lambda _: self.runners.discard(request_runner))
         return task
--- a/yuccahitch/tasks/peer_server.py
+++ b/yuccahitch/tasks/peer_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 
 import grpclib
@@ -11,8 +12,15 @@
 from yuccahitch.codecs import peer as codec
 from yuccahitch.codecs import run_leases as lease_codec
 from yuccahitch.codecs.generated import peer_grpc
-from yuccahitch.messages import answers, peers
-from yuccahitch.tasks import core_messages, leased_runs, mailbox, peer_proof, runner
+from yuccahitch.messages import answers, peers, requests
+from yuccahitch.tasks import (
+    core_messages,
+    leased_runs,
+    mailbox,
+    open_requests,
+    peer_proof,
+    runner,
+)
 
 
 class PartSink:
@@ -100,11 +108,21 @@
         log: Event log; its hybrid clock stamps the messages.
 
     Attributes:
+        open_requests: The requests that run on without the peer that forwarded them.
         leased_runs: The runs of requests that the peers may repeat elsewhere.
         server: The gRPC server, or None before ``start``.
     """
 
-    __slots__ = ("secret", "core_inbox", "mailboxes", "time", "log", "leased_runs", "server")
+    __slots__ = (
+        "secret",
+        "core_inbox",
+        "mailboxes",
+        "time",
+        "log",
+        "open_requests",
+        "leased_runs",
+        "server",
+    )
 
     def __init__(
         self,
@@ -120,6 +138,7 @@
         self.mailboxes = mailboxes
         self.time = time
         self.log = log
+        self.open_requests = open_requests.OpenRequests()
         self.leased_runs = leased_runs.LeasedRuns(time=time, log=log)
         self.server: server.Server | None = None
 
@@ -129,10 +148,12 @@
         await self.server.start(host, port)
 
     async def stop(self) -> None:
-        """Stop listening, cancel the open calls and wait until they have ended."""
+        """Stop listening, end the open requests and calls, and wait until they have ended."""
+        await self.open_requests.answer_all()
         if self.server is not None:
             self.server.close()
             await self.server.wait_closed()
+        await self.open_requests.stop()
 
     async def Tell(self, stream: server.Stream[typing.Any, typing.Any]) -> None:
         """Pass one message of a peer to the core and send back its reply."""
@@ -161,9 +182,23 @@
         request_runner = runner.Runner(self.mailboxes, request, sink, now=self.time.now)
         if hop.leased:
             await self.leased_runs.run(request_runner, hop, sender=sender, attempt=attempt)
+        elif hop.owned:
+            await self._run_owned(request_runner, hop)
         else:
             await request_runner.run(hop)
 
+    async def _run_owned(self, request_runner: runner.Runner, hop: requests.Hop) -> None:
+        """Run a request whose idempotency key this instance minted.
+
+        It runs on without the peer, so that its answer is recorded for a repeat.
+        """
+        task = self.open_requests.start(request_runner, hop)
+        try:
+            await asyncio.shield(task)
+        except asyncio.CancelledError:
+            request_runner.caller_connected = False
+            raise
+
     async def Renew(self, stream: server.Stream[typing.Any, typing.Any]) -> None:
         """Renew the lease under which requests of a peer run."""
         sender = self._authenticate_sender(stream)
