Read what upstreams of the own interface send in small pieces (LOST, own interface)

Callers saw: while an upstream wrote interim answers without end to 8 calls, everything else on that instance stood still for up to 1.53 s. Cause: aiohttp parses all that one read of the socket brings, up to 256 KiB, 10000 interim answers, before others have a turn, and that for each connection in a row. Fix: the receive buffer of these connections is 16 KiB (32 KiB with what Linux adds), so a read brings no more. Tried first: nothing; aiohttp has no limit for interim answers, they still end with the deadline only.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -80,7 +80,7 @@
 LARGE_CHUNK = "10000\r\n" + LARGE_PIECE + "\r\n"
 COMMENTS = ":\n\n" * 4096
 ENDLESS_ANSWERS = {
-    "endless_interim": ("", "HTTP/1.1 100 Continue\r\n\r\n", 0.001),
+    "endless_interim": ("", "HTTP/1.1 100 Continue\r\n\r\n" * 2000, 0.001),
     "endless_head": ("HTTP/1.1 200 OK\r\nX-Filler: ", "x" * 4096, 0.001),
     "endless_body": (UNSIGNED_HEAD, CHUNK, 0.001),
     "endless_refusal": (REFUSAL_HEAD, CHUNK, 0.001),
--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -74,6 +74,15 @@
     client.inbox.post(upstream_client.OpenDispatch(action, stream))
 
 
+def send_call(client, address, deadline):
+    """Post a call with a deadline to a client; return the stream of its answer."""
+    action = a_call(address)
+    action.request.deadline = deadline
+    stream = answer_stream.AnswerStream(action.request.id, action.attempt, capacity=8)
+    post_dispatch(client, action, stream)
+    return stream
+
+
 def a_call(address, method="POST", *, body=b"x"):
     """Return the dispatch of a call to a plain service at an address."""
     request = builders.an_order(
--- a/tests/features/endless_bytes.feature
+++ b/tests/features/endless_bytes.feature
@@ -38,3 +38,9 @@
     Given an instance on the platform that has read no configuration
     When a caller sends it a body without an end
     Then it is refused with 503 within 5 seconds, having sent at most 16 MB
+
+  # Guards against an instance that stands still while it reads (LOST).
+  Scenario: Interim answers without end hold up nobody on the own interface
+    Given an upstream of the own interface, a process that writes interim answers without end
+    When an instance sends it 8 calls at once, each with 3 seconds
+    Then no other task of the instance waited for more than 0.6 seconds, and each call failed in time
--- a/tests/features/steps/endless_bytes.py
+++ b/tests/features/steps/endless_bytes.py
@@ -6,6 +6,7 @@
 import itertools
 import pathlib
 import socket
+import sys
 import time
 
 import aiohttp
@@ -14,6 +15,7 @@
 
 from standins import platform_site
 from tests import attempt_clients, forwarding_pair, platform_builders, platform_calls
+from yuccahitch.messages import answers
 
 SOUND_PERIOD_S = 0.1
 # Time after which the memory of an instance is read again, in seconds.
@@ -202,3 +204,63 @@
         context.sent,
     )
     assert context.status == status, context.status
+
+
+@behave.given("an upstream of the own interface, a process that writes interim answers without end")
+def step_start_interim(context):
+    async def start():
+        (port,) = forwarding_pair.free_ports(1)
+        arguments = ["-m", "standins", "replica", str(port), "id=endless"]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *arguments, cwd=platform_site.ROOT, stdout=asyncio.subprocess.PIPE
+        )
+        await process.stdout.readline()
+        context.interim_url = f"http://127.0.0.1:{port}"
+        async with aiohttp.ClientSession() as session:
+            async with session.post(
+                context.interim_url + "/faults", json={"endless_interim": MANY}
+            ) as response:
+                assert response.status == 200
+        return process
+
+    process = platform_calls.run(context, start())
+
+    async def stop():
+        process.terminate()
+        await process.wait()
+
+    context.closers = [stop]
+
+
+@behave.when("an instance sends it {count:d} calls at once, each with {seconds:g} seconds")
+def step_send_calls(context, count, seconds):
+    async def work():
+        async with attempt_clients.running_upstream_client() as client:
+            streams = [
+                attempt_clients.send_call(client, context.interim_url, time.monotonic() + seconds)
+                for _ in range(count)
+            ]
+            context.longest_wait_s = await longest_wait(seconds + 1.0)
+            return [stream.parts.get_nowait() for stream in streams]
+
+    context.parts = platform_calls.run(context, work())
+
+
+async def longest_wait(seconds):
+    """Return by how much a task that wakes every 10 ms was late at most, in seconds."""
+    loop = asyncio.get_running_loop()
+    longest, ends_at = 0.0, loop.time() + seconds
+    while loop.time() < ends_at:
+        due_at = loop.time() + 0.01
+        await asyncio.sleep(0.01)
+        longest = max(longest, loop.time() - due_at)
+    return longest
+
+
+@behave.then(
+    "no other task of the instance waited for more than {limit_s:g} seconds, and each call failed"
+    " in time"
+)
+def step_check_waits(context, limit_s):
+    assert context.longest_wait_s <= limit_s, context.longest_wait_s
+    assert {type(part) for part in context.parts} == {answers.Failure}, context.parts
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import socket
 import typing
 
 import aiohttp
@@ -18,6 +19,8 @@
 # Longest silence of an upstream before its answer counts as failed.
 READ_TIMEOUT_S = 60.0
 MAX_CONNECTIONS = 4096
+# Receive buffer that is asked for, in bytes; the system may give twice as much.
+RECEIVE_BUFFER_BYTES = 16_384
 OK_STATUS = 200
 
 
@@ -303,9 +306,19 @@
     )
 
 
+def _make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a socket whose receive buffer bounds what is parsed before others have their turn."""
+    family, kind, protocol, _, _ = address
+    upstream_socket = socket.socket(family, kind, protocol)
+    upstream_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return upstream_socket
+
+
 def _make_session(*, force_close: bool) -> aiohttp.ClientSession:
     """Return an HTTP session; with ``force_close`` each request gets a new connection."""
-    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=force_close)
+    connector = aiohttp.TCPConnector(
+        limit=MAX_CONNECTIONS, force_close=force_close, socket_factory=_make_socket
+    )
     timeout = aiohttp.ClientTimeout(
         total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
     )
