--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -212,6 +212,47 @@
     When a caller asks edge-west-1 for GET /plan/x, and edge-west-1 stands still after 0.5 seconds
     Then no upstream works on it 2 seconds later, while edge-west-1 still stands still
 
+  # Guards against a stream that two upstreams work on at the same time (TWICE).
+  Scenario Outline: A stream that goes on at another upstream is no longer worked on at the one before
+    Given an event takes 0.4 seconds, and the upstreams have the fault <fault> once
+    And model-3 sheds every request
+    When a caller with the account's key asks <instance> for GET /plan/<fault>
+    Then no upstream worked on it for more than 0.4 seconds after the next one began
+
+    Examples:
+      | fault         | instance    |
+      | garbage       | edge-east-1 |
+      | garbage       | edge-west-1 |
+      | repeated_id   | edge-east-1 |
+      | answer_inside | edge-west-1 |
+      | cut           | edge-east-1 |
+      | cut           | edge-west-1 |
+      | unframed_cut  | edge-east-1 |
+      | cut_then_fail | edge-east-1 |
+
+  # Guards against a run that goes on for a caller who has gone on elsewhere (TWICE).
+  Scenario Outline: A stream that its caller resumes at another instance is no longer worked on for the first one
+    Given an event takes 0.4 seconds
+    And model-3 sheds every request
+    When a caller leaves <first> after 2 events of GET /plan/x, and resumes at <second>
+    Then the caller got all 6 events once, in order
+    And the run for the first instance ended at most 0.4 seconds after the second one began
+
+    Examples:
+      | first       | second      |
+      | edge-east-1 | edge-east-2 |
+      | edge-east-1 | edge-west-1 |
+      | edge-west-1 | edge-east-1 |
+
+  # Guards against streams that wait for an instance that stands still, until their deadline (LOST).
+  Scenario: A stream goes on at another upstream when the instance that runs it stands still
+    Given an event takes 0.4 seconds
+    When model-3 has its entry removed
+    And 3 s of real time pass
+    And a caller asks edge-west-1 for GET /plan/x, and those in east stand still while model-3 comes back
+    Then the caller got events 1 to 6 once, in order, and nothing else
+    And the log of edge-west-1 has lease-not-renewed and run-end-awaited
+
   Scenario: A request ends when its route's timeout has passed
     Given the upstreams have the fault hang
     When a caller with the account's key asks edge-east-1 for GET /brief/x
@@ -409,35 +450,3 @@
     When all instances are killed, the configuration is deleted and edge-east-1 starts
     And a caller with the account's key asks edge-east-1 for POST /book/x
     Then the answer is 503 and no upstream saw it
-
-  # Guards against a stream that two upstreams work on at the same time (TWICE).
-  Scenario Outline: A stream that goes on at another upstream is no longer worked on at the one before
-    Given an event takes 0.4 seconds, and the upstreams have the fault <fault> once
-    And model-3 sheds every request
-    When a caller with the account's key asks <instance> for GET /plan/<fault>
-    Then no upstream worked on it for more than 0.4 seconds after the next one began
-
-    Examples:
-      | fault         | instance    |
-      | garbage       | edge-east-1 |
-      | garbage       | edge-west-1 |
-      | repeated_id   | edge-east-1 |
-      | answer_inside | edge-west-1 |
-      | cut           | edge-east-1 |
-      | cut           | edge-west-1 |
-      | unframed_cut  | edge-east-1 |
-      | cut_then_fail | edge-east-1 |
-
-  # Guards against a run that goes on for a caller who has gone on elsewhere (TWICE).
-  Scenario Outline: A stream that its caller resumes at another instance is no longer worked on for the first one
-    Given an event takes 0.4 seconds
-    And model-3 sheds every request
-    When a caller leaves <first> after 2 events of GET /plan/x, and resumes at <second>
-    Then the caller got all 6 events once, in order
-    And the run for the first instance ended at most 0.4 seconds after the second one began
-
-    Examples:
-      | first       | second      |
-      | edge-east-1 | edge-east-2 |
-      | edge-east-1 | edge-west-1 |
-      | edge-west-1 | edge-east-1 |
--- a/tests/features/steps/platform_stops.py
+++ b/tests/features/steps/platform_stops.py
@@ -13,6 +13,9 @@
 from standins import platform_site
 from tests import platform_builders, platform_calls
 
+# Time after which a stream has begun, in seconds.
+BEGUN_S = 0.9
+
 
 @behave.when("requests run over kept-alive connections at {name} and it is stopped")
 def step_stop_under_load(context, name):
@@ -168,3 +171,34 @@
     context.site.processes[name].send_signal(signal.SIGCONT)
     await asyncio.sleep(1.0)
     await context.site.wait_until_ready(name)
+
+
+@behave.when(
+    "a caller asks {instance} for GET {path}, and those in east stand still while model-3 comes"
+    " back"
+)
+def step_suspend_runners(context, instance, path):
+    names = [name for name in context.site.processes if "east" in name]
+
+    async def work():
+        async with aiohttp.ClientSession() as session:
+            task = asyncio.ensure_future(platform_calls.send(session, instance, "GET", path))
+            await asyncio.sleep(BEGUN_S)
+            await context.site.register_upstream("model-3")
+            for name in names:
+                context.site.processes[name].send_signal(signal.SIGSTOP)
+            return await task
+
+    async def resume_all():
+        for name in names:
+            await resume_instance(context, name)
+
+    context.closers = [resume_all]
+    context.replies = [platform_calls.run(context, work())]
+
+
+@behave.then("the log of {name} has {first} and {second}")
+def step_check_logged(context, name, first, second):
+    text = (context.site.run_dir / f"{name}.log").read_text()
+    missing = [event for event in (first, second) if f'"{event}"' not in text]
+    assert not missing, missing
--- a/yuccahitch/tasks/lease_keeper.py
+++ b/yuccahitch/tasks/lease_keeper.py
@@ -14,6 +14,8 @@
 
 # Silence after which a lease has lapsed at the other instance, in seconds.
 SILENCE_S = run_leases.LEASE_S + run_leases.END_MARGIN_S
+# Timeout of a renewal, in seconds; a grant that takes longer comes too late to be returned.
+RENEWAL_TIMEOUT_S = 1.0
 
 
 class LeaseKeeper:
--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -214,7 +214,9 @@
     async def _renew(self, address: str, grant: float) -> float:
         """Renew the lease at the peer at an address, and return the new grant."""
         reply = await self.stub(address).Renew(
-            lease_codec.to_renewal(grant), timeout=lease_keeper.SILENCE_S, metadata=self.metadata
+            lease_codec.to_renewal(grant),
+            timeout=lease_keeper.RENEWAL_TIMEOUT_S,
+            metadata=self.metadata,
         )
         return reply.grant
 
