--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -46,6 +46,11 @@
         "attempt-closed",
         "The connection of an attempt was closed before the end of its answer.",
     )
+    ATTEMPT_REFUSED = (
+        214,
+        "attempt-refused",
+        "An upstream refused an attempt; it says that it did not run the request.",
+    )
     LEASE_LAPSED = (
         212,
         "lease-lapsed",
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -104,18 +104,21 @@
             await stream.put(replica_exchange.failure(action, errors.Code.UPSTREAM_FAILED, error))
         finally:
             if not answer_complete:
-                self._log_closed(action, cause)
+                self._log_closed(action, connection, cause)
                 connection.protocol.abort()
             elif not self._return_to_pool(action, connection):
                 connection.protocol.close()
 
-    def _log_closed(self, action: actions.Dispatch, cause: str) -> None:
+    def _log_closed(
+        self, action: actions.Dispatch, connection: replica_connection.Connection, cause: str
+    ) -> None:
         """Log that an attempt ends before its answer does."""
         self.log.write(
             events.Event.ATTEMPT_CLOSED,
             request=action.request.id,
             attempt=action.attempt,
             upstream=action.upstream,
+            connection=connection.number,
             cause=cause,
         )
 
@@ -128,15 +131,16 @@
             if connection.reusable_until > now and connection.protocol.is_idle():
                 connection.protocol.idle = False
                 return connection
-            connection.protocol.close()
+            self._close_pooled(connection, action.address)
         host, _, port = action.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.opened_total += 1
+        number = self.opened_total
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, wire_protocol = await loop.create_connection(
                 tcp_connection.TcpConnection, host.strip("[]"), int(port)
             )
-        return replica_connection.Connection(wire_protocol)
+        return replica_connection.Connection(wire_protocol, number=number)
 
     def _return_to_pool(
         self, action: actions.Dispatch, connection: replica_connection.Connection
@@ -151,7 +155,7 @@
         http_state.start_next_cycle()
         pool = self.pools.setdefault(action.address, collections.deque(maxlen=MAX_IDLE_PER_ADDRESS))
         if len(pool) == MAX_IDLE_PER_ADDRESS:
-            pool.popleft().protocol.close()
+            self._close_pooled(pool.popleft(), action.address)
         connection.earlier_requests += 1
         connection.protocol.idle = True
         pool.append(connection)
@@ -164,10 +168,21 @@
         """
         for address, pool in list(self.pools.items()):
             while pool and (pool[0].reusable_until <= now or not pool[0].protocol.is_idle()):
-                pool.popleft().protocol.close()
+                self._close_pooled(pool.popleft(), address)
             if not pool:
                 del self.pools[address]
 
+    def _close_pooled(self, connection: replica_connection.Connection, address: str) -> None:
+        """Close an idle connection; log that bytes arrived on it, if any did."""
+        if connection.protocol.received_idle:
+            self.log.write(
+                events.Event.ANSWER_DROPPED,
+                address=address,
+                connection=connection.number,
+                detail="bytes arrived on an idle connection",
+            )
+        connection.protocol.close()
+
 
 @functools.singledispatch
 def _handle(message: typing.Any, client: ReplicaClient) -> None:
--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -32,8 +32,10 @@
 
     Args:
         wire_protocol: The asyncio protocol of the open connection.
+        number: Number of the connection in the log.
 
     Attributes:
+        number: Number of the connection in the log.
         protocol: The asyncio protocol that reads and writes bytes.
         http_state: The h11 state machine that encodes requests and parses answers.
         reusable_until: Time until which another request may be sent, in monotonic seconds; set
@@ -43,6 +45,7 @@
     """
 
     __slots__ = (
+        "number",
         "protocol",
         "http_state",
         "reusable_until",
@@ -50,7 +53,8 @@
         "events_in_turn",
     )
 
-    def __init__(self, wire_protocol: tcp_connection.TcpConnection) -> None:
+    def __init__(self, wire_protocol: tcp_connection.TcpConnection, *, number: int) -> None:
+        self.number = number
         self.protocol = wire_protocol
         self.http_state = h11.Connection(h11.CLIENT)
         self.reusable_until = 0.0
--- a/yuccahitch/tasks/replica_exchange.py
+++ b/yuccahitch/tasks/replica_exchange.py
@@ -86,6 +86,7 @@
         if code is not errors.Code.UPSTREAM_MOVED:
             self._pass_on_notice(response_head)
         if code is not None:
+            self._log_refusal(response_head)
             complete = await self._discard_body()
             await self._put_failure(code, f"status {response_head.status}", may_have_run=False)
             return complete
@@ -186,7 +187,24 @@
 
     def _log_drop(self, detail: str) -> None:
         """Log that an answer was dropped."""
-        self.log.write(events.Event.ANSWER_DROPPED, request=self.action.request.id, detail=detail)
+        self.log.write(
+            events.Event.ANSWER_DROPPED,
+            request=self.action.request.id,
+            connection=self.connection.number,
+            detail=detail,
+        )
+
+    def _log_refusal(self, response_head: replica_connection.ResponseHead) -> None:
+        """Log that the upstream refused the attempt, and on which connection."""
+        self.log.write(
+            events.Event.ATTEMPT_REFUSED,
+            request=self.action.request.id,
+            attempt=self.action.attempt,
+            upstream=self.action.upstream,
+            status=response_head.status,
+            connection=self.connection.number,
+            earlier_requests=self.connection.earlier_requests,
+        )
 
     async def _relay_body(self, response_head: replica_connection.ResponseHead) -> None:
         """Put an answer into the stream; its head goes out with the first part of the body.
--- a/yuccahitch/tasks/tcp_connection.py
+++ b/yuccahitch/tasks/tcp_connection.py
@@ -32,9 +32,19 @@
         closed: Whether the connection is closed.
         read_waiter: Completed when ``read`` can continue; None before the first wait.
         idle: Whether nothing may arrive; what does closes the connection.
+        received_idle: Whether bytes arrived while nothing might.
     """
 
-    __slots__ = ("transport", "unread", "eof_reached", "error", "closed", "read_waiter", "idle")
+    __slots__ = (
+        "transport",
+        "unread",
+        "eof_reached",
+        "error",
+        "closed",
+        "read_waiter",
+        "idle",
+        "received_idle",
+    )
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
@@ -44,6 +54,7 @@
         self.error: Exception | None = None
         self.read_waiter: asyncio.Future[None] | None = None
         self.idle = False
+        self.received_idle = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the options of the socket."""
@@ -56,6 +67,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes, and pause reading if the buffer is over its limit."""
         if self.idle:
+            self.received_idle = True
             self.abort()
             return
         self.unread += data
