--- /dev/null
+++ b/tests/features/copied_refusals.feature
@@ -0,0 +1,76 @@
+Feature: An answer that an upstream writes once more is never taken for the answer to its request
+  Upstreams and clients in this process with real connections between them.
+
+  # Guards against an order that runs twice: the copy of its refusal counted as the answer (TWICE).
+  Scenario Outline: A request that goes to an upstream under its new name runs nowhere else meanwhile
+    Given an instance whose upstream has come back under a new name, and writes its refusals again <moment>
+    When a request <path> gets 421 under the old name, then runs under the new one
+    Then it runs once and its caller gets that answer
+    And the new name is still in use
+
+    Examples:
+      | path           | moment                  |
+      | POST /book/x   | before                  |
+      | POST /book/x   | before its body is read |
+      | POST /book/x   | while it runs           |
+      | POST /book/x   | inside                  |
+      | POST /book/x   | after                   |
+      | GET /status/x  | while it runs           |
+      | GET /ask/x     | while it runs           |
+      | GET /plan/x    | while it runs           |
+
+  # Guards against callers that are told "not run" of a request that runs (REFUSED).
+  Scenario Outline: A request that its caller sends again under its id after a refusal runs once
+    Given an instance <place> upstream has come back under a new name, and writes its refusals again while it runs
+    When an order is refused under the old name, and sent again under its id
+    Then it runs once and its caller gets that answer
+
+    Examples:
+      | place                                 |
+      | whose                                 |
+      | that forwards to another region whose |
+
+  # Guards against answers that are believed as they bear the id of a request that was sent before.
+  Scenario Outline: A request that is sent again to an address gets its own answer
+    Given an upstream that answers <answer>, and writes that <copies> times more <moment>
+    When <request> is answered so, and sent there again under another name
+    Then it gets its own answer in full, and nothing else is believed
+
+    Examples:
+      | answer | copies | moment                  | request              |
+      | 421    | 1      | before                  | a request            |
+      | 421    | 3      | before                  | a request            |
+      | 421    | 1      | while it runs           | a request            |
+      | 421    | 1      | inside                  | a request            |
+      | 421    | 1      | after                   | a request            |
+      | 503    | 1      | before                  | a request            |
+      | 503    | 3      | while it runs           | a request            |
+      | 503    | 1      | while it runs           | a stream             |
+      | 503    | 1      | inside                  | a stream             |
+      | 503    | 1      | before its body is read | a long body          |
+      | 503    | 1      | while it runs           | a long body          |
+      | 503    | 1      | while it runs           | an early refused one |
+      | 429    | 1      | while it runs           | a request            |
+      | 429    | 3      | before                  | a stream             |
+      | 400    | 1      | while it runs           | a request            |
+      | 400    | 1      | before                  | a stream             |
+      | 500    | 1      | while it runs           | a request            |
+      | 200    | 1      | before                  | a request            |
+      | 200    | 1      | while it runs           | a stream             |
+
+  Scenario: A request that is sent again to an address long after others gets its own answer
+    Given an upstream that answers 503, and writes that 1 times more while it runs
+    When a request is answered so, 3 others are run there, and it is sent there again
+    Then it gets its own answer in full, and nothing else is believed
+
+  Scenario: A request that is sent again to an address takes an idle connection that did not carry it
+    Given an upstream that answers 503, and writes that 1 times more while it runs
+    When a request is answered so while another one runs there, and is sent there again
+    Then it gets its own answer in full, and nothing else is believed
+    And 2 connections were opened
+
+  # Guards against new connections after every refusal.
+  Scenario: Refused requests share a connection
+    Given an upstream that answers 503, and writes that 0 times more before
+    When 60 requests are refused there, one after another
+    Then 1 connections were opened
--- /dev/null
+++ b/tests/features/steps/copied_refusals.py
@@ -0,0 +1,239 @@
+"""Steps about upstreams that write an answer more than once."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import behave
+
+from standins import copying_upstream
+from tests import copied_answers, forwarding_pair, platform_builders
+from yuccahitch import events
+from yuccahitch.messages import answers
+from yuccahitch.platform import requests as platform_requests
+
+REQUEST_ID = "r-1"
+STREAMING_PATHS = ("/ask/x", "/plan/x")
+LONG_BODY = b"x" * 15000
+# Time before a refusal, in which the instance hears of the new name, in seconds.
+REFUSAL_S = 0.2
+_ids = itertools.count(1)
+
+
+@behave.given(
+    "an instance whose upstream has come back under a new name, and writes its refusals again"
+    " {moment}"
+)
+def step_start_returned(context, moment):
+    context.moment = moment
+    context.remote = False
+
+
+@behave.given(
+    "an instance that forwards to another region whose upstream has come back under a new name,"
+    " and writes its refusals again {moment}"
+)
+def step_start_returned_elsewhere(context, moment):
+    context.moment = moment
+    context.remote = True
+
+
+async def start_returned(context, path):
+    """Start the instance, and its upstream that knows its new name only."""
+    streams = path in STREAMING_PATHS
+    upstream = copying_upstream.CopyingUpstream(
+        [copied_answers.NEW],
+        copies=1,
+        moment=context.moment,
+        refusal_s=REFUSAL_S,
+        work_s=0.6,
+        streams=streams,
+    )
+    context.returned = copied_answers.ReturnedUpstream(
+        upstream, service="model" if streams else "desk"
+    )
+    context.closers = [context.returned.close]
+    await context.returned.start()
+
+
+@behave.when("a request {method} {path} gets 421 under the old name, then runs under the new one")
+def step_send_to_both(context, method, path):
+    async def work():
+        await start_returned(context, path)
+        returned = context.returned
+        returned.register(copied_answers.OLD)
+        body = b"x" if method == "POST" else b""
+        context.sink, task = returned.send(path, REQUEST_ID, method=method, body=body)
+        await forwarding_pair.wait_for(lambda: returned.upstream.received)
+        returned.register(copied_answers.NEW)
+        await forwarding_pair.wait_for(lambda: len(returned.upstream.received) > 1)
+        returned.register(copied_answers.THIRD)
+        await asyncio.wait_for(task, copied_answers.LIMIT_S)
+
+    context.loop.run_until_complete(work())
+    record_events(context, context.returned.node.replicas.log)
+
+
+@behave.when("an order is refused under the old name, and sent again under its id")
+def step_send_again(context):
+    async def work():
+        await start_returned(context, "/book/x")
+        returned = context.returned
+        node, zone = returned.node, "east-a"
+        if context.remote:
+            node, zone = await add_remote(context), "west-a"
+        for known in {node, returned.node}:
+            returned.register(copied_answers.OLD, node=known, zone=zone)
+        sink, task = returned.send("/book/x", REQUEST_ID, method="POST", body=b"x")
+        await asyncio.wait_for(task, copied_answers.LIMIT_S)
+        (error,) = sink.ends
+        assert platform_requests.encode_refusal(error, request_id=REQUEST_ID)[0] == 503, error
+        for known in {node, returned.node}:
+            returned.register(copied_answers.NEW, node=known, zone=zone)
+        context.sink, task = returned.send("/book/x", REQUEST_ID, method="POST", body=b"x")
+        await asyncio.wait_for(task, copied_answers.LIMIT_S)
+
+    context.loop.run_until_complete(work())
+
+
+async def add_remote(context):
+    """Start an instance of another region that the first one forwards to, and return it."""
+    remote = forwarding_pair.Node("remote", "west")
+    (port,) = forwarding_pair.free_ports(1)
+    await remote.start(port)
+    context.closers.append(remote.close)
+    entry = context.returned.node.edge
+    own = remote.edge.decisions.members.own
+    own.host, own.peer_port, own.ready = copied_answers.HOST, port, True
+    remote.edge.now = entry.now
+    remote.edge.publish(platform_builders.a_publication())
+    remote.edge.mark_store_read()
+    entry.discover(remote.edge)
+    return remote
+
+
+@behave.then("it runs once and its caller gets that answer")
+def step_check_one_run(context):
+    runs = context.returned.runs(REQUEST_ID)
+    assert len(runs) == 1, context.returned.upstream.received + context.returned.third.received
+    assert context.sink.ends == ["complete"], context.sink.ends
+    if context.returned.upstream.streams:
+        expected = list(range(1, copying_upstream.EVENT_COUNT + 1))
+        assert context.sink.event_ids() == expected, context.sink.body
+    else:
+        assert context.sink.body.decode() == f"done {REQUEST_ID}", context.sink.body
+
+
+@behave.then("the new name is still in use")
+def step_check_in_use(context):
+    replica = context.returned.node.edge.decisions.registry.by_name[copied_answers.NEW]
+    assert not replica.misdirected and not replica.said_leaving
+
+
+@behave.given(
+    "an upstream that answers {answer}, and writes that {copies:d} times more {moment}",
+)
+def step_start_copying(context, answer, copies, moment):
+    upstream = copying_upstream.CopyingUpstream(
+        [copied_answers.NEW] if answer == "421" else [copied_answers.OLD, copied_answers.NEW],
+        answer=answer,
+        copies=copies,
+        moment=moment,
+        first_answers=0 if answer == "421" else 1,
+    )
+    context.subject = copied_answers.ClientUnderTest(upstream)
+    context.closers = [context.subject.close]
+    context.body = b""
+    context.loop.run_until_complete(context.subject.start())
+
+
+@behave.when("{request} is answered so, and sent there again under another name")
+def step_send_twice(context, request):
+    context.subject.upstream.early = request == "an early refused one"
+    if "long" in request or "early" in request:
+        context.body = LONG_BODY
+
+    async def work():
+        await context.subject.send(REQUEST_ID, body=context.body)
+        context.subject.upstream.streams = request == "a stream"
+        await send_again(context)
+
+    context.loop.run_until_complete(work())
+
+
+async def send_again(context):
+    """Send the request once more, under the new name of its upstream."""
+    context.subject.notices.clear()
+    context.parts = await context.subject.send(
+        REQUEST_ID,
+        name=copied_answers.NEW,
+        attempt=2,
+        body=context.body,
+        streams=context.subject.upstream.streams,
+    )
+    record_events(context, context.subject.client.log)
+
+
+@behave.when("a request is answered so, {count:d} others are run there, and it is sent there again")
+def step_send_later(context, count):
+    async def work():
+        await context.subject.send(REQUEST_ID)
+        for _ in range(count):
+            await context.subject.send(f"other-{next(_ids)}")
+        await send_again(context)
+
+    context.loop.run_until_complete(work())
+
+
+@behave.when("a request is answered so while another one runs there, and is sent there again")
+def step_send_beside(context):
+    async def work():
+        first = asyncio.ensure_future(context.subject.send(REQUEST_ID))
+        await forwarding_pair.wait_for(lambda: context.subject.upstream.received)
+        await asyncio.gather(first, context.subject.send(f"other-{next(_ids)}"))
+        await send_again(context)
+
+    context.subject.upstream.refusal_s = REFUSAL_S
+    context.loop.run_until_complete(work())
+
+
+@behave.then("it gets its own answer in full, and nothing else is believed")
+def step_check_own_answer(context):
+    kinds = [type(part) for part in context.parts]
+    assert (kinds[0], kinds[-1]) == (answers.Head, answers.End), context.parts
+    head, *chunks, _ = context.parts
+    assert (head.status, head.source) == (200, copied_answers.NEW), head
+    body = b"".join(chunk.data for chunk in chunks).decode()
+    if context.subject.upstream.streams:
+        assert body.count("id: ") == copying_upstream.EVENT_COUNT, body
+    else:
+        assert body == f"done {REQUEST_ID}", body
+    (notice,) = context.subject.notices
+    assert notice.upstream == copied_answers.NEW, notice
+    assert not notice.leaving and not notice.pause_s, notice
+    carried = [(item["connection"], item["id"]) for item in context.subject.upstream.received]
+    assert len(set(carried)) == len(carried), carried
+
+
+@behave.then("{count:d} connections were opened")
+def step_check_connections(context, count):
+    assert context.subject.client.opened_total == count, context.subject.client.opened_total
+
+
+@behave.when("{count:d} requests are refused there, one after another")
+def step_refuse(context, count):
+    context.subject.upstream.first_answers = count
+
+    async def work():
+        for _ in range(count):
+            (failure,) = await context.subject.send(f"refused-{next(_ids)}")
+            assert type(failure) is answers.Failure, failure
+
+    context.loop.run_until_complete(work())
+
+
+def record_events(context, log):
+    """Record the events that a client logged, for the check that all of them are caused."""
+    labels = {event.label for event in events.Event}
+    context.caused_events = {dict(series)["event"] for series in log.series} & labels
