--- a/tests/features/copied_refusals.feature
+++ b/tests/features/copied_refusals.feature
@@ -58,6 +58,22 @@
       | 200    | 1      | before                  | a request            |
       | 200    | 1      | while it runs           | a stream             |
 
+  # Guards against refusals of one request that count as the answer to another one.
+  Scenario Outline: Another request on the connection gets its own answer, or a failure that promises nothing
+    Given an upstream that answers <answer>, and writes that <copies> times more <moment>
+    When a request is answered so, and another one is sent there
+    Then the other one <outcome>
+
+    Examples:
+      | answer | copies | moment                  | outcome                         |
+      | 421    | 1      | before                  | gets its own answer             |
+      | 503    | 2      | before                  | gets its own answer             |
+      | 503    | 3      | before                  | counts as one that may have run |
+      | 429    | 1      | while it runs           | gets its own answer             |
+      | 400    | 1      | before its body is read | gets its own answer             |
+      | 503    | 1      | inside                  | counts as one that may have run |
+      | 503    | 2      | after                   | gets its own answer             |
+
   Scenario: A request that is sent again to an address long after others gets its own answer
     Given an upstream that answers 503, and writes that 1 times more while it runs
     When a request is answered so, 3 others are run there, and it is sent there again
@@ -74,3 +90,15 @@
     Given an upstream that answers 503, and writes that 0 times more before
     When 60 requests are refused there, one after another
     Then 1 connections were opened
+
+  # Guards against memory that grows with the requests of a connection.
+  Scenario: A connection carries a bounded number of requests
+    Given an upstream that answers 503, and writes that 0 times more before
+    When more requests are refused there, one after another, than a connection carries
+    Then 2 connections were opened
+
+  # Guards against an upstream whose connections are used up by a caller that repeats an id.
+  Scenario: Requests of one id, one after another, keep one connection open
+    Given an upstream that answers 200, and writes that 0 times more before
+    When 20 requests of one id are run there, one after another
+    Then each ran on a connection of its own, and one is left
--- a/tests/features/steps/copied_refusals.py
+++ b/tests/features/steps/copied_refusals.py
@@ -9,9 +9,10 @@
 
 from standins import copying_upstream
 from tests import copied_answers, forwarding_pair, platform_builders
-from yuccahitch import events
+from yuccahitch import errors, events
 from yuccahitch.messages import answers
 from yuccahitch.platform import requests as platform_requests
+from yuccahitch.tasks import replica_connection
 
 REQUEST_ID = "r-1"
 STREAMING_PATHS = ("/ask/x", "/plan/x")
@@ -186,6 +187,38 @@
     context.loop.run_until_complete(work())
 
 
+@behave.when("a request is answered so, and another one is sent there")
+def step_send_other(context):
+    context.other_id = f"other-{next(_ids)}"
+
+    async def work():
+        await context.subject.send(REQUEST_ID)
+        context.parts = await context.subject.send(context.other_id, name=copied_answers.NEW)
+
+    context.loop.run_until_complete(work())
+
+
+@behave.then("the other one gets its own answer")
+def step_check_other_answer(context):
+    head, chunk, end = context.parts
+    assert head.status == 200 and type(end) is answers.End, context.parts
+    assert chunk.data.decode() == f"done {context.other_id}", chunk
+    check_other_connection(context)
+
+
+@behave.then("the other one counts as one that may have run")
+def step_check_other_failure(context):
+    failure = context.parts[-1]
+    assert type(failure) is answers.Failure, context.parts
+    assert failure.error.run is errors.RunStatus.MAY_HAVE_RUN, failure.error
+    check_other_connection(context)
+
+
+def check_other_connection(context):
+    """Check that both requests went over one connection, where the copies came."""
+    assert [item["connection"] for item in context.subject.upstream.received] == [1, 1]
+
+
 @behave.when("a request is answered so while another one runs there, and is sent there again")
 def step_send_beside(context):
     async def work():
@@ -222,7 +255,17 @@
 
 
 @behave.when("{count:d} requests are refused there, one after another")
-def step_refuse(context, count):
+def step_refuse_some(context, count):
+    refuse(context, count)
+
+
+@behave.when("more requests are refused there, one after another, than a connection carries")
+def step_refuse_many(context):
+    refuse(context, replica_connection.MAX_REQUESTS + 1)
+
+
+def refuse(context, count):
+    """Send so many requests, each of which is refused."""
     context.subject.upstream.first_answers = count
 
     async def work():
@@ -233,6 +276,25 @@
     context.loop.run_until_complete(work())
 
 
+@behave.when("{count:d} requests of one id are run there, one after another")
+def step_run_one_id(context, count):
+    context.subject.upstream.first_answers = count
+
+    async def work():
+        for attempt in range(1, count + 1):
+            await context.subject.send(REQUEST_ID, attempt=attempt)
+
+    context.loop.run_until_complete(work())
+
+
+@behave.then("each ran on a connection of its own, and one is left")
+def step_check_left(context):
+    received = [item["connection"] for item in context.subject.upstream.received]
+    assert len(set(received)) == len(received) > 1, received
+    (pool,) = context.subject.client.pools.values()
+    assert len(pool) == 1, pool
+
+
 def record_events(context, log):
     """Record the events that a client logged, for the check that all of them are caused."""
     labels = {event.label for event in events.Event}
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -123,15 +123,32 @@
         )
 
     async def _take_connection(self, action: actions.Dispatch) -> replica_connection.Connection:
-        """Return a reusable connection from the pool, or open a new one."""
-        pool = self.pools.get(action.address)
+        """Return a connection from the pool that may carry the request, or open a new one.
+
+        A new one replaces the oldest idle one, so that request ids that come again don't add to the
+        connections of an upstream.
+        """
+        pool = self.pools.get(action.address, collections.deque())
         now = self.time.now()
-        while pool:
-            connection = pool.pop()
-            if connection.reusable_until > now and connection.protocol.is_idle():
+        for connection in reversed(list(pool)):
+            if not _is_reusable(connection, now):
+                pool.remove(connection)
+                self._close_pooled(connection, action.address)
+            elif connection.may_carry(action.request.id):
+                pool.remove(connection)
                 connection.protocol.idle = False
                 return connection
-            self._close_pooled(connection, action.address)
+        if pool:
+            self._close_pooled(pool.popleft(), action.address)
+        return await self._open_connection(action)
+
+    async def _open_connection(self, action: actions.Dispatch) -> replica_connection.Connection:
+        """Open a connection to the upstream of an attempt.
+
+        Raises:
+            OSError: When the upstream refuses it.
+            TimeoutError: When it does not open within CONNECT_TIMEOUT_S.
+        """
         host, _, port = action.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.opened_total += 1
@@ -148,15 +165,14 @@
         """Put a connection back into the pool; return False if it cannot be reused."""
         http_state = connection.http_state
         both_done = http_state.our_state is h11.DONE and http_state.their_state is h11.DONE
-        if not both_done or http_state.trailing_data[0] or not connection.protocol.is_idle():
+        if not both_done or http_state.trailing_data[0] or connection.is_used_up():
             return False
-        if connection.reusable_until <= self.time.now():
+        if not _is_reusable(connection, self.time.now()):
             return False
         http_state.start_next_cycle()
         pool = self.pools.setdefault(action.address, collections.deque(maxlen=MAX_IDLE_PER_ADDRESS))
         if len(pool) == MAX_IDLE_PER_ADDRESS:
             self._close_pooled(pool.popleft(), action.address)
-        connection.earlier_requests += 1
         connection.protocol.idle = True
         pool.append(connection)
         return True
@@ -167,7 +183,7 @@
         Called periodically by the process.
         """
         for address, pool in list(self.pools.items()):
-            while pool and (pool[0].reusable_until <= now or not pool[0].protocol.is_idle()):
+            while pool and not _is_reusable(pool[0], now):
                 self._close_pooled(pool.popleft(), address)
             if not pool:
                 del self.pools[address]
@@ -184,6 +200,11 @@
         connection.protocol.close()
 
 
+def _is_reusable(connection: replica_connection.Connection, now: float) -> bool:
+    """Return whether an idle connection is still open and within its keep-alive time."""
+    return connection.reusable_until > now and connection.protocol.is_idle()
+
+
 @functools.singledispatch
 def _handle(message: typing.Any, client: ReplicaClient) -> None:
     """Start the attempt that a message of the inbox asks for."""
--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -18,6 +18,8 @@
 # Subtracted from the keep-alive time that the upstream announces, so that a connection is not
 # reused just as the upstream closes it.
 KEEP_ALIVE_MARGIN_S = 1.0
+# Requests that one connection carries; their ids are remembered.
+MAX_REQUESTS = 1000
 # Events of an answer that are read before other tasks get their turn.
 EVENTS_PER_TURN = 64
 CONNECTION_ERRORS = (OSError, h11.RemoteProtocolError, h11.LocalProtocolError)
@@ -30,6 +32,9 @@
 class Connection:
     """A connection to an upstream with its HTTP/1.1 state.
 
+    It carries a request id once at most: an upstream may write an answer a second time, which only
+    the id tells from the answer to another request.
+
     Args:
         wire_protocol: The asyncio protocol of the open connection.
         number: Number of the connection in the log.
@@ -40,7 +45,8 @@
         http_state: The h11 state machine that encodes requests and parses answers.
         reusable_until: Time until which another request may be sent, in monotonic seconds; set
             from the headers of each answer.
-        earlier_requests: Number of requests completed on the connection.
+        sent_ids: Hashes of the ids of the requests that were sent, up to MAX_REQUESTS. Two ids of
+            one hash count as the same.
         events_in_turn: Number of events read since other tasks had their turn.
     """
 
@@ -49,7 +55,7 @@
         "protocol",
         "http_state",
         "reusable_until",
-        "earlier_requests",
+        "sent_ids",
         "events_in_turn",
     )
 
@@ -58,11 +64,33 @@
         self.protocol = wire_protocol
         self.http_state = h11.Connection(h11.CLIENT)
         self.reusable_until = 0.0
-        self.earlier_requests = 0
+        self.sent_ids: set[int] = set()
         self.events_in_turn = 0
 
-    def send(self, request: h11.Request, body: bytes) -> None:
-        """Send a request; its headers and body go out in one write."""
+    @property
+    def earlier_requests(self) -> int:
+        """Return the number of requests that were sent before the last one."""
+        return max(0, len(self.sent_ids) - 1)
+
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether a request may be sent: its id is new here, and there is room for it."""
+        return hash(request_id) not in self.sent_ids and not self.is_used_up()
+
+    def is_used_up(self) -> bool:
+        """Return whether the connection has carried MAX_REQUESTS."""
+        return len(self.sent_ids) >= MAX_REQUESTS
+
+    def send(self, request: h11.Request, body: bytes, *, request_id: str) -> None:
+        """Send a request that the connection may carry.
+
+        Its headers and body go out in one write.
+
+        Args:
+            request: Head of the request.
+            body: Body of the request.
+            request_id: Id that the answer must name.
+        """
+        self.sent_ids.add(hash(request_id))
         segments = [self.http_state.send(request)]
         if body:
             segments.append(self.http_state.send(h11.Data(data=body)))
--- a/yuccahitch/tasks/replica_exchange.py
+++ b/yuccahitch/tasks/replica_exchange.py
@@ -77,7 +77,7 @@
             target=self.action.request.path,
             headers=platform_requests.encode(self.action, now),
         )
-        self.connection.send(request, self.action.request.body)
+        self.connection.send(request, self.action.request.body, request_id=self.action.request.id)
         response_head = await self._read_head(request)
         self.connection.reusable_until = now + replica_connection.keep_alive_s(
             response_head.headers
