--- a/standins/copying_upstream.py
+++ b/standins/copying_upstream.py
@@ -52,6 +52,7 @@
         refusal_s: Time before a refusal, in seconds.
         streams: Whether answers are streams of events.
         early: Whether a refusal goes out before the body of its request is read.
+        cut_after: Number of parts of an answer after which its connection closes; 0 for none.
 
     Attributes:
         received: Requests received, oldest first, each with its id, the number of its connection
@@ -68,6 +69,7 @@
         "refusal_s",
         "streams",
         "early",
+        "cut_after",
         "received",
         "numbers",
         "server",
@@ -85,6 +87,7 @@
         refusal_s: float = 0.0,
         streams: bool = False,
         early: bool = False,
+        cut_after: int = 0,
     ) -> None:
         self.names = set(names)
         self.answer = answer
@@ -95,6 +98,7 @@
         self.refusal_s = refusal_s
         self.streams = streams
         self.early = early
+        self.cut_after = cut_after
         self.received: list[dict[str, typing.Any]] = []
         self.numbers = itertools.count(1)
         self.server: asyncio.Server | None = None
@@ -144,7 +148,12 @@
             number: Number of the connection.
             copies: Bytes of an earlier answer, as often as they are written again.
         """
-        record = {"id": headers["x-request-id"], "connection": number, "ran": False}
+        record = {
+            "id": headers["x-request-id"],
+            "connection": number,
+            "resumed_after": int(headers.get("last-event-id", 0)),
+            "ran": False,
+        }
         self.received.append(record)
         body_size = int(headers.get("content-length", 0))
         name = self._first_answer(headers)
@@ -195,7 +204,9 @@
             await _sleep_while_open(reader, self.work_s / 2)
             head = SIGNED_HEAD + (EVENT_STREAM if self.streams else "") + CHUNKED
             writer.write(head.format(id=record["id"]).encode())
-            for place, part in enumerate(self._parts(record["id"])):
+            for place, part in enumerate(self._parts(record)):
+                if self.cut_after and place == self.cut_after:
+                    raise ConnectionResetError
                 if place == 1 and self.moment == INSIDE:
                     writer.write(copies)
                 writer.write(f"{len(part):x}\r\n{part}\r\n".encode())
@@ -205,11 +216,12 @@
         finally:
             record["ended_at"] = time.monotonic()
 
-    def _parts(self, request_id: str) -> list[str]:
+    def _parts(self, record: dict[str, typing.Any]) -> list[str]:
         """Return the parts of the answer to a request."""
         if not self.streams:
-            return ["done ", request_id]
-        return [f"id: {n}\ndata: token {n}\n\n" for n in range(1, EVENT_COUNT + 1)]
+            return ["done ", record["id"]]
+        numbers = range(record["resumed_after"] + 1, EVENT_COUNT + 1)
+        return [f"id: {n}\ndata: token {n}\n\n" for n in numbers]
 
 
 async def _read_head(reader: asyncio.StreamReader) -> dict[str, str]:
--- a/tests/features/copied_refusals.feature
+++ b/tests/features/copied_refusals.feature
@@ -19,6 +19,18 @@
       | GET /ask/x     | while it runs           |
       | GET /plan/x    | while it runs           |
 
+  # Guards against streams that two upstreams work on at once (TWICE).
+  Scenario: A stream that is resumed at an upstream under its new name goes on there to its end
+    Given an instance whose upstream has come back under a new name, and writes its refusals again while it runs
+    When a stream breaks off elsewhere after 3 events, then gets 421 under the old name, then goes on
+    Then its caller gets each event once, and only the new name went on
+
+  # Guards against orders that run while they are refused, after a try in another region (TWICE, REFUSED).
+  Scenario: An order that comes back from another region to an upstream under its new name runs once
+    Given an instance that forwards to another region whose upstream has come back under a new name, and writes its refusals again while it runs
+    When an order gets 421 under the old name here, is refused in the other region and comes back
+    Then it runs once and its caller gets that answer
+
   # Guards against callers that are told "not run" of a request that runs (REFUSED).
   Scenario Outline: A request that its caller sends again under its id after a refusal runs once
     Given an instance <place> upstream has come back under a new name, and writes its refusals again while it runs
--- a/tests/features/steps/copied_refusals.py
+++ b/tests/features/steps/copied_refusals.py
@@ -19,6 +19,7 @@
 LONG_BODY = b"x" * 15000
 # Time before a refusal, in which the instance hears of the new name, in seconds.
 REFUSAL_S = 0.2
+MANY = 99
 _ids = itertools.count(1)
 
 
@@ -114,6 +115,56 @@
     return remote
 
 
+@behave.when(
+    "a stream breaks off elsewhere after {count:d} events, then gets 421 under the old name, then"
+    " goes on"
+)
+def step_resume_stream(context, count):
+    async def work():
+        await start_returned(context, "/plan/x")
+        returned = context.returned
+        returned.third.cut_after = count
+        returned.register(copied_answers.THIRD)
+        context.sink, task = returned.send("/plan/x", REQUEST_ID)
+        await forwarding_pair.wait_for(lambda: returned.third.received)
+        returned.register(copied_answers.OLD)
+        await forwarding_pair.wait_for(lambda: returned.upstream.received)
+        returned.register(copied_answers.NEW)
+        await asyncio.wait_for(task, copied_answers.LIMIT_S)
+
+    context.loop.run_until_complete(work())
+
+
+@behave.then("its caller gets each event once, and only the new name went on")
+def step_check_resumed(context):
+    expected = list(range(1, copying_upstream.EVENT_COUNT + 1))
+    assert context.sink.event_ids() == expected, (context.sink.body, context.sink.ends)
+    assert context.sink.ends == ["complete"], context.sink.ends
+    assert len(context.returned.upstream.runs(REQUEST_ID)) == 1, context.returned.upstream.received
+    assert len(context.returned.third.runs(REQUEST_ID)) == 1, context.returned.third.received
+
+
+@behave.when(
+    "an order gets 421 under the old name here, is refused in the other region and comes back"
+)
+def step_come_back(context):
+    async def work():
+        await start_returned(context, "/book/x")
+        returned = context.returned
+        remote = await add_remote(context)
+        returned.third.first_answers, returned.third.refusal_s = MANY, REFUSAL_S
+        for node in (remote, returned.node):
+            returned.register(copied_answers.THIRD, node=node, zone="west-a")
+        returned.register(copied_answers.OLD)
+        context.sink, task = returned.send("/book/x", REQUEST_ID, method="POST", body=b"x")
+        await forwarding_pair.wait_for(lambda: returned.third.received)
+        returned.register(copied_answers.NEW)
+        await asyncio.wait_for(task, copied_answers.LIMIT_S)
+        assert returned.third.received and len(returned.upstream.received) == 2
+
+    context.loop.run_until_complete(work())
+
+
 @behave.then("it runs once and its caller gets that answer")
 def step_check_one_run(context):
     runs = context.returned.runs(REQUEST_ID)
