--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -73,8 +73,8 @@
         return max(0, len(self.sent_ids) - 1)
 
     def may_carry(self, request_id: str) -> bool:
-        """Return whether a request may be sent: its id is new here, and there is room for it."""
-        return hash(request_id) not in self.sent_ids and not self.is_used_up()
+        """Return whether a request may be sent, as its id is new on this connection."""
+        return hash(request_id) not in self.sent_ids
 
     def is_used_up(self) -> bool:
         """Return whether the connection has carried MAX_REQUESTS."""
