Give each request to an upstream a connection of its own (TWICE, own interface)

What callers saw: where an engine sent an answer a second time, while its connection was idle or where the next answer was due, the next caller got the answer to somebody else's chat, a stream too (engines that don't name the request), or a failure, and the request was sent once more (engines that do; one copy made every later chat on that connection fail). Class: an answer is believed, and a run is taken for over, because of its place on a connection. Calls and orders had a connection each. Now chats have one too, and a closed connection is the end of the run.

--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 
 import aiohttp
@@ -99,6 +100,20 @@
     )
 
 
+def a_chat(address, *, echoes_request_id, stream=False, words="ice"):
+    """Return the dispatch of a chat to an engine at an address."""
+    body = json.dumps(builders.chat_body(messages=[{"role": "user", "content": words}])).encode()
+    return actions.Dispatch(
+        upstream="u1",
+        address=address,
+        attempt=1,
+        request=builders.a_request(body=body, stream=stream, deadline=1e9),
+        max_tokens=20,
+        priority=0,
+        echoes_request_id=echoes_request_id,
+    )
+
+
 def client_with_attempt(receivers, port):
     """Return a client that does not run yet, and the stream of the attempt in its mailbox."""
     if receivers == "other instances":
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -40,7 +40,7 @@
 
 
 class UpstreamClient:
-    """Owns the connections to the upstreams.
+    """Owns the connections to the upstreams, one for each request.
 
     Args:
         time: Source of monotonic time.
@@ -51,9 +51,7 @@
     Attributes:
         inbox: Messages for this task, ``OpenDispatch`` and ``commands.SendOrder``.
         children: Tasks of the running attempts and orders.
-        pooled_session: HTTP session that reuses connections, or None before ``run``.
-        unpooled_session: HTTP session with a new connection for each request, or None before
-            ``run``.
+        session: HTTP session with a new connection for each request, or None before ``run``.
     """
 
     __slots__ = (
@@ -63,8 +61,7 @@
         "on_notice",
         "inbox",
         "children",
-        "pooled_session",
-        "unpooled_session",
+        "session",
     )
 
     def __init__(
@@ -81,17 +78,12 @@
         self.log = log
         self.inbox = mailbox.Mailbox()
         self.children = mailbox.ChildTasks()
-        self.pooled_session: aiohttp.ClientSession | None = None
-        self.unpooled_session: aiohttp.ClientSession | None = None
+        self.session: aiohttp.ClientSession | None = None
 
     async def run(self) -> None:
         """Start an attempt or order for each message of the inbox; stop all when cancelled."""
-        async with (
-            _make_session(force_close=False) as pooled_session,
-            _make_session(force_close=True) as unpooled_session,
-        ):
-            self.pooled_session = pooled_session
-            self.unpooled_session = unpooled_session
+        async with _make_session() as session:
+            self.session = session
             try:
                 while True:
                     _handle(await self.inbox.get(), self)
@@ -108,7 +100,7 @@
         timeout = aiohttp.ClientTimeout(total=message.timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         order_error = None
         try:
-            async with self.unpooled_session.post(
+            async with self.session.post(
                 message.address + "/orders", data=message.body, headers=headers, timeout=timeout
             ) as response:
                 if response.status != 200:
@@ -180,14 +172,9 @@
             TimeoutError: When the deadline passes.
         """
         http_request = upstreams.encode(action)
-        # An upstream may close a reused connection just as the request is sent, and then it is
-        # unknown whether the request ran. Requests that must not be repeated use a new connection.
-        session = (
-            self.pooled_session if action.request.kind == requests.CHAT else self.unpooled_session
-        )
         remaining_s = max(0.01, action.request.deadline - self.time.now())
         async with asyncio.timeout(remaining_s) as deadline_timeout:
-            async with session.request(
+            async with self.session.request(
                 http_request.method,
                 http_request.url,
                 headers=http_request.headers,
@@ -314,10 +301,14 @@
     return upstream_socket
 
 
-def _make_session(*, force_close: bool) -> aiohttp.ClientSession:
-    """Return an HTTP session; with ``force_close`` each request gets a new connection."""
+def _make_session() -> aiohttp.ClientSession:
+    """Return an HTTP session with a new connection for each request.
+
+    On a connection that is used again, an answer too many would be taken for the next one, and a
+    run whose answer was not read would go on.
+    """
     connector = aiohttp.TCPConnector(
-        limit=MAX_CONNECTIONS, force_close=force_close, socket_factory=_make_socket
+        limit=MAX_CONNECTIONS, force_close=True, socket_factory=_make_socket
     )
     timeout = aiohttp.ClientTimeout(
         total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
