Use no kept connection again on which more arrived than replies: store, polls (TWICE, QUOTA)

What was seen: a reply that the store sends a second time while its connection is idle was the reply to the next call: a claim of an idempotency key that was refused counted as won (a request with a key runs twice), a lease had the id of another, and an old load report was taken for the newest. Both dialects. Each later call on that connection was one reply off. The store's pages don't say that it sends replies twice; nobody has reported it. Found by asking the same question elsewhere. Cause: as for upstreams, aiohttp's pool asks only whether a kept connection is open. Class: believed because of its place. The connector closes a kept connection that holds anything parsed or not, or whose socket has anything to read. Left: a copy that comes while the next call is under way. Replies have no id; a new connection for each call would tell them apart, and costs a round trip each.

--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -59,9 +59,8 @@
 
 
 @contextlib.asynccontextmanager
-async def running_upstream_client():
-    """Run a client for upstreams of the own interface."""
-    client = an_upstream_client()
+async def running(client):
+    """Run a client."""
     task = asyncio.ensure_future(client.run())
     try:
         yield client
@@ -70,6 +69,11 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+def running_upstream_client():
+    """Run a client for upstreams of the own interface."""
+    return running(an_upstream_client())
+
+
 def post_dispatch(client, action, stream):
     """Post an attempt to a client."""
     client.inbox.post(upstream_client.OpenDispatch(action, stream))
@@ -153,8 +157,8 @@
         return await poller._get_json(url + "/load")
 
 
-def a_store_client(url):
-    """Return a client of the platform's store at a URL."""
+def a_store_client(url, *, dialect=platform_store, on_reply=lambda reply: None):
+    """Return a client of a store at a URL, by default of the platform's."""
     time = clock.SystemClock()
     return store_client.StoreClient(
         url,
@@ -162,10 +166,10 @@
         timeout_s=10.0,
         time=time,
         log=a_log(time),
-        on_reply=lambda reply: None,
+        on_reply=on_reply,
         on_watch_event=lambda event: None,
         rng=random.Random(1),
-        dialect=platform_store,
+        dialect=dialect,
         poll_wait_s=1.0,
     )
 
--- a/tests/features/extra_answers.feature
+++ b/tests/features/extra_answers.feature
@@ -34,3 +34,29 @@
       | an answer to another request, before each answer   |
       | a copy of its refusal, before each answer          |
       | garbage after the end of a stream                  |
+
+  # Guards against a claim that counts as won by the reply to another one, so that a request runs twice (TWICE).
+  Scenario Outline: A call of the store gets no reply but its own
+    Given a <dialect> store that sends the reply to <call> again, <when>
+    When the store refuses or grants the same kind of call twice
+    Then the second reply is that of the second call
+
+    Examples:
+      | dialect  | call         | when                |
+      | etcd     | a claim      | while idle          |
+      | etcd     | many claims  | while idle          |
+      | etcd     | a lease      | while idle          |
+      | etcd     | a claim      | 3 times, while idle |
+      | platform | a claim      | while idle          |
+      | platform | a lease      | while idle          |
+
+  # Guards against an old report that is taken for the newest one.
+  Scenario: A poll gets no report but its own
+    Given an upstream that sends each load report again, while idle
+    When its load is polled twice
+    Then the second report is that of the second poll
+
+  Scenario: An answer too many that has arrived, but is not read yet, is not the next one
+    Given a server that sends an answer twice, the second just before the next request
+    When two requests are sent to it one after another
+    Then the second one is sent on a new connection
--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import json
+import socket
 import time
 
+import aiohttp
 import behave
 
 from standins import extra_answers
-from tests import attempt_clients
-from yuccahitch.messages import answers
-from yuccahitch.tasks import answer_stream
+from tests import attempt_clients, builders
+from yuccahitch.codecs import etcd
+from yuccahitch.messages import answers, commands, store
+from yuccahitch.platform import store as platform_store
+from yuccahitch.tasks import answer_stream, http_connections, mailbox, pollers
 
 # Time between two requests, within which what comes while a connection is idle has come.
 PAUSE_S = 0.15
@@ -124,9 +128,7 @@
 def step_start_engine(context, names, extra):
     script = EngineScript(names == "repeats", extra)
     context.script = script
-    context.server = extra_answers.ExtraAnswerServer(script)
-    context.loop.run_until_complete(context.server.start())
-    context.closers = [context.server.close]
+    start_server(context, script)
 
 
 @behave.when("{count:d} chats are sent to it one after another")
@@ -170,3 +172,167 @@
         assert request.ended_at is not None, "the engine works on"
         late_s = request.ended_at - outcome.ended_at
         assert late_s <= seconds, f"it worked {late_s:.2f} s longer"
+
+
+STORE_CALLS = {
+    "a claim": store.Commit(conditions=[store.Condition("k", 0)], changes=[store.Put("k", b"v")]),
+    "many claims": store.CommitMany(
+        [store.Commit(conditions=[store.Condition("k", 0)], changes=[store.Put("k", b"v")])]
+    ),
+    "a lease": store.GrantLease(10.0),
+}
+# Status and body of the first reply and of those after it, by dialect and call.
+STORE_REPLIES = {
+    ("etcd", "a claim"): [
+        (200, {"header": {"revision": "5"}, "succeeded": True}),
+        (200, {"header": {"revision": "6"}}),
+    ],
+    ("etcd", "many claims"): [
+        (200, {"responses": [{"response_txn": {"succeeded": True}}]}),
+        (200, {"responses": [{"response_txn": {}}]}),
+    ],
+    ("etcd", "a lease"): [(200, {"ID": "1", "TTL": "10"}), (200, {"ID": "2", "TTL": "10"})],
+    ("platform", "a claim"): [(200, {"revision": 5}), (412, {"items": []})],
+    ("platform", "a lease"): [
+        (200, {"lease": 1, "ttlMs": 10_000}),
+        (200, {"lease": 2, "ttlMs": 10_000}),
+    ],
+}
+
+
+@behave.given("a {dialect} store that sends the reply to {call} again, {when}")
+def step_start_store(context, dialect, call, when):
+    context.dialect = {"etcd": etcd, "platform": platform_store}[dialect]
+    context.call = STORE_CALLS[call]
+    replies = STORE_REPLIES[dialect, call]
+    copies = 3 if when.startswith("3 times") else 1
+
+    def script(request, received):
+        """Send the reply to a call, and that to the first one again."""
+        status, body = replies[min(request.number, len(replies)) - 1]
+        reply = extra_answers.an_answer(json.dumps(body).encode(), status=status)
+        again = [a_step(EXTRA_AFTER_S, reply)] * copies if request.number == 1 else []
+        return [a_step(0.0, reply, is_own=True), *again]
+
+    start_server(context, script)
+
+
+def start_server(context, script):
+    context.server = extra_answers.ExtraAnswerServer(script)
+    context.loop.run_until_complete(context.server.start())
+    context.closers = [context.server.close]
+
+
+@behave.when("the store refuses or grants the same kind of call twice")
+def step_call_store_twice(context):
+    replies = asyncio.Queue()
+    client = attempt_clients.a_store_client(
+        f"http://127.0.0.1:{context.server.port}",
+        dialect=context.dialect,
+        on_reply=replies.put_nowait,
+    )
+
+    async def work():
+        context.replies = []
+        async with attempt_clients.running(client):
+            for _ in range(2):
+                client.inbox.post(commands.StoreCall(context.call, "test"))
+                context.replies.append((await replies.get()).reply)
+                await asyncio.sleep(PAUSE_S)
+
+    run(context, work())
+
+
+@behave.then("the second reply is that of the second call")
+def step_check_store_reply(context):
+    first, second = [
+        reply.replies[0] if type(reply) is store.CommitManyReply else reply
+        for reply in context.replies
+    ]
+    if type(second) is store.LeaseReply:
+        assert (first.lease, second.lease) == (1, 2), context.replies
+    else:
+        assert (first.applied, second.applied) == (True, False), context.replies
+
+
+@behave.given("an upstream that sends each load report again, while idle")
+def step_start_polled(context):
+    def script(request, received):
+        """Send a report, and once more."""
+        report = {"running": 0, "waiting": 0, "sequence": request.number}
+        reply = extra_answers.an_answer(json.dumps(report).encode())
+        return [a_step(0.0, reply, is_own=True), a_step(EXTRA_AFTER_S, reply)]
+
+    start_server(context, script)
+
+
+@behave.when("its load is polled twice")
+def step_poll_twice(context):
+    core_inbox = mailbox.Mailbox()
+    settings = builders.quick_settings("muscat-a-1", "muscat-a", "muscat-a1")
+    poller = pollers.Pollers(settings, core_inbox=core_inbox)
+
+    async def work():
+        context.sequences = []
+        async with attempt_clients.running(poller):
+            while poller.session is None:
+                await asyncio.sleep(0.01)
+            for _ in range(2):
+                await poller._poll_load("u1", f"http://127.0.0.1:{context.server.port}")
+                await asyncio.sleep(PAUSE_S)
+        while len(core_inbox):
+            message = await core_inbox.get()
+            context.sequences += [message.load.sequence] if hasattr(message, "load") else []
+
+    run(context, work())
+
+
+@behave.then("the second report is that of the second poll")
+def step_check_report(context):
+    assert context.sequences == [1, 2], context.sequences
+
+
+@behave.given("a server that sends an answer twice, the second just before the next request")
+def step_start_unread_server(context):
+    context.listener = socket.create_server(("127.0.0.1", 0))
+    context.listener.setblocking(False)
+    context.add_cleanup(context.listener.close)
+
+
+@behave.when("two requests are sent to it one after another")
+def step_send_two(context):
+    url = f"http://127.0.0.1:{context.listener.getsockname()[1]}"
+    answer = extra_answers.an_answer(b"{}")
+
+    async def accept():
+        connection, _ = await context.loop.sock_accept(context.listener)
+        context.add_cleanup(connection.close)
+        await context.loop.sock_recv(connection, 65536)
+        return connection
+
+    async def work():
+        connector = http_connections.ReusingConnector()
+        async with aiohttp.ClientSession(connector=connector) as session:
+            for _ in range(2):
+                request = asyncio.ensure_future(session.get(url))
+                connection = await accept()
+                connection.sendall(answer)
+                async with await request as response:
+                    await response.read()
+                # The loop does not turn between this and the next request.
+                connection.sendall(answer)
+
+    context.has_ended = context.loop.run_until_complete(ends_in_time(work()))
+
+
+async def ends_in_time(work):
+    try:
+        await asyncio.wait_for(work, 2)
+    except TimeoutError:
+        return False
+    return True
+
+
+@behave.then("the second one is sent on a new connection")
+def step_check_new_connection(context):
+    assert context.has_ended, "the second request came on the first connection, or not at all"
--- a/yuccahitch/tasks/pollers.py
+++ b/yuccahitch/tasks/pollers.py
@@ -20,7 +20,7 @@
 from yuccahitch.codecs import platform, upstreams
 from yuccahitch.controllers import gateway, rendezvous
 from yuccahitch.messages import peers
-from yuccahitch.tasks import bounded_body, core_messages, mailbox
+from yuccahitch.tasks import bounded_body, core_messages, http_connections, mailbox
 
 # Exceptions of a failed or malformed response; the poll is skipped.
 READ_ERRORS = (
@@ -196,7 +196,9 @@
         timeout = aiohttp.ClientTimeout(total=self.settings.store.timeout_s)
         ticks_per_platform_poll = max(1, round(self.settings.platform.poll_s / tick_interval_s))
         try:
-            async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with aiohttp.ClientSession(
+                connector=http_connections.ReusingConnector(), timeout=timeout
+            ) as session:
                 self.session = session
                 while True:
                     tick_number = await self.ticks.get()
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -16,7 +16,7 @@
 from yuccahitch.codecs import etcd
 from yuccahitch.controllers import freshness
 from yuccahitch.messages import commands, store
-from yuccahitch.tasks import bounded_body, mailbox
+from yuccahitch.tasks import bounded_body, http_connections, mailbox
 
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
@@ -133,7 +133,9 @@
 
     async def run(self) -> None:
         """Start each call or watch that the inbox asks for; stop all of them when cancelled."""
-        async with aiohttp.ClientSession(read_bufsize=MAX_WATCH_LINE_BYTES) as session:
+        async with aiohttp.ClientSession(
+            connector=http_connections.ReusingConnector(), read_bufsize=MAX_WATCH_LINE_BYTES
+        ) as session:
             self.session = session
             try:
                 while True:
