End every run that has the id whose end is asked for (TWICE, between instances)

What would be seen: where two requests with one id, of one instance and with one attempt number, came to another instance, the second (refused at once, as the first is open) took the first one's entry with it. The end of the run, asked for by the instance that goes on elsewhere, was confirmed while the run went on; and its lease lapsed without an effect, as a KeyError came first. Reachable only where a caller gives an id again at the same instance while the first is still open at the other one (its connection lost): callers of the platform choose the id, those of the own interface don't. Cause: two things share a key, and the end of one cleans up the other. Evidence: forwarded_runs.feature, A run whose id another request had too ...: both rows failed before (the run of 30 s went on), 10 of 10 scenarios pass. One step of another scenario takes the single task out of the table; it expects one entry with one task now, where it expected one entry.

--- a/tests/features/forwarded_runs.feature
+++ b/tests/features/forwarded_runs.feature
@@ -47,3 +47,14 @@
     Given an instance in east that forwards to west, and 4 callers who read nothing of endless answers
     When another caller asks for a stream of 6 events that takes 3 seconds
     Then it gets the first within 0.5 seconds, and all 6 from a single upstream
+
+  # Guards against a run that outlasts its end and its lease because another request had its id (TWICE).
+  Scenario Outline: A run whose id another request had too still ends when it must
+    Given a run under a lease, and a second request with its id that is refused at once
+    When the instance that forwarded them <does>
+    Then the run ends within <seconds> seconds
+
+    Examples:
+      | does          | seconds |
+      | ends the run  | 0.3     |
+      | falls silent  | 2       |
--- a/tests/features/steps/forwarded_runs.py
+++ b/tests/features/steps/forwarded_runs.py
@@ -131,7 +131,7 @@
         pair.register_near()
         context.broken_at = time.monotonic()
         if ends == "ends the run":
-            (task,) = pair.remote.server.leased_runs.tasks.values()
+            ((task,),) = pair.remote.server.leased_runs.tasks.values()
             task.cancel()
         else:
             await pair.stop_remote()
--- a/yuccahitch/tasks/leased_runs.py
+++ b/yuccahitch/tasks/leased_runs.py
@@ -19,7 +19,8 @@
 
     Attributes:
         leases: The leases that were granted.
-        tasks: The tasks of the runs by sender, request and attempt.
+        tasks: The tasks of the runs by sender, request and attempt; a request with the id of an
+            open one has a task too until it is refused.
     """
 
     __slots__ = ("time", "log", "leases", "tasks")
@@ -28,7 +29,7 @@
         self.time = time
         self.log = log
         self.leases = run_leases.RunLeases()
-        self.tasks: dict[tuple[str, str, int], asyncio.Task[None]] = {}
+        self.tasks: dict[tuple[str, str, int], set[asyncio.Task[None]]] = {}
 
     async def run(
         self, request_runner: runner.Runner, hop: requests.Hop, *, sender: str, attempt: int
@@ -39,21 +40,23 @@
             return
         received_at = self.time.now()
         task = asyncio.create_task(request_runner.run(hop))
-        self.tasks[sender, request_id, attempt] = task
+        key = (sender, request_id, attempt)
+        self.tasks.setdefault(key, set()).add(task)
         try:
             await self._wait(task, request_id, sender, received_at)
         finally:
-            del self.tasks[sender, request_id, attempt]
+            self._forget(key, task)
             task.cancel()
             await asyncio.wait([task])
 
     async def end(self, sender: str, request_id: str, attempt: int) -> None:
         """End a run, and return once it has ended; one that arrives later is not begun."""
         self.leases.record_end(sender, request_id, attempt, self.time.now())
-        task = self.tasks.get((sender, request_id, attempt))
-        if task is not None:
+        tasks = list(self.tasks.get((sender, request_id, attempt), ()))
+        for task in tasks:
             task.cancel()
-            await asyncio.wait([task])
+        if tasks:
+            await asyncio.wait(tasks)
 
     def renew(self, sender: str, grant: float) -> float:
         """Renew the lease of an instance and return the new grant."""
@@ -61,6 +64,13 @@
         self.leases.forget_idle(now)
         return self.leases.renew(sender, grant, now)
 
+    def _forget(self, key: tuple[str, str, int], task: asyncio.Task[None]) -> None:
+        """Remove a task."""
+        tasks = self.tasks[key]
+        tasks.discard(task)
+        if not tasks:
+            del self.tasks[key]
+
     async def _wait(
         self, task: asyncio.Task[None], request_id: str, sender: str, received_at: float
     ) -> None:
