Never tell a request not-run after an attempt that may have run (TWICE, own interface)

What callers saw: a request whose first attempt may have run, and that no region may serve any more when it is tried again (an operator has changed account and route meanwhile), was refused with residency and run: not-run. Cause: errors say not-run unless a filter says otherwise, and a retry goes through filters again that don't look at the attempts before. Class: each place judges for itself what only the request as a whole knows. Now the open requests say it in one place. Ruled out, all other places that say not-run on the own interface: a retry waits in no queue (placement._best_local), is told the error of the attempt where it can't be placed (place.apply_choice), claims and rates are decided before the first attempt; a failed connect and a connect that timed out sent nothing; 409 of an order ends on a connection of its own.

--- a/tests/features/residency.feature
+++ b/tests/features/residency.feature
@@ -37,3 +37,9 @@
     When an operator restricts the account to sohar-a
     And the upstream becomes free
     Then the waiting request is served in sohar-a
+
+  # Guards against "not run" told of a request that an upstream may have run (TWICE).
+  Scenario: A request that no region may serve any more after its first attempt may have run
+    Given an attempt at an upstream that may have run
+    When the account is restricted to muscat-a and its route to sohar-a, and the attempt has failed
+    Then its refusal for residency says that it may have run
--- a/tests/features/steps/residency.py
+++ b/tests/features/steps/residency.py
@@ -11,7 +11,7 @@
 from fakes import request_flow
 from tests import builders, histories
 from yuccahitch import errors
-from yuccahitch.messages import answers, requests
+from yuccahitch.messages import actions, answers, requests
 from yuccahitch.resources import client, upstream
 
 # Fixes the random cases. Without it hypothesis derives them from the source of the test, so that
@@ -246,3 +246,34 @@
         if name == context.result.request.id
     ]
     assert serving_regions == [region], context.served_requests
+
+
+@behave.given("an attempt at an upstream that may have run")
+def step_begin_attempt(context):
+    context.fleet = builders.a_fleet(regions=("muscat-a",), per_region=1)
+    (context.instance,) = context.fleet.alive()
+    now = context.instance.local_time(context.fleet.now)
+    context.request = builders.a_request(deadline=now + 60)
+    next_action = context.instance.decisions.begin(context.request, None, now)
+    assert type(next_action.action) is actions.Perform, next_action
+
+
+@behave.when(
+    "the account is restricted to muscat-a and its route to sohar-a, and the attempt has failed"
+)
+def step_restrict_and_fail(context):
+    specs = (
+        builders.an_account(residency=("muscat-a",)),
+        builders.a_route(regions=("sohar-a",)),
+    )
+    context.fleet.load([builders.an_entry(spec, version=2) for spec in specs])
+    now = context.instance.local_time(context.fleet.now)
+    failure = builders.a_failure(context.request.id)
+    context.next_action = context.instance.decisions.resume(context.request.id, failure, now)
+
+
+@behave.then("its refusal for residency says that it may have run")
+def step_check_told(context):
+    error = context.next_action.action.error
+    assert error.code is errors.Code.RESIDENCY, error
+    assert error.run is errors.RunStatus.MAY_HAVE_RUN, error
--- a/yuccahitch/controllers/in_flight.py
+++ b/yuccahitch/controllers/in_flight.py
@@ -106,7 +106,12 @@
     def _outcome(
         self, context: request_context.RequestContext, action: actions.Action, now: float
     ) -> request_lifecycle.NextAction | None:
-        """Log the decision in an action; return it as an Outcome, or None if the request waits."""
+        """Log the decision in an action; return it as an Outcome, or None if the request waits.
+
+        A refusal says that the request may have run if any attempt may have.
+        """
+        if type(action) is actions.Refuse and context.may_have_run:
+            action.error.run = errors.RunStatus.MAY_HAVE_RUN
         for log_event in request_log.decision_events(action, context, now):
             self._log(log_event, now)
         if type(action) is actions.Perform:
