Follow no redirect with an order, a commit or an operator's write (TWICE, own interface)

What callers would see: an order to an engine that is answered with a redirect is sent again, up to ten times, to wherever the answer points; so are a commit to the store (both dialects) and an operator's write or order by the command line. Cause: aiohttp follows redirects by itself; only attempts had that switched off. Such an answer is an error now: may-have-run for orders, may have been applied for commits.

--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -31,11 +31,11 @@
     return events.Log("edge-1~1", events.HybridClock(time.wall))
 
 
-def an_upstream_client():
+def an_upstream_client(*, on_reply=lambda reply: None):
     """Return a client for upstreams of the own interface."""
     time = clock.SystemClock()
     return upstream_client.UpstreamClient(
-        time=time, log=a_log(time), on_reply=lambda reply: None, on_notice=lambda notice: None
+        time=time, log=a_log(time), on_reply=on_reply, on_notice=lambda notice: None
     )
 
 
--- a/tests/features/single_runs.feature
+++ b/tests/features/single_runs.feature
@@ -47,6 +47,20 @@
       | resets after it has run    | DELETE |
       | resets after it has run    | PUT    |
 
+  # Guards against an order to an engine, and writes, that are sent again as they were redirected (TWICE).
+  Scenario Outline: What is answered with a redirect is sent once
+    Given a service that redirects each request to itself with status <status>
+    When an instance makes it <request>
+    Then the service got 1 request
+
+    Examples:
+      | request               | status |
+      | execute an order      | 307    |
+      | execute an order      | 303    |
+      | answer one POST call  | 307    |
+      | commit to the store   | 307    |
+      | delete a resource     | 307    |
+
   # Guards against a write that undoes another operator's, as it is sent a second time.
   Scenario: A write of an operator whose answer is lost reaches the instance once
     Given a service that closes without an answer each request
--- a/tests/features/steps/single_runs.py
+++ b/tests/features/steps/single_runs.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 
+import aiohttp
 import behave
 from aiohttp import web
 from click import testing
@@ -13,7 +14,8 @@
 from tests import attempt_clients, forwarding_pair, platform_builders
 from yuccahitch import errors
 from yuccahitch.cli import operate
-from yuccahitch.messages import actions, answers
+from yuccahitch.controllers import orders
+from yuccahitch.messages import actions, answers, commands, store
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.tasks import answer_stream
 
@@ -118,9 +120,15 @@
         request.transport.abort()
         return web.Response()
 
+    start_service(context, lose)
+
+
+def start_service(context, handle):
+    """Start an HTTP service on a free port."""
+
     async def start():
         app = web.Application()
-        app.router.add_route("*", "/{path:.*}", lose)
+        app.router.add_route("*", "/{path:.*}", handle)
         app_runner = web.AppRunner(app, access_log=None)
         await app_runner.setup()
         (port,) = forwarding_pair.free_ports(1)
@@ -131,6 +139,58 @@
     context.loop.run_until_complete(start())
 
 
+@behave.given("a service that redirects each request to itself with status {status:d}")
+def step_start_redirecting_service(context, status):
+    context.received = []
+
+    async def redirect(request):
+        """Record a request and answer it with a redirect to another path."""
+        context.received.append((request.method, await request.read()))
+        location = f"/elsewhere/{len(context.received)}"
+        return web.Response(status=status, headers={"location": location})
+
+    start_service(context, redirect)
+
+
+@behave.when("an instance makes it execute an order")
+def step_send_order(context):
+    replies = asyncio.Queue()
+
+    async def work():
+        async with attempt_clients.running(
+            attempt_clients.an_upstream_client(on_reply=replies.put_nowait)
+        ) as client:
+            order = orders.Order("t1", upstream="u1", body=b"{}", send_deadline=1e9)
+            client.inbox.post(
+                commands.SendOrder(
+                    order=order, address=context.service_url, fence=1, body=b"{}", timeout_s=5.0
+                )
+            )
+            return await asyncio.wait_for(replies.get(), 5)
+
+    reply = context.loop.run_until_complete(work())
+    assert reply.error.run is errors.RunStatus.MAY_HAVE_RUN, reply.error
+
+
+@behave.when("an instance makes it commit to the store")
+def step_commit(context):
+    client = attempt_clients.a_store_client(context.service_url)
+    commit = store.Commit(conditions=[store.Condition("k", 0)], changes=[store.Put("k", b"v")])
+
+    async def work():
+        async with aiohttp.ClientSession() as client.session:
+            return await client.execute_call(commit)
+
+    reply = context.loop.run_until_complete(work()).reply
+    assert type(reply) is store.CallFailed and reply.may_have_applied, reply
+
+
+@behave.then("the service got {count:d} request")
+def step_check_received_count(context, count):
+    assert len(context.received) == count, context.received
+
+
+@behave.when("an instance makes it answer one {method} call")
 @behave.when("an instance sends it one {method} call")
 def step_send_call(context, method):
     async def work():
@@ -143,6 +203,7 @@
     context.part = context.loop.run_until_complete(work())
 
 
+@behave.when("an instance makes it delete a resource")
 @behave.when("an operator deletes a resource there")
 def step_delete_resource(context):
     arguments = ["account", "rinks", "--url", context.service_url]
--- a/yuccahitch/cli/operate.py
+++ b/yuccahitch/cli/operate.py
@@ -138,7 +138,7 @@
             query = "?dry_run=1" if dry_run else ""
             body = {"spec": resource["spec"], "version": resource.get("version")}
             url = f"{endpoint.url}/v1/resources/{resource_path}{query}"
-            async with session.put(url, json=body) as response:
+            async with session.put(url, json=body, allow_redirects=False) as response:
                 response_data = await response.json()
             if response.status == 200:
                 click.echo(f"{resource_path} version {response_data.get('version', 'checked')}")
@@ -159,7 +159,9 @@
 ) -> None:
     """Send a request and print the JSON response; exit with ``EXIT_FAILURE`` if it is an error."""
     async with _write_session(endpoint) as session:
-        async with session.request(method, endpoint.url + path, json=body) as response:
+        async with session.request(
+            method, endpoint.url + path, json=body, allow_redirects=False
+        ) as response:
             response_data = await response.json()
     if response.status != 200:
         click.echo(_format_error(response_data), err=True)
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -159,6 +159,7 @@
                 params=http_request.query,
                 json=http_request.body,
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 response_body = await bounded_body.read(response, MAX_REPLY_BYTES)
                 self._count_call(call_type, str(response.status))
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -101,7 +101,11 @@
         order_error = None
         try:
             async with self.session.post(
-                message.address + "/orders", data=message.body, headers=headers, timeout=timeout
+                message.address + "/orders",
+                data=message.body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status != 200:
                     rejected = response.status == 409
