--- a/yuccahitch/controllers/operations.py
+++ b/yuccahitch/controllers/operations.py
@@ -7,16 +7,14 @@
 
 from __future__ import annotations
 
-import base64
-import enum
 import functools
 import hashlib
 import hmac
-import json
 import typing
 import uuid
 
 from yuccahitch import errors, events, records
+from yuccahitch.controllers import claims
 from yuccahitch.messages import answers, commands, store
 
 STEP = "idempotency"
@@ -34,15 +32,6 @@
 RETRY_AFTER_S = 1.0
 
 
-class State(enum.Enum):
-    """State of the first request with a key."""
-
-    CLAIMING = "claiming"  # the claim of its key is being written to the store
-    RUNNING = "running"  # it was admitted and may run on an upstream
-    DONE = "done"  # it ran and its answer was delivered
-    UNSETTLED = "unsettled"  # it may have run; its outcome is unknown
-
-
 class Operation(records.Record):
     """The record of one idempotency key in this instance's memory.
 
@@ -62,81 +51,10 @@
         self.table_key = table_key
         self.digest = digest
         self.request_id = request_id
-        self.state = State.CLAIMING
+        self.state = claims.State.CLAIMING
         self.answer: answers.RecordedAnswer | None = None
         self.expires_at = expires_at
-        self.claim: Claim | None = None
-
-
-class Claim(records.Record):
-    """The record of one idempotency key in the store.
-
-    Attributes:
-        claim_id: Unique id of the claim.
-        instance: Id of the instance that runs the request.
-        digest: Digest of the request.
-        state: ``running``, ``done`` or ``unsettled``.
-        answer: The recorded answer, or None if it was not kept.
-        revision: Store revision of the record; 0 until it is stored.
-    """
-
-    __slots__ = ("claim_id", "instance", "digest", "state", "answer", "revision")
-
-    def __init__(
-        self,
-        *,
-        claim_id: str,
-        instance: str,
-        digest: str,
-        state: State = State.RUNNING,
-        answer: answers.RecordedAnswer | None = None,
-        revision: int = 0,
-    ) -> None:
-        self.claim_id = claim_id
-        self.instance = instance
-        self.digest = digest
-        self.state = state
-        self.answer = answer
-        self.revision = revision
-
-    def to_bytes(self) -> bytes:
-        """Return the JSON form in which the claim is stored."""
-        data = {
-            "claim_id": self.claim_id,
-            "instance": self.instance,
-            "digest": self.digest,
-            "state": self.state.value,
-        }
-        if self.answer is not None:
-            data["answer"] = {
-                "status": self.answer.status,
-                "headers": [list(pair) for pair in self.answer.headers],
-                "body": base64.b64encode(self.answer.body).decode(),
-                "whole": self.answer.has_body,
-            }
-        return json.dumps(data).encode()
-
-
-def claim_from_item(item: store.KeyValue) -> Claim:
-    """Return the claim that a store item holds."""
-    data = json.loads(item.value)
-    stored_answer = data.get("answer")
-    answer = None
-    if stored_answer is not None:
-        answer = answers.RecordedAnswer(
-            status=stored_answer["status"],
-            headers=tuple((name, value) for name, value in stored_answer["headers"]),
-            body=base64.b64decode(stored_answer["body"]),
-            has_body=stored_answer["whole"],
-        )
-    return Claim(
-        claim_id=data["claim_id"],
-        instance=data["instance"],
-        digest=data["digest"],
-        state=State(data["state"]),
-        answer=answer,
-        revision=item.revision,
-    )
+        self.claim: claims.Claim | None = None
 
 
 class ClaimLeaseGrant(records.Record):
@@ -299,7 +217,9 @@
     def begin_claim(self, operation: Operation, now: float) -> None:
         """Queue the claim of a key; the request is resumed with the result or after a time-out."""
         claim_id = f"{self.instance}/{self.new_id()}"
-        operation.claim = Claim(claim_id=claim_id, instance=self.instance, digest=operation.digest)
+        operation.claim = claims.Claim(
+            claim_id=claim_id, instance=self.instance, digest=operation.digest
+        )
         self.claim_deadlines[operation.request_id] = now + CLAIM_TIMEOUT_S
         self.pending_claims.append(operation)
 
@@ -317,12 +237,12 @@
 
     def record_unsettled(self, operation: Operation) -> None:
         """Record that a key's request may have run, so that it never runs again."""
-        operation.state = State.UNSETTLED
+        operation.state = claims.State.UNSETTLED
         self._queue_state_write(operation)
 
     def record_done(self, operation: Operation, answer: answers.RecordedAnswer | None) -> None:
         """Record that a key's request ran, and keep its answer if the whole body was recorded."""
-        operation.state = State.DONE
+        operation.state = claims.State.DONE
         if answer is not None and answer.has_body:
             operation.answer = answer
             self.kept_answer_bytes += len(answer.body)
@@ -337,7 +257,7 @@
         for operation in [
             operation for operation in self.table.values() if wall >= operation.expires_at
         ]:
-            if operation.state is not State.RUNNING:
+            if operation.state is not claims.State.RUNNING:
                 self._remove(operation)
         self.flush(wall)
 
@@ -415,7 +335,7 @@
     def _apply_claim_result(self, operation: Operation, reply: store.CommitReply) -> None:
         """Resume a request once its claim is stored, or with the claim that holds the key."""
         still_waiting = self.claim_deadlines.pop(operation.request_id, None) is not None
-        stored_claim = claim_from_item(reply.items[0]) if reply.items else None
+        stored_claim = claims.from_item(reply.items[0]) if reply.items else None
         is_own_claim = reply.applied or (
             stored_claim is not None and stored_claim.claim_id == operation.claim.claim_id
         )
@@ -424,7 +344,7 @@
             if not still_waiting:
                 self.record_not_run(operation)
                 return
-            operation.state = State.RUNNING
+            operation.state = claims.State.RUNNING
             log_event = commands.LogEvent(
                 events.Event.OPERATION_CLAIMED, request=operation.request_id
             )
--- a/yuccahitch/filters/idempotency.py
+++ b/yuccahitch/filters/idempotency.py
@@ -10,7 +10,7 @@
 import typing
 
 from yuccahitch import clock, errors
-from yuccahitch.controllers import membership, operations
+from yuccahitch.controllers import claims, membership, operations
 from yuccahitch.filters import _forwarding, chain, request_context
 from yuccahitch.messages import actions, answers, commands
 
@@ -87,7 +87,7 @@
         if operation is not None:
             return self._answer_repeat(context, operation.digest, operation.state, operation.answer)
         new_operation = self._record_operation(context, minted_key.expires_at)
-        new_operation.state = operations.State.RUNNING
+        new_operation.state = claims.State.RUNNING
         context.operation_state = "not-run"
         return actions.Proceed()
 
@@ -121,7 +121,7 @@
         self,
         context: request_context.RequestContext,
         digest: str,
-        state: operations.State,
+        state: claims.State,
         answer: answers.RecordedAnswer | None,
     ) -> actions.Action:
         """Replay the answer to the first request with a key, or raise why that can't be done.
@@ -140,16 +140,14 @@
         if answer is not None:
             return actions.Replay(answer)
         context.operation_state = state.value
-        if state in (operations.State.RUNNING, operations.State.CLAIMING):
+        if state in (claims.State.RUNNING, claims.State.CLAIMING):
             raise _error(
                 errors.Code.OPERATION_RUNNING,
                 "",
                 run=errors.RunStatus.MAY_HAVE_RUN,
                 retry_after=operations.RETRY_AFTER_S,
             )
-        detail = (
-            "the request ran, but its answer is not kept" if state is operations.State.DONE else ""
-        )
+        detail = "the request ran, but its answer is not kept" if state is claims.State.DONE else ""
         raise _error(errors.Code.OPERATION_UNSETTLED, detail, run=errors.RunStatus.MAY_HAVE_RUN)
 
     def _forward_to_owner(
@@ -202,7 +200,7 @@
 
 @_resume.register
 def _(
-    reply: operations.Claim,
+    reply: claims.Claim,
     idempotency_filter: Idempotency,
     context: request_context.RequestContext,
 ) -> actions.Action:
@@ -210,11 +208,11 @@
     try:
         state = reply.state
         if (
-            state is operations.State.RUNNING
+            state is claims.State.RUNNING
             and idempotency_filter.members.find(reply.instance) is None
         ):
             # With its instance unreachable, the outcome of that request is unknown.
-            state = operations.State.UNSETTLED
+            state = claims.State.UNSETTLED
         return idempotency_filter._answer_repeat(context, reply.digest, state, reply.answer)
     except errors.GatewayError as error:
         return actions.Refuse(error)
