--- a/tests/features/extra_answers.feature
+++ b/tests/features/extra_answers.feature
@@ -60,3 +60,14 @@
     Given a server that sends an answer twice, the second just before the next request
     When two requests are sent to it one after another
     Then the second one is sent on a new connection
+
+  # Guards against a request with a key that runs at two instances, as the reply to another claim came for its own (TWICE).
+  Scenario Outline: A claim is won only by the reply that holds it
+    When an instance claims <first>, and then <second>, which another one holds
+    Then the second claim is not won by the reply to the first, which comes late
+
+    Examples:
+      | first    | second   |
+      | a        | b        |
+      | a and c  | b and d  |
+      | a        | b and d  |
--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -181,6 +181,8 @@
     ),
     "a lease": store.GrantLease(10.0),
 }
+# What a read of the key of these calls returns.
+HELD_KEY = {"kvs": [{"key": "aw==", "value": "b3RoZXI=", "mod_revision": "4"}]}
 # Status and body of the first reply and of those after it, by dialect and call.
 STORE_REPLIES = {
     ("etcd", "a claim"): [
@@ -189,7 +191,7 @@
     ],
     ("etcd", "many claims"): [
         (200, {"responses": [{"response_txn": {"succeeded": True}}]}),
-        (200, {"responses": [{"response_txn": {}}]}),
+        (200, {"responses": [{"response_txn": {"responses": [{"response_range": HELD_KEY}]}}]}),
     ],
     ("etcd", "a lease"): [(200, {"ID": "1", "TTL": "10"}), (200, {"ID": "2", "TTL": "10"})],
     ("platform", "a claim"): [(200, {"revision": 5}), (412, {"items": []})],
--- a/tests/features/steps/store_contract.py
+++ b/tests/features/steps/store_contract.py
@@ -92,6 +92,13 @@
         "create many a=2 b=2": lambda: store.CommitMany(
             [make_commit("a", "2", key_absent), make_commit("b", "2", [store.Condition("b", 0)])]
         ),
+        "create and read back many a=2 b=2": lambda: store.CommitMany(
+            [make_commit("a", "2", key_absent), make_commit("b", "2", [store.Condition("b", 0)])],
+            reads_back=True,
+        ),
+        "swap many a=2 that is gone": lambda: store.CommitMany(
+            [make_commit("a", "2", [store.Condition("a", 7)])]
+        ),
         "lease": lambda: store.GrantLease(5),
         "put a=1 on it": lambda: make_commit("a", "1", lease=lease),
         "revoke": lambda: store.RevokeLease(lease),
--- a/tests/features/store_contract.feature
+++ b/tests/features/store_contract.feature
@@ -15,6 +15,8 @@
       | create a=1, swap a=2 at its revision      | applied                |
       | create a=1, swap a=2 at an old revision   | not applied, a=1       |
       | create a=1, create many a=2 b=2           | not applied, applied   |
+      | create a=1, create and read back many a=2 b=2 | not applied, applied |
+      | swap many a=2 that is gone                | not applied            |
       | lease, put a=1 on it, revoke, read a      | nothing                |
       | lease, renew                              | alive                  |
       | renew an unknown lease                    | gone                   |
--- a/yuccahitch/codecs/etcd.py
+++ b/yuccahitch/codecs/etcd.py
@@ -78,7 +78,9 @@
 
 @encode.register
 def _(call: store.CommitMany) -> HttpRequest:
-    transactions = [{"requestTxn": _txn_body(commit)} for commit in call.commits]
+    transactions = [
+        {"requestTxn": _txn_body(commit, reads_back=call.reads_back)} for commit in call.commits
+    ]
     return HttpRequest("/v3/kv/txn", {"compare": [], "success": transactions, "failure": []})
 
 
@@ -104,6 +106,9 @@
         call: The call.
         status: HTTP status of the response.
         response_body: Body of the response.
+
+    Raises:
+        ValueError: When the response is not one to the call.
     """
     if status != STATUS_OK:
         return store.CallFailed(may_have_applied=True, detail=f"status {status}")
@@ -129,9 +134,13 @@
 def _(call: store.CommitMany, body: Json) -> store.Reply:
     replies = body.get("responses", [])
     enclosing_revision = decode_revision(body)
-    return store.CommitManyReply(
-        [_commit_reply(reply["response_txn"], enclosing_revision) for reply in replies]
-    )
+    results = [_commit_reply(reply["response_txn"], enclosing_revision) for reply in replies]
+    if len(results) != len(call.commits) or not all(
+        _is_reply_to(commit, result, reads_back=call.reads_back)
+        for commit, result in zip(call.commits, results, strict=True)
+    ):
+        raise ValueError("the reply is not to this call")
+    return store.CommitManyReply(results)
 
 
 @_decode_reply.register(store.GrantLease)
@@ -180,11 +189,13 @@
     return body
 
 
-def _txn_body(call: store.Commit) -> Json:
+def _txn_body(call: store.Commit, *, reads_back: bool = False) -> Json:
+    reads = [{"requestRange": _range_body(store.Range(e.key))} for e in call.conditions]
     return {
         "compare": [_compare_body(condition) for condition in call.conditions],
-        "success": [_change_body(change) for change in call.changes],
-        "failure": [{"requestRange": _range_body(store.Range(e.key))} for e in call.conditions],
+        "success": [_change_body(change) for change in call.changes]
+        + (reads if reads_back else []),
+        "failure": reads,
     }
 
 
@@ -215,6 +226,19 @@
     return {"requestDeleteRange": {"key": encode_key(change.key)}}
 
 
+def _is_reply_to(commit: store.Commit, result: store.CommitReply, *, reads_back: bool) -> bool:
+    """Return whether a reply can be one to a commit, by the keys and values that it holds."""
+    held = {item.key: item.value for item in result.items}
+    expected_revisions = {condition.key: condition.revision for condition in commit.conditions}
+    if not held.keys() <= expected_revisions.keys():
+        return False
+    if not result.applied:
+        # A key that was to have a revision may be gone.
+        return all(key in held for key, revision in expected_revisions.items() if not revision)
+    puts = [change for change in commit.changes if type(change) is store.Put]
+    return not reads_back or all(held.get(put.key) == put.value for put in puts)
+
+
 def _commit_reply(body: Json, outer_revision: int = 0) -> store.CommitReply:
     """Return the reply in a transaction's response.
 
--- a/yuccahitch/controllers/operations.py
+++ b/yuccahitch/controllers/operations.py
@@ -275,7 +275,7 @@
             batch, self.pending_claims = _split_batch(self.pending_claims)
             self.claim_call_pending = True
             commits = [_claim_commit(operation, self.lease) for operation in batch]
-            call = store.CommitMany(commits)
+            call = store.CommitMany(commits, reads_back=True)
             self.outbox.append(commands.StoreCall(call, ClaimBatch(batch)))
         if self.pending_settlements and not self.settlement_call_pending:
             batch, self.pending_settlements = _split_batch(self.pending_settlements)
--- a/yuccahitch/messages/store.py
+++ b/yuccahitch/messages/store.py
@@ -102,12 +102,15 @@
 
     Attributes:
         commits: The commits.
+        reads_back: Whether the store is asked for what it wrote, by which the reply is told from
+            one to another call, in a dialect that can do so.
     """
 
-    __slots__ = ("commits",)
+    __slots__ = ("commits", "reads_back")
 
-    def __init__(self, commits: list[Commit]) -> None:
+    def __init__(self, commits: list[Commit], *, reads_back: bool = False) -> None:
         self.commits = commits
+        self.reads_back = reads_back
 
 
 class GrantLease(records.Record):
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -149,7 +149,8 @@
         After a failure to connect, the call was not applied; after any other failure, such as a
         timeout, it may have been.
         """
-        http_request = self.dialect.encode(_prefixed(call, self.prefix))
+        prefixed_call = _prefixed(call, self.prefix)
+        http_request = self.dialect.encode(prefixed_call)
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         call_type = type(call).__name__.lower()
         try:
@@ -163,7 +164,7 @@
             ) as response:
                 response_body = await bounded_body.read(response, MAX_REPLY_BYTES)
                 self._count_call(call_type, str(response.status))
-                reply = self.dialect.decode(call, response.status, response_body)
+                reply = self.dialect.decode(prefixed_call, response.status, response_body)
                 return store.EraReply(_unprefixed(reply, self.prefix), era=self._era_of(response))
         except aiohttp.ClientConnectorError as error:
             self._count_call(call_type, "unreachable")
@@ -389,7 +390,8 @@
 
 @_prefixed.register
 def _(call: store.CommitMany, prefix: str) -> store.Call:
-    return store.CommitMany([_prefixed(commit, prefix) for commit in call.commits])
+    commits = [_prefixed(commit, prefix) for commit in call.commits]
+    return store.CommitMany(commits, reads_back=call.reads_back)
 
 
 @_prefixed.register
