--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -152,7 +152,8 @@
     def txn(self, body: Json, revision: int | None = None) -> Json:
         """Apply a transaction and return its reply; all its changes share one revision.
 
-        A nested transaction is given the revision of the outer one, which advances the store.
+        A nested transaction is given the revision of the outer one, which advances the store; as
+        in etcd, its reply has no revision.
         """
         new_revision = revision if revision is not None else self.revision + 1
         conditions_hold = all(self.condition_holds(item) for item in body.get("compare", []))
@@ -164,7 +165,8 @@
             self.revision = new_revision
         elif revision is None and any(event[0] == new_revision for event in self.history[-64:]):
             self.revision = new_revision
-        return {"header": self.header(), "succeeded": conditions_hold, "responses": responses}
+        header = self.header() if revision is None else {}
+        return {"header": header, "succeeded": conditions_hold, "responses": responses}
 
     def condition_holds(self, item: Json) -> bool:
         """Return whether a condition of a transaction holds."""
