--- a/standins/engine.py
+++ b/standins/engine.py
@@ -37,6 +37,7 @@
     "half_head": False,
     "says_leaving": False,
     "busy_pause_s": 0,
+    "word_mark": "",
 }
 # What the fault ``half_head`` sends of an answer before it closes the connection.
 HALF_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Reque"
@@ -265,7 +266,8 @@
     await asyncio.sleep(engine.prefill_s(prompt))
     token_limit = body.get("max_completion_tokens", body.get("max_tokens", 16))
     reply_tokens = body.get("reply_tokens", token_limit)
-    words = [f"w{index} " for index in range(min(token_limit, reply_tokens))]
+    mark = engine.faults["word_mark"]
+    words = [f"{mark}w{index} " for index in range(min(token_limit, reply_tokens))]
     resume_from = int(request.headers.get("x-resume-from", "0"))
     request_id = request.headers.get("x-request-id", "")
     headers = {"x-request-id": "crossed" if engine.faults["cross_answers"] else request_id}
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, str(ROOT))
 
 from standins import deployment, platform_site  # noqa: E402
-from tests import builders, event_coverage, platform_builders  # noqa: E402
+from tests import builders, event_coverage, own_site, platform_builders  # noqa: E402
 
 EXAMPLE_DEPLOYMENTS = ("ice-works", "doors")
 SETTLE_S = 1.0
@@ -43,6 +43,10 @@
         if "deployment" in feature.tags and name in feature.tags:
             context.example = context.loop.run_until_complete(start_example(name))
             context.feature_closers = [context.example.close]
+    if "own_site" in feature.tags:
+        context.example = own_site.OwnSite()
+        context.feature_closers = [context.example.close]
+        context.loop.run_until_complete(context.example.start())
     if "platform_site" in feature.tags:
         context.site = context.loop.run_until_complete(start_site())
         context.feature_closers = [context.site.close]
