--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 
 import aiohttp
@@ -30,11 +31,11 @@
     return events.Log("edge-1~1", events.HybridClock(time.wall))
 
 
-def an_upstream_client():
+def an_upstream_client(*, on_reply=lambda reply: None):
     """Return a client for upstreams of the own interface."""
     time = clock.SystemClock()
     return upstream_client.UpstreamClient(
-        time=time, log=a_log(time), on_reply=lambda reply: None, on_notice=lambda notice: None
+        time=time, log=a_log(time), on_reply=on_reply, on_notice=lambda notice: None
     )
 
 
@@ -58,9 +59,8 @@
 
 
 @contextlib.asynccontextmanager
-async def running_upstream_client():
-    """Run a client for upstreams of the own interface."""
-    client = an_upstream_client()
+async def running(client):
+    """Run a client."""
     task = asyncio.ensure_future(client.run())
     try:
         yield client
@@ -69,6 +69,11 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+def running_upstream_client():
+    """Run a client for upstreams of the own interface."""
+    return running(an_upstream_client())
+
+
 def post_dispatch(client, action, stream):
     """Post an attempt to a client."""
     client.inbox.post(upstream_client.OpenDispatch(action, stream))
@@ -99,6 +104,20 @@
     )
 
 
+def a_chat(address, *, echoes_request_id, stream=False, words="ice"):
+    """Return the dispatch of a chat to an engine at an address."""
+    body = json.dumps(builders.chat_body(messages=[{"role": "user", "content": words}])).encode()
+    return actions.Dispatch(
+        upstream="u1",
+        address=address,
+        attempt=1,
+        request=builders.a_request(body=body, stream=stream, deadline=1e9),
+        max_tokens=20,
+        priority=0,
+        echoes_request_id=echoes_request_id,
+    )
+
+
 def client_with_attempt(receivers, port):
     """Return a client that does not run yet, and the stream of the attempt in its mailbox."""
     if receivers == "other instances":
@@ -138,8 +157,8 @@
         return await poller._get_json(url + "/load")
 
 
-def a_store_client(url):
-    """Return a client of the platform's store at a URL."""
+def a_store_client(url, *, dialect=platform_store, on_reply=lambda reply: None):
+    """Return a client of a store at a URL, by default of the platform's."""
     time = clock.SystemClock()
     return store_client.StoreClient(
         url,
@@ -147,10 +166,10 @@
         timeout_s=10.0,
         time=time,
         log=a_log(time),
-        on_reply=lambda reply: None,
+        on_reply=on_reply,
         on_watch_event=lambda event: None,
         rng=random.Random(1),
-        dialect=platform_store,
+        dialect=dialect,
         poll_wait_s=1.0,
     )
 
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -16,7 +16,7 @@
 from yuccahitch.codecs import etcd
 from yuccahitch.controllers import freshness
 from yuccahitch.messages import commands, store
-from yuccahitch.tasks import bounded_body, mailbox
+from yuccahitch.tasks import bounded_body, http_connections, mailbox
 
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
@@ -133,7 +133,9 @@
 
     async def run(self) -> None:
         """Start each call or watch that the inbox asks for; stop all of them when cancelled."""
-        async with aiohttp.ClientSession(read_bufsize=MAX_WATCH_LINE_BYTES) as session:
+        async with aiohttp.ClientSession(
+            connector=http_connections.ReusingConnector(), read_bufsize=MAX_WATCH_LINE_BYTES
+        ) as session:
             self.session = session
             try:
                 while True:
@@ -147,7 +149,8 @@
         After a failure to connect, the call was not applied; after any other failure, such as a
         timeout, it may have been.
         """
-        http_request = self.dialect.encode(_prefixed(call, self.prefix))
+        prefixed_call = _prefixed(call, self.prefix)
+        http_request = self.dialect.encode(prefixed_call)
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         call_type = type(call).__name__.lower()
         try:
@@ -157,10 +160,11 @@
                 params=http_request.query,
                 json=http_request.body,
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 response_body = await bounded_body.read(response, MAX_REPLY_BYTES)
                 self._count_call(call_type, str(response.status))
-                reply = self.dialect.decode(call, response.status, response_body)
+                reply = self.dialect.decode(prefixed_call, response.status, response_body)
                 return store.EraReply(_unprefixed(reply, self.prefix), era=self._era_of(response))
         except aiohttp.ClientConnectorError as error:
             self._count_call(call_type, "unreachable")
@@ -386,7 +390,8 @@
 
 @_prefixed.register
 def _(call: store.CommitMany, prefix: str) -> store.Call:
-    return store.CommitMany([_prefixed(commit, prefix) for commit in call.commits])
+    commits = [_prefixed(commit, prefix) for commit in call.commits]
+    return store.CommitMany(commits, reads_back=call.reads_back)
 
 
 @_prefixed.register
