--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -19,7 +19,7 @@
 # reused just as the upstream closes it.
 KEEP_ALIVE_MARGIN_S = 1.0
 # Requests that one connection carries; their ids are remembered.
-MAX_REQUESTS = 1000
+MAX_REQUESTS = 256
 # Events of an answer that are read before other tasks get their turn.
 EVENTS_PER_TURN = 64
 CONNECTION_ERRORS = (OSError, h11.RemoteProtocolError, h11.LocalProtocolError)
