--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -25,6 +25,10 @@
       | address      | "127.0.0.1:x" | is not used |
       | born         | "now"         | is not used |
       | warmupLeftMs | null          | is not used |
+      | version      | "v2"          | is used     |
+      | version      | ""            | is used     |
+      | version      | 2             | is not used |
+      | version      | null          | is not used |
       | unknown      | {}            | is used     |
 
   Scenario Outline: An upstream whose store entry is deleted is used until its grace period ends
--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -353,6 +353,7 @@
         status=part.status,
         headers=[pb.Header(name=name, value=value) for name, value in part.headers],
         source=part.source,
+        software_version=part.software_version,
     )
     return pb.Part(stamp=stamp, request_id=part.request_id, attempt=part.attempt, head=head)
 
@@ -416,6 +417,7 @@
         status=message.status,
         headers=tuple((header.name, header.value) for header in message.headers),
         source=message.source,
+        software_version=message.software_version,
     )
 
 
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -405,6 +405,7 @@
                 entry.name,
                 zone=entry.zone,
                 slots=entry.slots,
+                software_version=entry.software_version,
                 cold_s=entry.cold_s,
                 leaving=entry.leaving,
                 revision=revision,
--- a/yuccahitch/controllers/request_log.py
+++ b/yuccahitch/controllers/request_log.py
@@ -50,6 +50,8 @@
         seconds=round(now - context.arrived_at, 3),
         output_tokens=message.usage.output,
     )
+    if context.head is not None:
+        fields["software_version"] = context.head.software_version
     if message.first_byte_s is not None:
         fields["first_byte_s"] = round(message.first_byte_s, 3)
     if message.error is not None:
@@ -85,6 +87,7 @@
         events.Event.REQUEST_DISPATCHED,
         **_request_fields(context),
         upstream=work.upstream,
+        software_version=work.software_version,
         attempt=work.attempt,
         rank=work.priority,
         left_s=round(left_s, 3),
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -78,6 +78,7 @@
             upstream=chosen_upstream.name,
             incarnation=self.registry.incarnation(chosen_upstream.name),
             address=chosen_upstream.address,
+            software_version=chosen_upstream.software_version,
             attempt=context.attempt,
             request=context.request,
             max_tokens=0,
--- a/yuccahitch/messages/actions.py
+++ b/yuccahitch/messages/actions.py
@@ -84,6 +84,7 @@
         upstream: Name of the upstream.
         incarnation: Name of the upstream's present start.
         address: Base URL of the upstream.
+        software_version: Version of the upstream's software, or empty.
         attempt: Number of the attempt, from 1.
         request: The request.
         max_tokens: Output limit sent to the upstream, in tokens; 0 for plain services.
@@ -99,6 +100,7 @@
         "upstream",
         "incarnation",
         "address",
+        "software_version",
         "attempt",
         "request",
         "max_tokens",
@@ -120,6 +122,7 @@
         priority: int,
         echoes_request_id: bool,
         incarnation: str = "",
+        software_version: str = "",
         streams: bool = False,
         account: str = "",
         give_up_at: float | None = None,
@@ -127,6 +130,7 @@
         self.upstream = upstream
         self.incarnation = incarnation
         self.address = address
+        self.software_version = software_version
         self.attempt = attempt
         self.request = request
         self.max_tokens = max_tokens
--- a/yuccahitch/messages/answers.py
+++ b/yuccahitch/messages/answers.py
@@ -29,9 +29,10 @@
         status: HTTP status.
         headers: Headers sent to the caller, as pairs of name and value.
         source: Name of the upstream that answers.
+        software_version: Version of its software, or empty.
     """
 
-    __slots__ = ("request_id", "attempt", "status", "headers", "source")
+    __slots__ = ("request_id", "attempt", "status", "headers", "source", "software_version")
 
     def __init__(
         self,
@@ -41,12 +42,14 @@
         status: int,
         headers: tuple[tuple[str, str], ...],
         source: str,
+        software_version: str = "",
     ) -> None:
         self.request_id = request_id
         self.attempt = attempt
         self.status = status
         self.headers = headers
         self.source = source
+        self.software_version = software_version
 
     def media_type(self) -> str:
         """Return the media type of the body, without parameters, or an empty text."""
--- a/yuccahitch/platform/upstreams.py
+++ b/yuccahitch/platform/upstreams.py
@@ -46,6 +46,7 @@
             leaving=LEAVING_BY_STATE[_check_text(data["state"])],
             born_ms=_check_whole_number(data.get("born", 0)),
             sequence=_check_whole_number(data.get("sequence", 0)),
+            software_version=_check_version(data.get("version", "")),
             cold_s=_check_whole_number(data.get("warmupLeftMs", 0)) / 1000,
             leaves_in_s=(
                 None if shutdown_in_ms is None else _check_whole_number(shutdown_in_ms) / 1000
@@ -70,6 +71,11 @@
     return value
 
 
+def _check_version(value: typing.Any) -> str:
+    """Return a version, which may be empty, unchanged; raise TypeError or ValueError for others."""
+    return value if value == "" else _check_text(value)
+
+
 def _check_whole_number(value: typing.Any, *, minimum: int = 0, maximum: int = MAX_NUMBER) -> int:
     """Return a number as a whole number; raise TypeError if it is not a number in range."""
     if type(value) not in (int, float) or not minimum <= value <= maximum:
--- a/yuccahitch/resources/upstream.py
+++ b/yuccahitch/resources/upstream.py
@@ -23,6 +23,8 @@
         cold_s: Time for which the upstream stays cold, in seconds after the entry was written.
         leaves_in_s: Time until the upstream shuts down, in seconds, or None.
         sequence: Number of the statement of this incarnation; a larger one is newer.
+        software_version: Version of its software, or empty; streams of two versions don't fit
+            together.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         "cold_s",
         "leaves_in_s",
         "sequence",
+        "software_version",
     )
 
     def __init__(
@@ -57,6 +60,7 @@
         cold_s: float = 0.0,
         leaves_in_s: float | None = None,
         sequence: int = 0,
+        software_version: str = "",
     ) -> None:
         self.name = name
         self.service = service
@@ -71,3 +75,4 @@
         self.cold_s = cold_s
         self.leaves_in_s = leaves_in_s
         self.sequence = sequence
+        self.software_version = software_version
--- a/yuccahitch/tasks/replica_exchange.py
+++ b/yuccahitch/tasks/replica_exchange.py
@@ -256,6 +256,7 @@
             status=response_head.status,
             headers=platform_requests.forwarded_answer_headers(response_head.header_pairs),
             source=self.action.upstream,
+            software_version=self.action.software_version,
         )
         await self.stream.put(head)
         return True
