--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import re
+
 import behave
 
-from tests import stream_builders
-from yuccahitch.messages import commands
+from tests import edge_simulation, stream_builders
+from yuccahitch import errors
+from yuccahitch.messages import actions, commands
 
 
 def logged_events(edge):
@@ -14,10 +17,116 @@
     return [item for item in pending if type(item) is commands.LogEvent]
 
 
-@behave.given("an instance with upstream {name} of version {version}")
-def step_start_with_upstream(context, name, version):
+def register_all(edge, text, **fields):
+    """Register the upstreams that a list like ``u1 of version v1, u2 of version v2`` names."""
+    for name, version in re.findall(r"(\w+) of version (\w+)", text):
+        stream_builders.register(edge, name, version, **fields)
+
+
+def upstream_versions(edge):
+    """Return the software version of each upstream by name."""
+    replicas = edge.decisions.registry.by_name
+    return {name: replica.upstream.software_version for name, replica in replicas.items()}
+
+
+def begin_and_break(edge):
+    """Begin a resumable stream and break it off; return its upstream and the next action.
+
+    The upstream is None for a stream that began in another region.
+    """
+    outcome = edge.begin_request(stream_builders.STREAM_PATH)
+    work = outcome.action.work
+    request_id = outcome.request_id
+    if type(work) is actions.Forward:
+        return None, outcome
+    edge.resume_request(request_id, stream_builders.a_head(request_id, work.software_version))
+    next_outcome = edge.resume_request(request_id, stream_builders.a_break(request_id))
+    return work.upstream, next_outcome
+
+
+@behave.given("an instance with upstream {upstreams}")
+@behave.given("an instance with upstreams {upstreams}")
+def step_start_with_upstreams(context, upstreams):
     context.edge = stream_builders.an_edge()
-    stream_builders.register(context.edge, name, version)
+    register_all(context.edge, upstreams)
+
+
+@behave.given("an instance of east with upstreams {near}, and one of west with {far}")
+def step_start_regions(context, near, far):
+    context.edges = [
+        stream_builders.an_edge(f"edge-{region}", region=region) for region in ("east", "west")
+    ]
+    edge_simulation.discover_all(context.edges)
+    for edge in context.edges:
+        register_all(edge, near)
+        register_all(edge, far, zone="west-a")
+
+
+@behave.when("{count:d} resumable streams begin and break off after an event")
+def step_break_streams(context, count):
+    context.breaks = [begin_and_break(context.edge) for _ in range(count)]
+
+
+@behave.then("each goes on at an upstream of the version that began it")
+def step_check_resumed(context):
+    versions = upstream_versions(context.edge)
+    resumed = [
+        (first, edge_simulation.dispatched_upstream(outcome)) for first, outcome in context.breaks
+    ]
+    assert all(second and versions[first] == versions[second] for first, second in resumed), resumed
+    assert {versions[first] for first, _ in resumed} == {"v1", "v2"}, resumed
+
+
+@behave.then("each ends with answer-cut or the error of its attempt, not at another version")
+def step_check_cut(context):
+    assert all(type(outcome.action) is actions.Refuse for _, outcome in context.breaks)
+
+
+@behave.when("a resumable stream of u1 breaks off and is forwarded to west, {count:d} times")
+def step_forward(context, count):
+    east, west = context.edges
+    context.reached = []
+    for _ in range(count):
+        first, outcome = begin_and_break(east)
+        if first == "u1":
+            arrived = stream_builders.forwarded(outcome.action.work, west)
+            context.reached.append(edge_simulation.dispatched_upstream(arrived))
+            west.finish_request(arrived.request_id, succeeded=False)
+        east.finish_request(outcome.request_id, succeeded=False)
+        edge_simulation.advance_clocks(context.edges, 3.0)
+        edge_simulation.exchange_pulses(context.edges)
+
+
+@behave.then("the instance of west sends it to {name} each time")
+def step_check_reached(context, name):
+    assert context.reached and set(context.reached) == {name}, context.reached
+
+
+@behave.when("a resumable stream breaks off and the resumed attempt is answered by version v2")
+def step_answer_by_other(context):
+    _, outcome = begin_and_break(context.edge)
+    head = stream_builders.a_head(outcome.request_id, "v2", attempt=2)
+    context.outcome = context.edge.resume_request(outcome.request_id, head)
+
+
+@behave.then("it ends with answer-cut")
+def step_check_answer_cut(context):
+    assert context.outcome.action.error.code is errors.Code.ANSWER_CUT, context.outcome
+
+
+@behave.when("a safe request fails at its first upstream")
+def step_fail_safe(context):
+    register_all(context.edge, "d1 of version v1, d2 of version v2", service="desk")
+    outcome = context.edge.begin_request("/status/x")
+    context.first = edge_simulation.dispatched_upstream(outcome)
+    failure = stream_builders.a_break(outcome.request_id, last_event_id="")
+    context.outcome = context.edge.resume_request(outcome.request_id, failure)
+
+
+@behave.then("it is sent to the other one")
+def step_check_repeated(context):
+    second = edge_simulation.dispatched_upstream(context.outcome)
+    assert {context.first, second} == {"d1", "d2"}, (context.first, second)
 
 
 @behave.when("a resumable stream begins and ends in full")
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -5,3 +5,28 @@
     Given an instance with upstream u1 of version v1
     When a resumable stream begins and ends in full
     Then the events upstream-found, request-dispatched and request-ended name version v1
+
+  Scenario: A stream that breaks off goes on at another upstream of its version
+    Given an instance with upstreams u1 of version v1, u2 of version v2, u3 of version v1 and u4 of version v2
+    When 20 resumable streams begin and break off after an event
+    Then each goes on at an upstream of the version that began it
+
+  Scenario: A stream that breaks off is cut when no other upstream of its version is left
+    Given an instance with upstreams u1 of version v1 and u2 of version v2
+    When 20 resumable streams begin and break off after an event
+    Then each ends with answer-cut or the error of its attempt, not at another version
+
+  Scenario: A stream that breaks off goes on in another region where its version serves
+    Given an instance of east with upstreams u1 of version v1 and u2 of version v2, and one of west with w1 of version v1 and w2 of version v2
+    When a resumable stream of u1 breaks off and is forwarded to west, 40 times
+    Then the instance of west sends it to w1 each time
+
+  Scenario: The rest of a stream from another software version is not joined to it
+    Given an instance with upstreams u1 of version v1 and u3 of version v1
+    When a resumable stream breaks off and the resumed attempt is answered by version v2
+    Then it ends with answer-cut
+
+  Scenario: A plain request may be repeated at another software version
+    Given an instance with upstreams u1 of version v1 and u2 of version v2
+    When a safe request fails at its first upstream
+    Then it is sent to the other one
--- a/tests/stream_builders.py
+++ b/tests/stream_builders.py
@@ -6,7 +6,8 @@
 
 from tests import builders, platform_builders
 from yuccahitch import errors
-from yuccahitch.messages import answers
+from yuccahitch.codecs import peer
+from yuccahitch.messages import actions, answers, request_lifecycle
 
 STREAM_PATH = "/plan/x"
 SERVICE = "model"
@@ -24,7 +25,7 @@
     edge: platform_builders.EdgeUnderTest, name: str, version: str, **fields: typing.Any
 ) -> None:
     """Register an upstream of a software version, which serves streams."""
-    edge.register_upstream(name, service=SERVICE, version=version, **fields)
+    edge.register_upstream(name, **({"service": SERVICE, "version": version} | fields))
 
 
 def a_head(request_id: str, version: str, *, attempt: int = 1, status: int = 200) -> answers.Head:
@@ -43,3 +44,12 @@
     return answers.Failure(
         request_id=request_id, attempt=attempt, error=error, last_event_id=last_event_id
     )
+
+
+def forwarded(
+    work: actions.Forward, to: platform_builders.EdgeUnderTest
+) -> request_lifecycle.NextAction:
+    """Begin a forwarded request at its receiver, encoded and decoded; return the next action."""
+    message = peer.to_forwarded(work, stamp=1)
+    request, hop, _ = peer.from_forwarded(message, now=to.now)
+    return to.decisions.begin(request, hop, to.now)
--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -273,10 +273,15 @@
         attempt=work.attempt,
         parts=[pb.PromptPart(id=name, tokens=tokens) for name, tokens in request.prompt_parts],
         resume_after=request.resume_after,
-        **hop.as_dict(),
+        **(hop.as_dict() | {"versions": _version_set(hop.versions)}),
     )
 
 
+def _version_set(versions: tuple[str, ...] | None) -> pb.VersionSet | None:
+    """Return software versions as a message; None, which stands for all, has none."""
+    return None if versions is None else pb.VersionSet(names=versions)
+
+
 def from_forwarded(
     message: pb.Forwarded, *, now: float
 ) -> tuple[requests.Request, requests.Hop, int]:
@@ -332,6 +337,7 @@
         avoid=tuple(message.avoid),
         streams=message.streams,
         leased=message.leased,
+        versions=tuple(message.versions.names) if message.HasField("versions") else None,
     )
     return request, hop, message.attempt
 
--- a/yuccahitch/controllers/assignments.py
+++ b/yuccahitch/controllers/assignments.py
@@ -19,6 +19,7 @@
         avoid: Names of upstreams and ids of instances where the request failed before.
         local_only: Whether another instance forwarded the request, so that it may not be
             forwarded again.
+        versions: Software versions whose upstreams may get the request; None means every one.
     """
 
     __slots__ = (
@@ -30,6 +31,7 @@
         "left_s",
         "avoid",
         "local_only",
+        "versions",
     )
 
     def __init__(
@@ -43,6 +45,7 @@
         left_s: float,
         avoid: tuple[str, ...],
         local_only: bool,
+        versions: frozenset[str] | None = None,
     ) -> None:
         self.request_id = request_id
         self.service = service
@@ -52,6 +55,7 @@
         self.left_s = left_s
         self.avoid = avoid
         self.local_only = local_only
+        self.versions = versions
 
 
 class Assignment(records.Record):
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -207,7 +207,7 @@
         sharers = self.members.rate_sharers(now)
         waits_s = [
             self.registry.send_wait_s(replica, now, sharers)
-            for replica in self.registry.usable(request.service.name, now, avoid=request.avoid)
+            for replica in self._usable(request, now)
         ]
         if not any(waits_s):
             detail = "no usable upstream for the service"
@@ -251,7 +251,7 @@
         """Return the upstreams of this region that can take a request."""
         if request.regions is not None and self.region not in request.regions:
             return []
-        usable = self.registry.usable(request.service.name, now, avoid=request.avoid)
+        usable = self._usable(request, now)
         near_ids = self.members.near_ids(now)
         sharers = self.members.rate_sharers(now)
         return [
@@ -261,6 +261,14 @@
             and self.registry.send_wait_s(r, now, sharers) <= 0
         ]
 
+    def _usable(
+        self, request: assignments.PlacementRequest, now: float
+    ) -> list[replica_state.Replica]:
+        """Return the upstreams of this region that a request may be sent to."""
+        return self.registry.usable(
+            request.service.name, now, avoid=request.avoid, versions=request.versions
+        )
+
     def _choose_local(
         self,
         candidates: list[replica_state.Replica],
@@ -322,7 +330,9 @@
         usable_names = [
             replica.upstream.name
             for region in (regions if request.regions is None else regions & request.regions)
-            for replica in self.registry.usable(request.service.name, now, region=region)
+            for replica in self.registry.usable(
+                request.service.name, now, region=region, versions=request.versions
+            )
         ]
         return rendezvous.owner(shared, usable_names)
 
--- a/yuccahitch/controllers/remote_regions.py
+++ b/yuccahitch/controllers/remote_regions.py
@@ -86,7 +86,9 @@
             regions &= request.regions
         options = []
         for region in sorted(regions):
-            if not self.registry.usable(request.service.name, now, region=region):
+            if not self.registry.usable(
+                request.service.name, now, region=region, versions=request.versions
+            ):
                 continue
             if not self._has_room(region, request.service.name, now):
                 continue
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -168,7 +168,13 @@
         )
 
     def usable(
-        self, service: str, now: float, *, region: str | None = None, avoid: tuple[str, ...] = ()
+        self,
+        service: str,
+        now: float,
+        *,
+        region: str | None = None,
+        avoid: tuple[str, ...] = (),
+        versions: frozenset[str] | None = None,
     ) -> list[replica_state.Replica]:
         """Return the upstreams of a service in a region that may get new work.
 
@@ -179,6 +185,7 @@
             now: Monotonic seconds.
             region: Name of the region; None means that of this instance.
             avoid: Names of upstreams to leave out.
+            versions: Software versions to choose from; None means every one.
         """
         wanted_region = region or self.region
         return [
@@ -187,6 +194,7 @@
             if replica.upstream.service == service
             and replica.upstream.region == wanted_region
             and replica.upstream.name not in avoid
+            and (versions is None or replica.upstream.software_version in versions)
             and self._is_usable(replica, now)
         ]
 
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -24,6 +24,7 @@
         """Choose an upstream or an instance, or refuse."""
         context.upstream = ""
         context.instance = ""
+        context.versions = _wanted_versions(context)
         return place.apply_choice(self.policy.place(_placement_task(context, now), now), context)
 
     def leave(self, context: request_context.RequestContext, now: float) -> None:
@@ -48,4 +49,14 @@
         avoid=tuple(context.failed_targets)
         + (context.hop.avoid if context.hop is not None else ()),
         local_only=context.hop is not None,
+        versions=context.versions,
     )
+
+
+def _wanted_versions(context: request_context.RequestContext) -> frozenset[str] | None:
+    """Return the software versions that may get a request; None means every one."""
+    if context.origin_version is not None:
+        return frozenset((context.origin_version,))
+    if context.hop is not None and context.hop.versions is not None:
+        return frozenset(context.hop.versions)
+    return None
--- a/yuccahitch/filters/request_context.py
+++ b/yuccahitch/filters/request_context.py
@@ -48,6 +48,10 @@
         answered_attempt: Number of the latest attempt whose answer began, or 0.
         answer_began_at: When that answer began, in monotonic seconds.
         crash_count: Number of its attempts whose upstream crashed.
+        origin_version: Software version that began its stream, once that is known; the stream goes
+            on only there. None on routes whose streams can't be resumed.
+        versions: Software versions whose upstreams may get its present attempt; None means every
+            one.
         last_event_id: Id of the last event of a stream that the caller was sent, or empty.
         tokens_left: Tokens that its client account has left on this instance, below 0 if overdrawn;
             None without a rate.
@@ -87,6 +91,8 @@
         "answered_attempt",
         "answer_began_at",
         "crash_count",
+        "origin_version",
+        "versions",
         "last_event_id",
         "tokens_left",
         "placement_inputs",
@@ -127,6 +133,8 @@
         self.answered_attempt = 0
         self.answer_began_at = 0.0
         self.crash_count = 0
+        self.origin_version: str | None = None
+        self.versions: frozenset[str] | None = None
         self.last_event_id = ""
         self.tokens_left: float | None = None
         self.placement_inputs: placement_inputs.PlacementInputs | None = None
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -111,6 +111,7 @@
             avoid=tuple(context.failed_targets),
             streams=context.route.streams,
             leased=context.idempotent,
+            versions=None if context.versions is None else tuple(sorted(context.versions)),
         )
         work = actions.Forward(
             instance=context.instance,
@@ -154,8 +155,8 @@
         )
         _record_failed_target(send_filter, context, now)
         return actions.Rewind(balance.STEP)
-    if context.head is not None and not _continues(reply, context.head):
-        detail = f"the upstream sent status {reply.status} instead of the rest of the answer"
+    detail = _mismatch(reply, context)
+    if detail:
         error = errors.GatewayError(
             errors.Code.ANSWER_CUT,
             step=send_filter.step,
@@ -164,13 +165,33 @@
             run=errors.RunStatus.MAY_HAVE_RUN,
         )
         return actions.Refuse(error)
+    if _begins_resumable(reply, context):
+        context.origin_version = reply.software_version
     context.head = context.head or reply
     return actions.Deliver(context.head)
 
 
-def _continues(reply: answers.Head, begun: answers.Head) -> bool:
-    """Return whether the answer to a resumed attempt can go on with the one that had begun."""
-    return (reply.status, reply.media_type()) == (begun.status, begun.media_type())
+def _begins_resumable(reply: answers.Head, context: request_context.RequestContext) -> bool:
+    """Return whether an answer is a stream that may be taken up later."""
+    is_resumable = context.route.repeat is routes.RepeatPolicy.RESUMABLE
+    return is_resumable and reply.is_success()
+
+
+def _mismatch(reply: answers.Head, context: request_context.RequestContext) -> str:
+    """Return why an answer can't go on with the stream that had begun, or an empty text."""
+    begun = context.head
+    if begun is not None and (reply.status, reply.media_type()) != (
+        begun.status,
+        begun.media_type(),
+    ):
+        return f"the upstream sent status {reply.status} instead of the rest of the answer"
+    is_other_version = context.origin_version not in (None, reply.software_version)
+    if _begins_resumable(reply, context) and is_other_version:
+        return (
+            f"software version {reply.software_version!r} answered a stream that version "
+            f"{context.origin_version!r} began"
+        )
+    return ""
 
 
 @_resume.register
--- a/yuccahitch/messages/answers.py
+++ b/yuccahitch/messages/answers.py
@@ -51,6 +51,10 @@
         self.source = source
         self.software_version = software_version
 
+    def is_success(self) -> bool:
+        """Return whether the status tells that the request was answered with success."""
+        return 200 <= self.status < 300
+
     def media_type(self) -> str:
         """Return the media type of the body, without parameters, or an empty text."""
         values = (value for name, value in self.headers if name.lower() == "content-type")
--- a/yuccahitch/messages/requests.py
+++ b/yuccahitch/messages/requests.py
@@ -115,6 +115,7 @@
         avoid: Upstreams and instances where the request already failed.
         streams: Whether the answers on that route are streams of events.
         leased: Whether the request may be repeated, and so runs under a lease.
+        versions: Software versions whose upstreams may get the request; None means every one.
     """
 
     __slots__ = (
@@ -133,6 +134,7 @@
         "avoid",
         "streams",
         "leased",
+        "versions",
     )
 
     def __init__(
@@ -153,6 +155,7 @@
         avoid: tuple[str, ...] = (),
         streams: bool = False,
         leased: bool = False,
+        versions: tuple[str, ...] | None = None,
     ) -> None:
         self.sender = sender
         self.account = account
@@ -169,3 +172,4 @@
         self.avoid = tuple(avoid)
         self.streams = streams
         self.leased = leased
+        self.versions = versions
