--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -364,6 +364,16 @@
         "watch_s": _number_rule(
             "Longest wait of a long-polling call for changes.", "seconds", 2.0, 0.5, 30
         ),
+        "writes_per_s": _number_rule(
+            "Writes that the store takes from all instances together.", "writes", 100.0, 0.1, 1e9
+        ),
+        "first_start": _option_rule(
+            "Whether the whole fleet starts for the first time, so that no streams are open.",
+            "true or false",
+            default="true",
+            type="string",
+            allowed=["true", "false"],
+        ),
     },
     "bounds": {
         "drain_ms": _number_rule(
--- /dev/null
+++ b/yuccahitch/controllers/served_versions.py
@@ -0,0 +1,348 @@
+"""Which software versions of a service may have begun streams that are still open.
+
+What upstreams of two versions write doesn't fit together, so a stream goes on only at the version
+that began it. The store keeps one record a service with resumable routes. Streams begin only at
+versions that the record calls serving, and a new version is announced for longer than the age that
+anybody's knowledge may have before it serves. So where the record holds a single version, and this
+instance's knowledge of it is fresh, that version began every open stream.
+
+The record is changed by compare-and-swap, by the reachable instance that ranks first by rendezvous
+hashing, and by the next ones later. A service with a single version costs no call but the first.
+"""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from yuccahitch import clock, events, records
+from yuccahitch.codecs import version_records
+from yuccahitch.controllers import (
+    _service_versions,
+    feed,
+    fleet,
+    freshness,
+    published,
+    rendezvous,
+    replicas,
+)
+from yuccahitch.messages import commands, store
+from yuccahitch.resources import route as routes
+from yuccahitch.resources import version_record
+
+PREFIX = "yuccahitch/versions/"
+# Time for which a version stays announced beyond the largest age of knowledge, in seconds.
+HOLD_MARGIN_S = 0.5
+# Age of the knowledge from which no stream begins, in seconds: half of the time for which a retired
+# version is kept, so that streams that begin by old knowledge can be taken up for as long.
+MAX_BEGIN_AGE_S = _service_versions.RETENTION_S / 2
+# Time until the first record is written, in seconds: the instances that start together know each
+# other by then, and one of them writes it.
+FIRST_WRITE_DELAY_S = 0.5
+# Time by which an instance writes after the one that ranks before it, in seconds.
+RANK_DELAY_S = 1.0
+# Rank from which all instances write at the same time.
+MAX_RANK = 5
+# Time between two checks, in seconds.
+CHECK_INTERVAL_S = 0.2
+# Pause after a failed write, in seconds.
+RETRY_S = 1.0
+
+
+class VersionsWrite(records.Record):
+    """Purpose of the call that writes the versions of a service.
+
+    Attributes:
+        service: Name of the service.
+        record: The record to write.
+    """
+
+    __slots__ = ("service", "record")
+
+    def __init__(self, service: str, record: version_record.VersionRecord) -> None:
+        self.service = service
+        self.record = record
+
+
+class ServedVersions:
+    """Follows and changes the records of the services with resumable routes.
+
+    Args:
+        members: The instances of the fleet.
+        registry: The registered upstreams.
+        config: The configuration in force.
+        times: How old knowledge of the store may be.
+        first_start: Whether this instance started with the fleet's first start, so that a service
+            without a record has no open streams.
+
+    Attributes:
+        source: Follows the store.
+        by_service: What is known of each service, by name.
+        vouches: Whether this instance followed the store up to the beginning of its present era,
+            so that it knows all versions with open streams.
+        next_check_at: When the records are checked next, in monotonic seconds.
+        resumable: Services with resumable routes in the configuration ``resumable_in``.
+        resumable_in: Version of the configuration that ``resumable`` belongs to.
+        outbox: Commands that wait for the next ``take_commands``.
+    """
+
+    __slots__ = (
+        "members",
+        "registry",
+        "config",
+        "times",
+        "first_start",
+        "vouches",
+        "source",
+        "by_service",
+        "next_check_at",
+        "resumable",
+        "resumable_in",
+        "outbox",
+    )
+
+    def __init__(
+        self,
+        *,
+        members: fleet.Fleet,
+        registry: replicas.ReplicaRegistry,
+        config: published.PublishedConfig,
+        times: freshness.Freshness,
+        first_start: bool,
+    ) -> None:
+        self.members = members
+        self.registry = registry
+        self.config = config
+        self.times = times
+        self.first_start = first_start
+        self.vouches = False
+        self.source: feed.Feed | None = None
+        self.by_service: dict[str, _service_versions.ServiceVersions] = {}
+        self.next_check_at = -math.inf
+        self.resumable: frozenset[str] = frozenset()
+        self.resumable_in = -1
+        self.outbox: list[commands.Command] = []
+
+    @property
+    def hold_s(self) -> float:
+        """Return the time for which a version stays announced, in seconds."""
+        return self.times.max_age_s + HOLD_MARGIN_S
+
+    def begin_era(self, now: float) -> None:
+        """Forget the records; whoever knew the store until now vouches for the versions known."""
+        self.vouches = self._is_fresh(now)
+        for known in self.by_service.values():
+            known.forget_record()
+            known.writing = False
+
+    def apply_snapshot(
+        self,
+        items: list[store.KeyValue],
+        now: float,
+        *,
+        known_at: float = -math.inf,
+        restored: bool = False,
+    ) -> None:
+        """Apply all records; versions stay known of services without one."""
+        present = {item.key: item for item in items}
+        for service in [name for name in self.by_service if name not in present]:
+            self.by_service[service].forget_record()
+        for service, item in present.items():
+            self.apply_change(service, item, now, known_at=known_at)
+
+    def apply_change(
+        self, key: str, item: store.KeyValue | None, now: float, *, known_at: float = -math.inf
+    ) -> None:
+        """Apply a changed record; None means that it was deleted."""
+        known = self.by_service.setdefault(key, _service_versions.ServiceVersions())
+        if item is None:
+            known.forget_record()
+            return
+        if item.revision <= known.revision:
+            return
+        try:
+            record = version_records.from_bytes(item.value)
+        except Exception as error:  # whatever another writer left there is written over
+            known.forget_record()
+            known.revision = item.revision
+            log_event = commands.LogEvent(
+                events.Event.ENTRY_UNREADABLE, key=PREFIX + key, detail=repr(error)[:200]
+            )
+            self.outbox.append(log_event)
+            return
+        self._adopt(key, record, item.revision, now, known_at)
+
+    def tick(self, now: float) -> None:
+        """Write the records that need a change, if it is this instance's turn."""
+        if now < self.next_check_at or not self._is_informed():
+            return
+        self.next_check_at = now + CHECK_INTERVAL_S
+        for service in sorted(self.resumable_services()):
+            self._check(service, now)
+
+    def _versions_in_entries(self, service: str) -> tuple[set[str], set[str]]:
+        """Return the versions that entries of a service name, and those that take new work."""
+        present = [
+            replica
+            for replica in self.registry.by_name.values()
+            if replica.upstream.service == service and replica.removal_at == math.inf
+        ]
+        named = {replica.upstream.software_version for replica in present}
+        offered = {r.upstream.software_version for r in present if not r.leaving}
+        return named, offered
+
+    def resumable_services(self) -> frozenset[str]:
+        """Return the services whose streams can be resumed on some route."""
+        current = self.config.current
+        if current is not None and current.version != self.resumable_in:
+            self.resumable_in = current.version
+            self.resumable = frozenset(
+                service
+                for host_routes in current.routes_by_host.values()
+                for route in host_routes
+                if route.repeat is routes.RepeatPolicy.RESUMABLE
+                for service in routes.services_of(route)
+            )
+        return self.resumable
+
+    def beginnable(self, service: str, now: float) -> frozenset[str]:
+        """Return the versions of a service at which a resumable stream may begin."""
+        known = self.by_service.get(service)
+        if known is None or now - self.source.updated_at > MAX_BEGIN_AGE_S:
+            return frozenset()
+        return frozenset(
+            version
+            for version, state in known.states.items()
+            if state is version_record.VersionState.SERVING
+        )
+
+    def only_origin(self, service: str, now: float) -> str | None:
+        """Return the version that began every open stream of a service, or None if unknown."""
+        known = self.by_service.get(service)
+        if known is None or not self._is_fresh(now) or not self._is_vouched(known):
+            return None
+        possible = known.possible_origins(now, max_age_s=self.times.max_age_s)
+        return next(iter(possible)) if len(possible) == 1 else None
+
+    def ambiguous_services(self) -> set[str]:
+        """Return the services of which several versions may have begun open streams."""
+        return {
+            service
+            for service, known in self.by_service.items()
+            if known.states and (len(known.states) > 1 or not self._is_vouched(known))
+        }
+
+    def on_write(self, purpose: VersionsWrite, message: commands.StoreReply, now: float) -> None:
+        """Take over what was written; after a failure, try again later."""
+        known = self.by_service[purpose.service]
+        known.writing = False
+        reply = message.reply
+        if message.era not in (None, self.source.era):
+            return
+        if type(reply) is store.CommitReply and reply.applied:
+            if reply.revision > known.revision:
+                known_at = self.source.updated_at
+                self._adopt(purpose.service, purpose.record, reply.revision, now, known_at)
+        elif type(reply) is store.CommitReply:
+            item = next(iter(reply.items), None)
+            self.apply_change(purpose.service, item, now, known_at=self.source.updated_at)
+        else:
+            known.due_at = now + RETRY_S
+            log_event = commands.LogEvent(
+                events.Event.VERSIONS_NOT_WRITTEN, service=purpose.service, detail=reply.detail
+            )
+            self.outbox.append(log_event)
+
+    def _adopt(
+        self,
+        service: str,
+        record: version_record.VersionRecord,
+        revision: int,
+        now: float,
+        known_at: float,
+    ) -> None:
+        """Take over a record of the store and log it."""
+        known = self.by_service[service]
+        known.adopt(record, revision, now, era=self.source.era, known_at=known_at)
+        log_event = commands.LogEvent(
+            events.Event.VERSIONS_CHANGED,
+            service=service,
+            versions={version: state.value for version, state in known.states.items()},
+            vouched=self._is_vouched(known),
+            revision=revision,
+            known_s=clock.age_s(self.source.updated_at, now),
+        )
+        self.outbox.append(log_event)
+
+    def _is_informed(self) -> bool:
+        """Return whether configuration and store are known, so that records may be written."""
+        return self.config.ready() and self.source.is_complete() and not self.source.is_restored
+
+    def _is_fresh(self, now: float) -> bool:
+        """Return whether the knowledge of the store is no older than it may be."""
+        return now - self.source.updated_at <= self.times.max_age_s
+
+    def _is_vouched(self, known: _service_versions.ServiceVersions) -> bool:
+        """Return whether a record of the present era has all versions with open streams."""
+        return not self.source.is_restored and known.is_vouched(self.source.era)
+
+    def _check(self, service: str, now: float) -> None:
+        """Write the record of a service if it needs a change that is due."""
+        known = self.by_service.setdefault(service, _service_versions.ServiceVersions())
+        fresh = self._is_fresh(now)
+        named, offered = self._versions_in_entries(service)
+        known.observe_entries(named, now, fresh=fresh)
+        wanted = self._wanted(known, offered, now, fresh=fresh)
+        if not wanted.states or wanted == known.record:
+            known.wanted = None
+            return
+        if wanted != known.wanted:
+            known.wanted = wanted
+            first_s = FIRST_WRITE_DELAY_S if known.record is None else 0.0
+            known.due_at = now + first_s + RANK_DELAY_S * self._rank(service, now)
+        if now >= known.due_at and not known.writing:
+            self._write(service, known)
+
+    def _wanted(
+        self,
+        known: _service_versions.ServiceVersions,
+        offered: set[str],
+        now: float,
+        *,
+        fresh: bool,
+    ) -> version_record.VersionRecord:
+        """Return the record that the store should have.
+
+        Without a record no stream has begun in this era of the store, so that all versions may
+        serve at once.
+        """
+        is_first = known.record is None and not known.states
+        if is_first:
+            states = dict.fromkeys(offered, version_record.VersionState.SERVING)
+        else:
+            states = known.next_states(offered, now, fresh=fresh, hold_s=self.hold_s)
+        is_untouched = is_first and known.revision == 0
+        outlasted = now - known.unvouched_since >= _service_versions.RETENTION_S
+        if self.vouches or outlasted or (self.first_start and is_untouched):
+            era = self.source.era
+        else:
+            era = known.record.era if known.record is not None else version_record.NO_ERA
+        return version_record.VersionRecord(states, era=era)
+
+    def _rank(self, service: str, now: float) -> int:
+        """Return the rank of this instance among the reachable ones, at most MAX_RANK."""
+        own = self.members.own.instance
+        others = [member.info.instance for member in self.members.reachable_members(now)]
+        ranked: typing.Sequence[str] = rendezvous.ranked(PREFIX + service, [own, *others])
+        return min(MAX_RANK, ranked.index(own))
+
+    def _write(self, service: str, known: _service_versions.ServiceVersions) -> None:
+        """Write the wanted record if the store still has the known one."""
+        key = PREFIX + service
+        call = store.Commit(
+            conditions=[store.Condition(key, known.revision)],
+            changes=[store.Put(key, version_records.to_bytes(known.wanted))],
+        )
+        known.writing = True
+        purpose = VersionsWrite(service, known.wanted)
+        self.outbox.append(commands.StoreCall(call, purpose))
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -54,6 +54,21 @@
     )
     UPSTREAM_MOVED = ("upstream-moved", 503, "Another upstream answers at this upstream's address.")
     ANSWER_CUT = ("answer-cut", 502, "The answer ended before it was complete.")
+    RESUMPTION_INVALID = (
+        "resumption-invalid",
+        400,
+        "The id of the request that began the stream is malformed.",
+    )
+    ORIGIN_UNKNOWN = (
+        "origin-unknown",
+        503,
+        "It is not known which software version began the stream; no other may go on with it.",
+    )
+    ORIGIN_GONE = (
+        "origin-gone",
+        503,
+        "No upstream of the software version that began the stream is available.",
+    )
     REQUEST_ID_IN_USE = (
         "request-id-in-use",
         409,
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -56,6 +56,21 @@
         "run-end-awaited",
         "A request whose connection to another instance broke waits until its run there has ended.",
     )
+    STREAM_BEGAN = (
+        214,
+        "stream-began",
+        "A stream began or went on while several software versions may have begun open ones.",
+    )
+    ORIGIN_FOUND = (
+        215,
+        "origin-found",
+        "A caller takes a stream up, and the software version that began it is known.",
+    )
+    ORIGIN_MISSED = (
+        216,
+        "origin-missed",
+        "A caller takes a stream up that can't go on where it began.",
+    )
     UPSTREAM_EJECTED = (
         300,
         "upstream-ejected",
@@ -137,6 +152,26 @@
         "store-restored",
         "The store came back from an older copy; it is read again.",
     )
+    VERSIONS_CHANGED = (
+        414,
+        "versions-changed",
+        "The software versions changed that may have begun open streams of a service.",
+    )
+    VERSIONS_NOT_WRITTEN = (
+        415,
+        "versions-not-written",
+        "A change of the software versions of a service could not be written.",
+    )
+    STREAMS_RECORDED = (
+        416,
+        "streams-recorded",
+        "Streams were recorded in the store with the software version that began them.",
+    )
+    STREAMS_NOT_RECORDED = (
+        417,
+        "streams-not-recorded",
+        "Streams could not be recorded in the store; they are recorded again.",
+    )
     MEMBER_JOINED = (500, "member-joined", "An instance was discovered.")
     MEMBER_LOST = (
         501,
--- a/yuccahitch/resources/route.py
+++ b/yuccahitch/resources/route.py
@@ -102,6 +102,11 @@
         self.priority = priority
 
 
+def services_of(route: Route) -> tuple[str, ...]:
+    """Return the names of all services that may answer the requests of a route."""
+    return tuple(name for name, _ in route.backends) if route.backends else (route.service,)
+
+
 def longest_prefix_first(routes: typing.Iterable[Route]) -> list[Route]:
     """Return the routes of a host, sorted with the longest prefix first."""
     return sorted(routes, key=lambda item: -len(item.prefix))
