--- /dev/null
+++ b/tests/features/served_versions.feature
@@ -0,0 +1,117 @@
+Feature: The store says which software versions may have begun open streams
+  In virtual time. Instances of a zone share a store; upstreams name their version in their entries.
+
+  Scenario: A service with a single version costs one write and no further call
+    Given 6 instances of a zone with upstreams of v1
+    Then the record is "v1 serving", written once
+    When the zone runs on for 20 seconds
+    Then the record is "v1 serving", written once
+    And no batch of streams was written
+
+  Scenario: Services without resumable routes have no record
+    Given 3 instances of a zone with upstreams of v1
+    When upstreams of v1 and v2 of a service without resumable routes register
+    And the zone runs on for 5 seconds
+    Then only the service with resumable routes has a record
+
+  Scenario: A new version is announced for longer than knowledge may be old before streams begin there
+    Given 6 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    And the zone runs on for 0.7 seconds
+    Then the record is "v1 serving, v2 announced"
+    And streams begin at v1 only at every instance
+    When the zone runs on for 1.7 seconds
+    Then the record is "v1 serving, v2 announced"
+    When the zone runs on for 1.5 seconds
+    Then the record is "v1 serving, v2 serving"
+    And streams begin at v1 and v2 at every instance
+
+  Scenario: A version without upstreams is retired, and forgotten after the longest stream
+    Given 2 instances of a zone with upstreams of v1 and v2
+    When upstreams of v1 leave
+    And the zone runs on for 9 seconds
+    Then the record is "v1 serving, v2 serving"
+    When the zone runs on for 3 seconds
+    Then the record is "v1 retired, v2 serving"
+    When the zone runs on for 115 seconds
+    Then the record is "v1 retired, v2 serving"
+    When the zone runs on for 10 seconds
+    Then the record is "v2 serving"
+
+  Scenario: A retired version that returns serves again at once
+    Given 2 instances of a zone with upstreams of v1 and v2
+    When upstreams of v1 leave
+    And the zone runs on for 12 seconds
+    And upstreams of v1 register
+    And the zone runs on for 1 seconds
+    Then the record is "v1 serving, v2 serving"
+
+  Scenario: The only version stays although it has no upstream
+    Given 2 instances of a zone with upstreams of v1
+    When upstreams of v1 leave
+    And the zone runs on for 30 seconds
+    Then the record is "v1 serving", written once
+
+  Scenario: A new version that leaves before it serves is forgotten
+    Given 2 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    And the zone runs on for 1 seconds
+    And upstreams of v2 leave
+    And the zone runs on for 9 seconds
+    Then the record is "v1 serving, v2 announced"
+    When the zone runs on for 3 seconds
+    Then the record is "v1 serving"
+
+  Scenario Outline: The record changes in time although <trouble>
+    Given 4 instances of a zone with upstreams of v1
+    When <trouble>
+    And upstreams of v2 register
+    And the zone runs on for <seconds> seconds
+    Then the record is "v1 serving, v2 serving"
+
+    Examples:
+      | trouble                                     | seconds |
+      | the instance that ranks first stands still  | 8       |
+      | the replies to all commits are lost         | 8       |
+      | the store refuses all calls for 3 seconds   | 10      |
+      | another instance has just changed it        | 8       |
+
+  Scenario: An instance that is cut off from the store infers nothing from what it knew
+    Given 3 instances of a zone with upstreams of v1
+    When edge-1 can't reach the store
+    And upstreams of v2 register
+    And the zone runs on for 1 seconds
+    Then edge-1 takes up a stream that it doesn't know at v1
+    When the zone runs on for 3 seconds
+    Then edge-1 refuses to take up a stream that it doesn't know
+    And streams begin at v1 only at edge-1
+    When the zone runs on for 60 seconds
+    Then no stream begins at edge-1
+
+  Scenario: A record that can't be read is written over
+    Given 3 instances of a zone with upstreams of v1
+    When another writer leaves "half a" as the record
+    And the zone runs on for 4 seconds
+    Then the record is "v1 serving"
+
+  Scenario: A restored store that lacks a version gets it again, and nothing is inferred until then
+    Given 3 instances of a zone with upstreams of v1
+    And a copy of the store
+    When upstreams of v2 register
+    And the zone runs on for 5 seconds
+    And the store comes back from the copy
+    Then edge-1 takes up no stream that it doesn't know in the next 4 seconds
+    And the record is "v1 serving, v2 serving"
+
+  Scenario: Nobody vouches for a restored record when all instances start with it
+    Given 3 instances of a zone with upstreams of v1
+    And a copy of the store
+    When upstreams of v2 register
+    And the zone runs on for 5 seconds
+    And upstreams of v2 leave
+    And all instances are killed, the store comes back from the copy, and they start again
+    Then edge-1 takes up no stream that it doesn't know in the next 30 seconds
+    When a stream of v1 begins at edge-1, and the zone runs on for 2 seconds
+    Then edge-2 takes that stream up at v1
+    When the zone runs on for 100 seconds
+    Then edge-1 takes up a stream that it doesn't know at v1
--- /dev/null
+++ b/tests/features/steps/served_versions.py
@@ -0,0 +1,201 @@
+"""Steps about the record of the software versions that may have begun open streams."""
+
+from __future__ import annotations
+
+import behave
+
+from tests import platform_builders, stream_builders, stream_simulation
+from yuccahitch.controllers import rendezvous, served_versions
+
+UNKNOWN_STREAM = "nobody-knows-it"
+
+
+def began_at(site, name):
+    """Return the versions at which new streams begin at an instance."""
+    versions = set()
+    for _ in range(12):
+        try:
+            stream = stream_simulation.begin_stream(site, name)
+        except ValueError:
+            continue
+        edge = site.edges[name]
+        context = edge.decisions.in_flight.contexts[stream]
+        versions.add(context.origin_version)
+        edge.finish_request(stream)
+    return versions
+
+
+@behave.given("{count:d} instances of a zone with upstreams of {versions}")
+def step_start(context, count, versions):
+    context.site = stream_simulation.a_site(*versions.split(" and "), count=count)
+    context.caused_events = context.site.logged
+
+
+@behave.when("upstreams of {version:w} register")
+def step_register(context, version):
+    stream_simulation.register(context.site, version)
+
+
+@behave.when("upstreams of {version:w} leave")
+def step_leave(context, version):
+    stream_simulation.leave(context.site, version)
+
+
+@behave.when("upstreams of v1 and v2 of a service without resumable routes register")
+def step_register_plain(context):
+    for version in ("v1", "v2"):
+        entry = platform_builders.a_registration(version=version)
+        context.site.write(f"servers/desk-{version}", platform_builders.to_bytes(entry))
+
+
+@behave.when("the zone runs on for {seconds:g} seconds")
+def step_run(context, seconds):
+    context.site.run(seconds)
+
+
+@behave.then('the record is "{states}"')
+def step_check_record(context, states):
+    wanted = dict(item.split(" ") for item in states.split(", "))
+    found = stream_simulation.stored_states(context.site)
+    assert found == wanted, found
+
+
+@behave.then('the record is "{states}", written once')
+def step_check_single_write(context, states):
+    step_check_record(context, states)
+    writes = [c for c in context.site.history if c.key == stream_simulation.VERSIONS_KEY]
+    commits = context.site.calls_by_type["Commit"] - len(context.site.edges)
+    assert len(writes) == commits == 1, (writes, context.site.calls_by_type)
+
+
+@behave.then("no batch of streams was written")
+def step_check_no_batch(context):
+    assert not stream_simulation.batch_keys(context.site)
+    assert context.site.calls_by_type["GrantLease"] == len(context.site.edges)
+
+
+@behave.then("only the service with resumable routes has a record")
+def step_check_keys(context):
+    keys = {key for key in context.site.items if key.startswith(served_versions.PREFIX)}
+    assert keys == {stream_simulation.VERSIONS_KEY}, keys
+
+
+@behave.then("streams begin at {versions} at every instance")
+def step_check_begins(context, versions):
+    wanted = set(versions.removesuffix(" only").split(" and "))
+    found = {name: began_at(context.site, name) for name in context.site.edges}
+    assert all(item == wanted for item in found.values()), found
+
+
+@behave.then("streams begin at {version} only at {name:S}")
+def step_check_begins_at(context, version, name):
+    assert began_at(context.site, name) == {version}, began_at(context.site, name)
+
+
+@behave.then("no stream begins at {name:S}")
+def step_check_no_begin(context, name):
+    assert not began_at(context.site, name)
+
+
+@behave.when("the instance that ranks first stands still")
+def step_pause_first(context):
+    ids = {e.decisions.instance: name for name, e in context.site.edges.items()}
+    subject = served_versions.PREFIX + stream_builders.SERVICE
+    context.site.paused.add(ids[rendezvous.ranked(subject, ids)[0]])
+
+
+@behave.when("the replies to all commits are lost")
+def step_lose_replies(context):
+    context.site.replies_lost = set(context.site.edges)
+
+
+@behave.when("the store refuses all calls for {seconds:g} seconds")
+def step_refuse(context, seconds):
+    stream_simulation.register(context.site, "v2")
+    context.site.run(0.1)
+    context.site.refusing = True
+    context.site.run(seconds)
+    context.site.refusing = False
+
+
+@behave.when("another instance has just changed it")
+def step_change(context):
+    stream_simulation.register(context.site, "v2")
+    item = context.site.items[stream_simulation.VERSIONS_KEY]
+    context.site.muted = set(context.site.edges)
+    context.site.write(stream_simulation.VERSIONS_KEY, item.value + b" ")
+    for edge in context.site.edges.values():
+        registry = edge.decisions.registry
+        entry = platform_builders.to_bytes(
+            platform_builders.a_registration(service=stream_builders.SERVICE, version="v2")
+        )
+        registry.apply_change("v2-9", edge.store_item("v2-9", entry), context.site.now)
+    context.site.run(0.3)
+    context.site.muted = set()
+
+
+@behave.when("{name:S} can't reach the store")
+def step_cut(context, name):
+    context.site.cut.add(name)
+    context.site.dropped = set(context.site.edges)
+
+
+@behave.then("{name:S} takes up a stream that it doesn't know at {version:w}")
+def step_check_inferred(context, name, version):
+    outcome = stream_simulation.take_up(context.site, name, UNKNOWN_STREAM)
+    assert stream_simulation.went_to(outcome) == version, outcome
+    context.site.edges[name].finish_request(outcome.request_id)
+
+
+def settled_take_up(context, name, stream):
+    """Take a stream up and let it wait as long as it has to; return where it went."""
+    site = context.site
+    outcome = stream_simulation.take_up(site, name, stream)
+    if outcome is not None:
+        site.edges[name].finish_request(outcome.request_id)
+        return stream_simulation.went_to(outcome)
+    open_requests = site.edges[name].decisions.in_flight.contexts
+    request_id = next(reversed(open_requests))
+    site.run(1.0)
+    result = site.outcomes.pop(request_id)
+    site.edges[name].finish_request(request_id)
+    return stream_simulation.went_to(result)
+
+
+@behave.then("{name:S} refuses to take up a stream that it doesn't know")
+def step_check_refused(context, name):
+    assert settled_take_up(context, name, UNKNOWN_STREAM) == "origin-unknown"
+
+
+@behave.then("{name:S} takes up no stream that it doesn't know in the next {seconds:d} seconds")
+def step_check_not_inferred(context, name, seconds):
+    results = {settled_take_up(context, name, UNKNOWN_STREAM) for _ in range(seconds)}
+    assert results == {"origin-unknown"}, results
+
+
+@behave.when('another writer leaves "{text}" as the record')
+def step_spoil(context, text):
+    context.site.write(stream_simulation.VERSIONS_KEY, text.encode())
+
+
+@behave.when("all instances are killed, the store comes back from the copy, and they start again")
+def step_kill_and_restore(context):
+    site = context.site
+    names = list(site.edges)
+    for name in names:
+        site.kill(name)
+    site.restore()
+    for name in names:
+        site.start(name, first_start=False)
+    site.run(2.0)
+
+
+@behave.when("a stream of v1 begins at {name:S}, and the zone runs on for {seconds:g} seconds")
+def step_begin(context, name, seconds):
+    context.stream = stream_simulation.begin_stream(context.site, name, version="v1")
+    context.site.run(seconds)
+
+
+@behave.then("{name:S} takes that stream up at {version:w}")
+def step_check_taken_up(context, name, version):
+    assert settled_take_up(context, name, context.stream) == version
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -94,6 +94,7 @@
             west.finish_request(arrived.request_id, succeeded=False)
         east.finish_request(outcome.request_id, succeeded=False)
         edge_simulation.advance_clocks(context.edges, 3.0)
+        east.decisions.feed.confirm(east.now)
         edge_simulation.exchange_pulses(context.edges)
 
 
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -159,6 +159,7 @@
         zone: str = "",
         now: float = 1000.0,
         bounds: dict[str, str] | None = None,
+        first_start: bool = True,
     ) -> None:
         zones = "east-a=east, east-b=east, west-a=west"
         raw = {
@@ -171,7 +172,10 @@
                 "readiness": "127.0.0.1:7002",
                 "peers": f"127.0.0.1:{next(_ports)}",
             },
-            "store": {"address": "127.0.0.1:7100"},
+            "store": {
+                "address": "127.0.0.1:7100",
+                "first_start": "true" if first_start else "false",
+            },
             "bounds": {"retry_extra": "60", "rate_window_s": "8", "rate_overage": "0.1"}
             | (bounds or {}),
         }
@@ -204,12 +208,29 @@
     def mark_store_read(self) -> None:
         """Let the instance take the store for read, so that it is ready to serve."""
         self.decisions.feed.revision = self.revision
+        self.decisions.feed.confirm(self.now)
 
     def register_upstream(self, name: str, **fields: typing.Any) -> None:
         """Apply the store entry of an upstream, by default a ready one."""
         self.decisions.registry.apply_change(
             name, self.store_item(name, a_registration(**fields)), self.now
         )
+        self.serve_versions()
+
+    def serve_versions(self) -> None:
+        """Apply records by which streams may begin at all versions that upstreams have."""
+        replicas = self.decisions.registry.by_name.values()
+        for service in {replica.upstream.service for replica in replicas}:
+            versions = {
+                replica.upstream.software_version: "serving"
+                for replica in replicas
+                if replica.upstream.service == service
+            }
+            document = {"versions": versions, "era": self.decisions.feed.era}
+            self.decisions.versions.apply_change(
+                service, self.store_item(service, document), self.now
+            )
+        self.decisions.feed.confirm(self.now)
 
     def discover(self, other: EdgeUnderTest) -> None:
         """Apply the store entry of another instance, which is ready, then receive its pulse."""
--- a/tests/stream_builders.py
+++ b/tests/stream_builders.py
@@ -7,6 +7,7 @@
 from tests import builders, platform_builders
 from yuccahitch import errors
 from yuccahitch.codecs import peer
+from yuccahitch.controllers import stream_origin
 from yuccahitch.messages import actions, answers, request_lifecycle
 
 STREAM_PATH = "/plan/x"
@@ -36,6 +37,11 @@
     return head
 
 
+def a_stream_key(stream: str) -> int:
+    """Return the key of a stream of the client account that all requests run for."""
+    return stream_origin.stream_key("rinks", stream)
+
+
 def a_break(request_id: str, *, attempt: int = 1, last_event_id: str = "3") -> answers.Failure:
     """Return the failure of an attempt whose stream broke off after an event."""
     error = errors.GatewayError(
--- a/tests/zone_simulation.py
+++ b/tests/zone_simulation.py
@@ -11,7 +11,7 @@
 from tests import platform_builders
 from yuccahitch.codecs import datagrams
 from yuccahitch.controllers import fleet, freshness
-from yuccahitch.messages import commands, pulses, store
+from yuccahitch.messages import commands, pulses, request_lifecycle, store
 
 STEP_S = 0.05
 # Time after the end of its wait at which a poll without a reply fails.
@@ -54,7 +54,7 @@
     def __init__(self, site: Site) -> None:
         self.items = dict(site.items)
         self.history = list(site.history)
-        self.leases = dict(site.leases)
+        self.leases = {lease: set(keys) for lease, keys in site.leases.items()}
 
 
 class Site:
@@ -75,11 +75,16 @@
         reply_delay_s: Time that replies to polls take, by instance name, in seconds.
         loss: Share of the datagrams that are lost, from 0 to 1.
         era: How often the store was restored from an older copy.
-        leases: Names of the instances whose entries hang on each lease that the store knows.
+        leases: Keys that hang on each lease that the store knows.
         versions: Versions of the configuration that each instance had in force, in order.
         logged: Names of the events that the instances logged.
         dropped: Names of instances whose datagrams are lost.
+        replies_lost: Names of instances whose commits are carried out without a reply.
+        refusing: Whether the store refuses all calls without carrying them out.
+        calls_by_type: Calls so far by the name of their type.
         copies: Copies of the store, by name.
+        renewed: Leases that were renewed.
+        outcomes: Next actions of requests that waited, by request id.
     """
 
     def __init__(
@@ -92,15 +97,20 @@
         self.history: list[store.KeyChange] = []
         self.oldest_revision = 0
         self.era = 1
-        self.leases: dict[int, str] = {}
+        self.leases: dict[int, set[str]] = {}
         self.copies: dict[str, Copy] = {}
         self.watches: dict[tuple[str, str], Watch] = {}
         self.calls = 0
+        self.renewed: set[int] = set()
+        self.outcomes: dict[str, request_lifecycle.NextAction] = {}
         self.cut: set[str] = set()
         self.muted: set[str] = set()
         self.paused: set[str] = set()
         self.reply_delay_s: dict[str, float] = {}
         self.dropped: set[str] = set()
+        self.replies_lost: set[str] = set()
+        self.refusing = False
+        self.calls_by_type: collections.Counter[str] = collections.Counter()
         self.loss = 0.0
         self.rng = random.Random(11)
         self.versions: dict[str, list[int]] = collections.defaultdict(list)
@@ -114,11 +124,13 @@
         """Return the store's revision."""
         return self.history[-1].revision if self.history else 0
 
-    def start(self, name: str, *, zone: str = "east-a") -> platform_builders.EdgeUnderTest:
+    def start(
+        self, name: str, *, zone: str = "east-a", **options: typing.Any
+    ) -> platform_builders.EdgeUnderTest:
         """Start an instance; it replaces one of the same name."""
         self.kill(name)
         self.edges[name] = platform_builders.EdgeUnderTest(
-            name, zone=zone, now=self.now, bounds=self.bounds
+            name, zone=zone, now=self.now, bounds=self.bounds, **options
         )
         return self.edges[name]
 
@@ -153,15 +165,14 @@
         copy = self.copies[name]
         self.items = dict(copy.items)
         self.history = list(copy.history)
-        self.leases = dict(copy.leases)
+        self.leases = {lease: set(keys) for lease, keys in copy.leases.items()}
         self.oldest_revision = 0
         self.era += 1
 
     def end_lease(self, lease: int) -> None:
-        """End a lease, and delete the entry that hangs on it."""
-        name = self.leases.pop(lease, None)
-        if name is not None:
-            self.write(fleet.PREFIX + name, None)
+        """End a lease, and delete the keys that hang on it."""
+        for key in sorted(self.leases.pop(lease, set())):
+            self.write(key, None)
 
     def listed(self) -> set[str]:
         """Return the names of the instances that the store lists."""
@@ -243,9 +254,12 @@
     def call(self, name: str, command: commands.StoreCall) -> None:
         """Carry out a call of an instance and pass it the reply."""
         self.calls += 1
+        self.calls_by_type[type(command.call).__name__] += 1
         reply: store.Reply = store.CallFailed(may_have_applied=False, detail="cut")
-        if name not in self.cut:
+        if name not in self.cut and not self.refusing:
             reply = _reply(command.call, self)
+        if name in self.replies_lost and type(command.call) is store.Commit:
+            reply = store.CallFailed(may_have_applied=True, detail="lost")
         message = commands.StoreReply(
             purpose=command.purpose,
             reply=reply,
@@ -293,6 +307,11 @@
     site.logged.add(command.event.label)
 
 
+@_execute.register
+def _(command: request_lifecycle.NextAction, site: Site, name: str) -> None:
+    site.outcomes[command.request_id] = command
+
+
 @functools.singledispatch
 def _reply(call: typing.Any, site: Site) -> store.Reply:
     raise TypeError(type(call))
@@ -307,12 +326,13 @@
 @_reply.register
 def _(call: store.GrantLease, site: Site) -> store.Reply:
     lease = 1 + max(site.leases, default=0)
-    site.leases[lease] = ""
+    site.leases[lease] = set()
     return store.LeaseReply(lease=lease, ttl_s=math.inf)
 
 
 @_reply.register
 def _(call: store.KeepAlive, site: Site) -> store.Reply:
+    site.renewed.add(call.lease)
     return store.LeaseReply(lease=call.lease, ttl_s=math.inf if call.lease in site.leases else 0.0)
 
 
@@ -324,12 +344,17 @@
 
 @_reply.register
 def _(call: store.Commit, site: Site) -> store.Reply:
+    for condition in call.conditions:
+        item = site.items.get(condition.key)
+        if condition.revision != (item.revision if item is not None else 0):
+            items = [] if item is None else [item]
+            return store.CommitReply(applied=False, items=items, revision=0)
     for change in call.changes:
-        if change.lease not in site.leases:
+        if change.lease and change.lease not in site.leases:
             return store.CallFailed(may_have_applied=False, detail="no such lease")
-        name = change.key.removeprefix(fleet.PREFIX)
-        for lease in [lease for lease, holder in site.leases.items() if holder == name]:
-            site.leases[lease] = ""
-        site.leases[change.lease] = name
+        for keys in site.leases.values():
+            keys.discard(change.key)
+        if change.lease:
+            site.leases[change.lease].add(change.key)
         site.write(change.key, change.value)
     return store.CommitReply(applied=True, items=[], revision=site.revision)
--- a/yuccahitch/controllers/_edge_inputs.py
+++ b/yuccahitch/controllers/_edge_inputs.py
@@ -6,7 +6,15 @@
 import typing
 
 from yuccahitch import events
-from yuccahitch.controllers import feed, fleet, relay, replicas, suspects
+from yuccahitch.controllers import (
+    feed,
+    fleet,
+    relay,
+    replicas,
+    served_versions,
+    stream_origins,
+    suspects,
+)
 from yuccahitch.messages import commands, feeds, pulses, store
 
 
@@ -17,6 +25,8 @@
     relay: relay.StoreRelay
     members: fleet.Fleet
     registry: replicas.ReplicaRegistry
+    versions: served_versions.ServedVersions
+    origins: stream_origins.StreamOrigins
     suspects: suspects.Suspects
     outbox: list[typing.Any]
 
@@ -65,6 +75,36 @@
     controllers.members.on_entry_write(message.reply, now)
 
 
+@on_store.register
+def _(
+    purpose: served_versions.VersionsWrite,
+    controllers: Controllers,
+    message: commands.StoreReply,
+    now: float,
+) -> None:
+    controllers.versions.on_write(purpose, message, now)
+
+
+@on_store.register
+def _(
+    purpose: stream_origins.RecordLease,
+    controllers: Controllers,
+    message: commands.StoreReply,
+    now: float,
+) -> None:
+    controllers.origins.on_lease(message, now)
+
+
+@on_store.register
+def _(
+    purpose: stream_origins.RecordWrite,
+    controllers: Controllers,
+    message: commands.StoreReply,
+    now: float,
+) -> None:
+    controllers.origins.on_write(purpose, message, now)
+
+
 @on_store.register
 def _(
     purpose: LeaseRevocation, controllers: Controllers, message: commands.StoreReply, now: float
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/edge.py
@@ -15,6 +15,7 @@
 from yuccahitch import errors
 from yuccahitch import settings as config_file
 from yuccahitch.controllers import (
+    _edge_chains,
     _edge_inputs,
     allowance,
     balance,
@@ -26,22 +27,14 @@
     published,
     relay,
     replicas,
+    served_versions,
     shares,
+    stream_origins,
+    stream_records,
     suspects,
+    take_ups,
 )
-from yuccahitch.filters import (
-    admit,
-    allowed_regions,
-    assign,
-    chain,
-    credentials,
-    poison,
-    quota,
-    request_context,
-    restore_forwarded,
-    routing,
-    send,
-)
+from yuccahitch.filters import request_context
 from yuccahitch.messages import (
     actions,
     commands,
@@ -96,7 +89,11 @@
         config: The published configuration and the evacuated zones.
         registry: The registered upstreams of all regions.
         times: How old the knowledge of the store may be.
-        feed: Follows the store for the three controllers above.
+        versions: The software versions that may have begun open streams.
+        recorded: The streams that other instances recorded, with their origins.
+        origins: The streams of this instance, with their origins.
+        take_ups: Finds the origins of streams that callers take up.
+        feed: Follows the store for the controllers above.
         relay: Decides who watches the store, and passes its changes on in the zone.
         rate_shares: This instance's shares of the client accounts' rates.
         balancer: Places requests on upstreams and regions.
@@ -115,6 +112,10 @@
         "config",
         "registry",
         "times",
+        "versions",
+        "recorded",
+        "origins",
+        "take_ups",
         "feed",
         "relay",
         "rate_shares",
@@ -144,7 +145,7 @@
         self._make_state(keyspace, read_publication, read_upstream)
         self._make_controllers(now)
         self.in_flight = in_flight.InFlight(
-            self._make_chains(),
+            _edge_chains.make_chains(self),
             state_fields=self._state_fields,
         )
 
@@ -179,14 +180,25 @@
             config=self.config,
             times=self.times,
         )
+        self.versions = served_versions.ServedVersions(
+            members=self.members,
+            registry=self.registry,
+            config=self.config,
+            times=self.times,
+            first_start=self.settings.store.first_start == "true",
+        )
+        self.recorded = stream_records.StreamRecords(self.instance)
         self.feed = feed.Feed(
             {
                 keyspace.OPERATOR_PREFIX: self.config,
                 keyspace.UPSTREAM_PREFIX: self.registry,
                 fleet.PREFIX: self.members,
+                served_versions.PREFIX: self.versions,
+                stream_records.PREFIX: self.recorded,
             },
             upstream_heartbeat_s=self.settings.store.upstream_heartbeat_ms / 1000,
         )
+        self.versions.source = self.feed
         self.relay = relay.StoreRelay(self.members, self.feed, self.times)
         grace_s = self.settings.bounds.grace_s
         self.shutdown = drain.Drain(
@@ -196,6 +208,16 @@
     def _make_controllers(self, now: float) -> None:
         """Create the controllers that decide about requests."""
         bounds, options = self.settings.bounds, self.settings.policy
+        self.origins = stream_origins.StreamOrigins(
+            members=self.members,
+            versions=self.versions,
+            instance=self.instance,
+            writes_per_s=self.settings.store.writes_per_s,
+            rng=self.rng,
+        )
+        self.take_ups = take_ups.TakeUps(
+            versions=self.versions, origins=self.origins, recorded=self.recorded
+        )
         self.rate_shares = shares.RateShares(
             self.members,
             started_at=now,
@@ -219,39 +241,6 @@
         )
         self.suspects = suspects.Suspects(crash_limit=POISON_CRASHES, memory_s=POISON_REFUSAL_S)
 
-    def _make_chains(self) -> dict[str, chain.Chain]:
-        """Return the filter chains for callers' requests and for forwarded ones.
-
-        A forwarded request skips the quota: the sender has charged the client account.
-        """
-        admission = admit.Admit(self.config, self.shutdown, instance=self.instance)
-        shared_filters = [
-            poison.Poison(self.suspects),
-            quota.Quota(self.config, self.rate_shares),
-            assign.Assign(self.balancer),
-            send.Send(
-                members=self.members,
-                registry=self.registry,
-                policy=self.balancer,
-                budget=self.budget,
-                suspects=self.suspects,
-            ),
-        ]
-        entry_filters = [
-            routing.Routing(self.config),
-            credentials.Credentials(self.config),
-            allowed_regions.AllowedRegions(),
-        ]
-        arrival_filters = [
-            restore_forwarded.RestoreForwarded(self.config, region=self.settings.instance.region)
-        ]
-        return {
-            "entry": chain.Chain([admission, *entry_filters, *shared_filters]),
-            "arrival": chain.Chain(
-                [admission, *arrival_filters, shared_filters[0], *shared_filters[2:]]
-            ),
-        }
-
     @property
     def closed(self) -> bool:
         """Return whether a graceful shutdown is done."""
@@ -318,6 +307,10 @@
         self.members.expire(now)
         self.registry.expire(now)
         self.suspects.expire(now)
+        self.versions.tick(now)
+        self.recorded.expire(now)
+        self.origins.tick(now)
+        self._wake_take_ups(now)
         near_addresses, far_addresses = self.members.due_addresses(now)
         self.send_pulse(near_addresses, now)
         self.send_pulse(far_addresses, now, wide=True)
@@ -326,15 +319,18 @@
     def on_watch(self, event: store.WatchEvent, now: float) -> None:
         """Apply the changes that a watch on the store saw, or its failure or loss."""
         _edge_inputs.on_watch(event, self, now)
+        self._wake_take_ups(now)
 
     def on_store(self, reply: commands.StoreReply, now: float) -> None:
         """Process a reply of the store."""
         self.feed.observe_era(reply.era, now)
         _edge_inputs.on_store(reply.purpose, self, reply, now)
+        self._wake_take_ups(now)
 
     def on_report(self, report: pulses.Pulse | feeds.FeedReport, now: float) -> None:
         """Apply a report of another instance."""
         _edge_inputs.on_report(report, self, now)
+        self._wake_take_ups(now)
 
     def on_upstream_notice(self, notice: upstream_notices.UpstreamNotice, now: float) -> None:
         """Record what an answer said of its upstream."""
@@ -356,6 +352,10 @@
             self.config,
             self.registry,
             self.registry.limits,
+            self.versions,
+            self.recorded,
+            self.origins,
+            self.take_ups,
             self.feed,
             self.relay,
             self.rate_shares,
@@ -396,6 +396,13 @@
         )
         return list(itertools.chain.from_iterable(infos_by_region))
 
+    def _wake_take_ups(self, now: float) -> None:
+        """Resume the requests that know now which software version began their stream, or won't."""
+        for request_id, result in self.take_ups.take_settled(now):
+            outcome = self.in_flight.resume(request_id, result, now)
+            if outcome is not None:
+                self.outbox.append(outcome)
+
     def _state_fields(self, now: float) -> dict[str, typing.Any]:
         """Return log fields: the version in force and the age of the oldest data of the store."""
         ready = self.config.ready()
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -198,6 +198,25 @@
             and self._is_usable(replica, now)
         ]
 
+    def serves(
+        self, service: str, version: str, now: float, *, regions: frozenset[str] | None
+    ) -> bool:
+        """Return whether a software version of a service has an upstream that may get new work.
+
+        Args:
+            service: Name of the service.
+            version: The software version.
+            now: Monotonic seconds.
+            regions: Regions to look at; None means every region.
+        """
+        return any(
+            replica.upstream.service == service
+            and replica.upstream.software_version == version
+            and (regions is None or replica.upstream.region in regions)
+            and self._is_usable(replica, now)
+            for replica in self.by_name.values()
+        )
+
     def usages(self) -> list[pulses.UpstreamUsage]:
         """Return the work of this instance at each upstream that runs requests of it."""
         return [
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from yuccahitch.controllers import assignments, balance
+from yuccahitch.controllers import assignments, balance, served_versions
 from yuccahitch.filters import chain, place, request_context
 from yuccahitch.messages import actions
+from yuccahitch.resources import route as routes
 
 
 class Assign(chain.BaseFilter):
@@ -12,19 +13,21 @@
 
     Args:
         policy: Makes the placement decisions and counts the requests at each upstream.
+        versions: The software versions at which resumable streams may begin.
     """
 
-    __slots__ = ("policy",)
+    __slots__ = ("policy", "versions")
     step = balance.STEP
 
-    def __init__(self, policy: balance.Balancer) -> None:
+    def __init__(self, policy: balance.Balancer, versions: served_versions.ServedVersions) -> None:
         self.policy = policy
+        self.versions = versions
 
     def enter(self, context: request_context.RequestContext, now: float) -> actions.Action:
         """Choose an upstream or an instance, or refuse."""
         context.upstream = ""
         context.instance = ""
-        context.versions = _wanted_versions(context)
+        context.versions = self._wanted_versions(context, now)
         return place.apply_choice(self.policy.place(_placement_task(context, now), now), context)
 
     def leave(self, context: request_context.RequestContext, now: float) -> None:
@@ -33,6 +36,18 @@
             self.policy.record_work_time(context.id, now)
         self.policy.release(context.id, now)
 
+    def _wanted_versions(
+        self, context: request_context.RequestContext, now: float
+    ) -> frozenset[str] | None:
+        """Return the software versions that may get a request; None means every one."""
+        if context.origin_version is not None:
+            return frozenset((context.origin_version,))
+        if context.hop is not None:
+            return None if context.hop.versions is None else frozenset(context.hop.versions)
+        if context.route.repeat is routes.RepeatPolicy.RESUMABLE:
+            return self.versions.beginnable(context.service.name, now)
+        return None
+
 
 def _placement_task(
     context: request_context.RequestContext, now: float
@@ -51,12 +66,3 @@
         local_only=context.hop is not None,
         versions=context.versions,
     )
-
-
-def _wanted_versions(context: request_context.RequestContext) -> frozenset[str] | None:
-    """Return the software versions that may get a request; None means every one."""
-    if context.origin_version is not None:
-        return frozenset((context.origin_version,))
-    if context.hop is not None and context.hop.versions is not None:
-        return frozenset(context.hop.versions)
-    return None
--- a/yuccahitch/filters/request_context.py
+++ b/yuccahitch/filters/request_context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import placement_inputs
+from yuccahitch.controllers import placement_inputs, stream_origins
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import account, route, service
 
@@ -50,6 +50,8 @@
         crash_count: Number of its attempts whose upstream crashed.
         origin_version: Software version that began its stream, once that is known; the stream goes
             on only there. None on routes whose streams can't be resumed.
+        stream_key: Key of its stream, or None where streams can't be resumed.
+        stream: Its stream, once it has begun or gone on here and may be taken up, or None.
         versions: Software versions whose upstreams may get its present attempt; None means every
             one.
         last_event_id: Id of the last event of a stream that the caller was sent, or empty.
@@ -92,6 +94,8 @@
         "answer_began_at",
         "crash_count",
         "origin_version",
+        "stream_key",
+        "stream",
         "versions",
         "last_event_id",
         "tokens_left",
@@ -134,6 +138,8 @@
         self.answer_began_at = 0.0
         self.crash_count = 0
         self.origin_version: str | None = None
+        self.stream_key: int | None = None
+        self.stream: stream_origins.OwnStream | None = None
         self.versions: frozenset[str] | None = None
         self.last_event_id = ""
         self.tokens_left: float | None = None
--- a/yuccahitch/filters/routing.py
+++ b/yuccahitch/filters/routing.py
@@ -5,7 +5,7 @@
 from yuccahitch import errors
 from yuccahitch.controllers import published
 from yuccahitch.filters import chain, request_context
-from yuccahitch.messages import actions
+from yuccahitch.messages import actions, requests
 from yuccahitch.resources import route as routes
 
 
@@ -29,7 +29,7 @@
         route = current.route(request.target, request.path)
         if route is None:
             return self._refuse(errors.Code.ROUTE_UNKNOWN, "no route matches the host and path")
-        service = current.services.get(routes.choose_service(route, request.id))
+        service = current.services.get(routes.choose_service(route, _stream_id(request, route)))
         if service is None:
             return self._refuse(
                 errors.Code.NO_UPSTREAM, f"route {route.name} refers to an unknown service"
@@ -43,3 +43,9 @@
 
     def _refuse(self, code: errors.Code, detail: str) -> actions.Action:
         return actions.Refuse(errors.GatewayError(code, step=self.step, detail=detail))
+
+
+def _stream_id(request: requests.Request, route: routes.Route) -> str:
+    """Return the id that selects the service: a stream goes on at the one that began it."""
+    is_resumable = route.repeat is routes.RepeatPolicy.RESUMABLE
+    return (is_resumable and request.resume_after and request.resumes) or request.id
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -6,8 +6,16 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import allowance, balance, fleet, fleet_member, replicas, suspects
-from yuccahitch.filters import chain, poison, request_context
+from yuccahitch.controllers import (
+    allowance,
+    balance,
+    fleet,
+    fleet_member,
+    replicas,
+    stream_origins,
+    suspects,
+)
+from yuccahitch.filters import chain, poison, request_context, resumption
 from yuccahitch.messages import actions, answers, requests
 from yuccahitch.resources import route as routes
 
@@ -28,9 +36,10 @@
         policy: Counts the requests at each upstream.
         budget: Limits retries to a share of the requests.
         suspects: Traits of the requests that were running when upstreams crashed.
+        origins: Remembers which software version began a stream.
     """
 
-    __slots__ = ("members", "registry", "policy", "budget", "suspects")
+    __slots__ = ("members", "registry", "policy", "budget", "suspects", "origins")
     step = "send"
 
     def __init__(
@@ -41,12 +50,14 @@
         policy: balance.Balancer,
         budget: allowance.RetryAllowance,
         suspects: suspects.Suspects,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self.members = members
         self.registry = registry
         self.policy = policy
         self.budget = budget
         self.suspects = suspects
+        self.origins = origins
 
     def enter(self, context: request_context.RequestContext, now: float) -> actions.Action:
         """Start an attempt at the chosen upstream or instance."""
@@ -166,7 +177,7 @@
         )
         return actions.Refuse(error)
     if _begins_resumable(reply, context):
-        context.origin_version = reply.software_version
+        resumption.record_begin(context, reply, send_filter.origins)
     context.head = context.head or reply
     return actions.Deliver(context.head)
 
--- a/yuccahitch/messages/actions.py
+++ b/yuccahitch/messages/actions.py
@@ -216,5 +216,18 @@
         self.key = key
 
 
-Work = Dispatch | Forward | AwaitTokens | AwaitUpstreamSlot | AwaitIdempotencyClaim
+class AwaitOrigin(records.Record):
+    """Wait until it is known which software version began the stream that is taken up.
+
+    Attributes:
+        wait_until: Time at which the wait ends, in monotonic seconds.
+    """
+
+    __slots__ = ("wait_until",)
+
+    def __init__(self, *, wait_until: float) -> None:
+        self.wait_until = wait_until
+
+
+Work = Dispatch | Forward | AwaitTokens | AwaitUpstreamSlot | AwaitIdempotencyClaim | AwaitOrigin
 Action = Proceed | Refuse | Replay | Rewind | Deliver | Perform
--- a/yuccahitch/messages/requests.py
+++ b/yuccahitch/messages/requests.py
@@ -32,6 +32,8 @@
         deadline: Time by which the answer must begin, in monotonic seconds.
         prompt_parts: Parts of the prompt in their order, each an id and its length in tokens.
         resume_after: Id of the last event that the caller has received, or empty.
+        resumes: Id of the request that brought the first event of the stream that the caller takes
+            up, or None if it names none.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "deadline",
         "prompt_parts",
         "resume_after",
+        "resumes",
     )
 
     def __init__(
@@ -74,6 +77,7 @@
         deadline: float,
         prompt_parts: tuple[tuple[str, int], ...] = (),
         resume_after: str = "",
+        resumes: str | None = None,
     ) -> None:
         self.id = id
         self.kind = kind
@@ -92,6 +96,7 @@
         self.deadline = deadline
         self.prompt_parts = tuple(prompt_parts)
         self.resume_after = resume_after
+        self.resumes = resumes
 
 
 class Hop(records.Record):
--- a/yuccahitch/platform/names.py
+++ b/yuccahitch/platform/names.py
@@ -26,6 +26,8 @@
 # Authorization scheme of callers' keys.
 KEY_AUTH_SCHEME = "Token "
 LAST_EVENT_ID_HEADER = "last-event-id"
+# Id of the request that brought the first event of a stream that is taken up.
+RESUMES_HEADER = "resumes"
 WEIGHTS_VERSION_HEADER = "x-weights-versions"
 
 # Headers that only the gateway may set; those that a caller sends are dropped.
--- a/yuccahitch/platform/requests.py
+++ b/yuccahitch/platform/requests.py
@@ -75,6 +75,7 @@
         deadline=now + _parse_deadline_ms(header_values.get(names.DEADLINE_HEADER, "")) / 1000,
         prompt_parts=_parse_prompt_parts(header_values.get(names.PROMPT_PARTS_HEADER, "")),
         resume_after=header_values.get(names.LAST_EVENT_ID_HEADER, ""),
+        resumes=header_values.get(names.RESUMES_HEADER),
     )
 
 
