--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -16,7 +16,7 @@
 
 import aiohttp
 
-from standins import deployment
+from standins import deployment, versioned_upstreams
 
 ROOT = deployment.ROOT
 SETTINGS_TEMPLATE = ROOT / "deploy" / "settings.ini"
@@ -94,6 +94,11 @@
             f" id={name} events={events}"
             for name, (_, _, events) in UPSTREAMS.items()
         ]
+        lines += [
+            f"replica {UPSTREAM_PORT} host={_host(upstream_address(name))}"
+            f" id={name} events={versioned_upstreams.EVENTS} version={upstream.version}"
+            for name, upstream in versioned_upstreams.UPSTREAMS.items()
+        ]
         standin_arguments = " -- ".join(lines).split()
         self.standins = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -232,18 +237,18 @@
 
 def upstream_address(name: str) -> str:
     """Return the address of an upstream, ``IP:PORT``."""
-    host_number = list(UPSTREAMS).index(name) + 101
-    return f"127.30.{ZONE_NUMBERS[UPSTREAMS[name][1]]}.{host_number}:{UPSTREAM_PORT}"
+    host_number = [*UPSTREAMS, *versioned_upstreams.UPSTREAMS].index(name) + 101
+    return f"127.30.{ZONE_NUMBERS[_upstream_zone(name)]}.{host_number}:{UPSTREAM_PORT}"
 
 
 def upstream_entry(name: str, **fields: typing.Any) -> dict[str, typing.Any]:
     """Return the entry of an upstream in the store; fields replace those of the default."""
-    service, zone, _ = UPSTREAMS[name]
+    versioned = versioned_upstreams.UPSTREAMS.get(name)
     return {
-        "service": service,
+        "service": UPSTREAMS[name][0] if versioned is None else "text",
         "address": upstream_address(name),
-        "zone": zone,
-        "version": "v1",
+        "zone": _upstream_zone(name),
+        "version": "v1" if versioned is None else versioned.version,
         "capacity": 8,
         "state": "ready",
         "warmupLeftMs": 0,
@@ -303,6 +308,12 @@
     return re.sub(r"\{\{([\w.]+)\}\}", value, text)
 
 
+def _upstream_zone(name: str) -> str:
+    """Return the availability zone of an upstream."""
+    versioned = versioned_upstreams.UPSTREAMS.get(name)
+    return UPSTREAMS[name][1] if versioned is None else versioned.zone
+
+
 def _host(address: str) -> str:
     return address.rpartition(":")[0]
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -111,6 +111,7 @@
     Attributes:
         id: Id of the upstream.
         event_count: Number of events per stream; 0 for a plain service.
+        version: Version of its software, which each event names; empty if events name none.
         faults: Fault switches of this upstream.
         received: Requests received, oldest first; whether each was run, and when its run began and
             ended, in monotonic seconds.
@@ -122,6 +123,7 @@
     __slots__ = (
         "id",
         "event_count",
+        "version",
         "faults",
         "received",
         "running",
@@ -129,19 +131,25 @@
         "used_transports",
     )
 
-    def __init__(self, id: str, events: int) -> None:
+    def __init__(self, id: str, events: int, version: str) -> None:
         self.id = id
         self.event_count = events
+        self.version = version
         self.faults = faults.FaultSwitches(FAULTS)
         self.received: list[dict[str, typing.Any]] = []
         self.running = 0
         self.abandoned = 0
         self.used_transports: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
 
+    def event(self, number: int) -> bytes:
+        """Return an event of a stream."""
+        origin = f" {self.version} {self.id}" if self.version else ""
+        return f"id: {number}\ndata: token {number}{origin}\n\n".encode()
 
-def application(id: str = "i-1", events: str = "0") -> web.Application:
+
+def application(id: str = "i-1", events: str = "0", version: str = "") -> web.Application:
     """Return the application of an upstream; with ``events``, it answers with a stream of them."""
-    state = Replica(id, int(events))
+    state = Replica(id, int(events), version)
     app = faults.application(state.faults)
     app["state"] = state
     app.router.add_post("/shared-faults", SHARED_FAULTS.handle)
@@ -299,7 +307,7 @@
     request.transport.write("\r\n".join([*lines, "", ""]).encode())
     last_number = CUT_AFTER_EVENTS if cut else state.event_count
     for number in range(first_number, last_number + 1):
-        request.transport.write(f"id: {number}\ndata: token {number}\n\n".encode())
+        request.transport.write(state.event(number))
         await asyncio.sleep(state.faults["gap_s"])
     if cut:
         request.transport.write(f"id: {last_number + 1}\ndata: to".encode())
@@ -337,7 +345,7 @@
             await response.write(f"id: {number}\ndata: to".encode())
             await asyncio.sleep(0.05)
             _reset_connection(request)
-        await response.write(f"id: {number}\ndata: token {number}\n\n".encode())
+        await response.write(state.event(number))
         await asyncio.sleep(state.faults["gap_s"])
     for event in garbled:
         if event.position > state.event_count:
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -14,7 +14,7 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 sys.path.insert(0, str(ROOT))
 
-from standins import deployment, platform_site  # noqa: E402
+from standins import deployment, platform_site, versioned_upstreams  # noqa: E402
 from tests import builders, event_coverage, platform_builders  # noqa: E402
 
 EXAMPLE_DEPLOYMENTS = ("ice-works", "doors")
@@ -87,6 +87,9 @@
     for name in platform_site.UPSTREAMS:
         await site.set_faults(name)
         await site.write_item(f"servers/{name}", None)
+    for name in versioned_upstreams.UPSTREAMS:
+        await site.set_faults(name)
+        await site.write_item(f"servers/{name}", None)
     for zone in platform_site.ZONE_REGIONS:
         await site.write_item(f"op/evacuate/{zone}", None)
     # The upstreams count as started again, so that nothing said of the former ones holds.
