--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -159,6 +159,7 @@
         zone: str = "",
         now: float = 1000.0,
         bounds: dict[str, str] | None = None,
+        incarnation: int | None = None,
     ) -> None:
         zones = "east-a=east, east-b=east, west-a=west"
         raw = {
@@ -180,7 +181,7 @@
         self.revision = 1
         self.decisions = edge.Edge(
             edge_settings(raw),
-            instance=f"{name}~{next(_numbers)}",
+            instance=f"{name}~{next(_numbers) if incarnation is None else incarnation}",
             keyspace=names,
             read_publication=publication.decode,
             read_upstream=upstreams.decode,
