--- a/tests/features/stream_origins.feature
+++ b/tests/features/stream_origins.feature
@@ -1,5 +1,5 @@
 Feature: What instances know of the software versions that began streams, in virtual time
-  Four instances of two regions, a store, and upstreams of two services. Callers take their streams up after breaks.
+  Five instances of two regions, a store, and upstreams of two services. Callers take their streams up after breaks.
 
   # Guards against streams of two versions, whatever is lost, old or late meanwhile (ORDER), and against lost take-ups (LOST).
   Scenario Outline: Streams go on at the version that began them, and nowhere else
--- a/tests/version_faults.py
+++ b/tests/version_faults.py
@@ -41,7 +41,7 @@
     rng = site.rng
     at = rng.uniform(3.0, 6.0)
     for _ in range(rng.randrange(4)):
-        before = rng.choice((cut_one, pause_one, store_away, kill_one))
+        before = rng.choice((cut_one, pause_one, store_away, lose_replies, kill_one))
         site.clock.schedule_after(at + rng.uniform(-3.0, 4.0), functools.partial(before, site))
     site.clock.schedule_after(at, functools.partial(release, site))
     for _ in range(rng.choice((1, 1, 2))):
@@ -212,6 +212,13 @@
     site.clock.schedule_after(seconds, functools.partial(store_back, site, seconds, None))
 
 
+def lose_replies(site):
+    """Let the store lose replies for a while; it may carry the calls out late."""
+    seconds = site.rng.uniform(1.0, 5.0)
+    site.note(f"the store loses replies for {seconds:.1f}")
+    site.lossy_until = site.touched_at[STORE] = site.clock.now + seconds
+
+
 def restore_store(site):
     """Let the store be away and come back from a copy that is some seconds old."""
     if site.store.is_away:
@@ -261,6 +268,7 @@
     cut_one,
     pause_one,
     store_away,
+    lose_replies,
     restore_store,
     reset_connections,
 )
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -20,10 +20,21 @@
 START = 1000.0
 TICK_S = 0.1
 WARM_UP_S = 3.0
-ZONES = {"edge-1": "east-a", "edge-2": "east-a", "edge-3": "east-b", "edge-4": "west-a"}
+ZONES = {
+    "edge-1": "east-a",
+    "edge-2": "east-a",
+    "edge-3": "east-a",
+    "edge-4": "east-b",
+    "edge-5": "west-a",
+}
 BOUNDS = {"drain_ms": "3000", "config_ms": "4000", "grace_s": "8"}
 STORE_DELAY_S = (0.002, 0.03)
 CALL_TIMEOUT_S = 0.5
+# Share of the store's replies that are lost while it is in trouble, and when a call whose reply is
+# lost may still be carried out, in seconds.
+LOST_REPLIES = 0.3
+LATE_CALL_S = (0.0, 3.0)
+DATAGRAM_LOSS = 0.01
 STREAM_INTERVAL_S = 0.25
 # Longest pause of a caller before it takes its stream up, in seconds.
 MAX_PAUSE_S = 8.0
@@ -48,6 +59,7 @@
         cut_until: Until when each instance is cut off from the store, in virtual seconds.
         paused_until: Until when each instance stands still, in virtual seconds.
         touched_at: When each instance, or the store, last had trouble, in virtual seconds.
+        lossy_until: Until when replies of the store are lost now and then, in virtual seconds.
         logged: Number of log events by name.
         notes: What was done to the site, with times.
     """
@@ -66,6 +78,7 @@
         self.cut_until: dict[str, float] = {}
         self.paused_until: dict[str, float] = {}
         self.touched_at: dict[str, float] = {}
+        self.lossy_until = 0.0
         self.logged: collections.Counter[str] = collections.Counter()
         self.notes: list[str] = []
         self.publish()
@@ -239,6 +252,12 @@
                 failed = store.CallFailed(may_have_applied=False, detail="cut")
                 self.defer(name, CALL_TIMEOUT_S, functools.partial(answer, failed, None))
                 return
+            if self.clock.now < self.lossy_until and self.rng.random() < LOST_REPLIES:
+                late = functools.partial(self._carry_out_late, command.call)
+                self.clock.schedule_after(self.rng.uniform(*LATE_CALL_S), late)
+                lost = store.CallFailed(may_have_applied=True, detail="no reply")
+                self.defer(name, CALL_TIMEOUT_S, functools.partial(answer, lost, None))
+                return
             reply = self.store.call(command.call, self.clock.now)
             delay_s = self.rng.uniform(*STORE_DELAY_S)
             self.defer(name, delay_s, functools.partial(answer, reply, self.store.era))
@@ -254,12 +273,20 @@
 
         self.clock.schedule_after(self.rng.uniform(*STORE_DELAY_S), arrive)
 
+    def _carry_out_late(self, call: store.Call) -> None:
+        """Carry out a call whose reply is lost."""
+        if not self.store.is_away:
+            self.store.call(call, self.clock.now)
+
     def deliver(self, message: pulses.SendDatagram) -> None:
         """Deliver a datagram to its receivers."""
         raw = datagrams.encode(message.report)
         for name, edge in list(self.edges.items()):
             own = edge.decisions.members.own
-            if f"{own.host}:{own.peer_port}" in message.addresses:
+            if (
+                f"{own.host}:{own.peer_port}" in message.addresses
+                and self.rng.random() >= DATAGRAM_LOSS
+            ):
                 self.defer(name, 0.005, functools.partial(self._receive, name, edge, raw))
 
     def _receive(self, name: str, edge: platform_builders.EdgeUnderTest, raw: bytes) -> None:
