--- a/yuccahitch/controllers/stream_origins.py
+++ b/yuccahitch/controllers/stream_origins.py
@@ -278,7 +278,7 @@
     def _write(self, joining: list[OwnStream]) -> None:
         """Write the present batch with the streams that join it."""
         key = f"{stream_records.PREFIX}{self.instance}/{self.batch_number}"
-        value = codec.to_bytes(_group([*self.batch, *joining]))
+        value = codec.to_bytes(group_by_origin([*self.batch, *joining]))
         call = store.Commit(
             conditions=[store.Condition(key, self.batch_revision)],
             changes=[store.Put(key, value, lease=self.lease)],
@@ -314,7 +314,7 @@
         self.outbox.append(commands.LogEvent(events.Event.STREAMS_NOT_RECORDED, detail=detail))
 
 
-def _group(streams: list[OwnStream]) -> list[stream_batches.OriginGroup]:
+def group_by_origin(streams: list[OwnStream]) -> list[stream_batches.OriginGroup]:
     """Return streams grouped by origin."""
     keys_by_origin: dict[tuple[str, str], set[int]] = {}
     for stream in streams:
