--- a/yuccahitch/controllers/stream_origins.py
+++ b/yuccahitch/controllers/stream_origins.py
@@ -23,8 +23,8 @@
 ENDED_MEMORY_S = 10.0
 # Streams that are remembered at most; the oldest one is dropped for a new one.
 MAX_STREAMS = 50_000
-# Streams in one batch, which is written anew with each stream that joins it.
-MAX_BATCH_STREAMS = 256
+# Streams from which on a batch gets no more; as many join it with one write at most.
+BATCH_STREAMS = 64
 # Time after which a new lease is granted for the records, in seconds.
 LEASE_USED_S = stream_records.RECORD_LIFETIME_S / 2
 # Part of the store's writes that the instances together make for records.
@@ -242,7 +242,7 @@
                 events.Event.STREAMS_RECORDED, streams=len(purpose.streams), batch=purpose.number
             )
             self.outbox.append(log_event)
-            if len(self.batch) >= MAX_BATCH_STREAMS:
+            if len(self.batch) >= BATCH_STREAMS:
                 self._start_batch()
             return
         is_failure = type(reply) is store.CallFailed
@@ -273,7 +273,7 @@
             call = store.GrantLease(stream_records.RECORD_LIFETIME_S)
             self.outbox.append(commands.StoreCall(call, RecordLease()))
             return
-        self._write(waiting[: MAX_BATCH_STREAMS - len(self.batch)])
+        self._write(waiting[:BATCH_STREAMS])
 
     def _write(self, joining: list[OwnStream]) -> None:
         """Write the present batch with the streams that join it."""
