--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -331,8 +331,8 @@
 
     def begin_streams(self) -> None:
         """Let new callers come; some of them leave in the middle and take their stream up."""
-        path = self.rng.choice(("/plan/x", "/both/x"))
-        stream = version_streams.Stream(path, TRIES)
+        path = self.rng.choice(("/plan/", "/both/"))
+        stream = version_streams.Stream(f"{path}{len(self.streams)}", TRIES)
         self.streams.append(stream)
         self.ask(stream)
         if stream.tries and self.rng.random() < 0.4:
