--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/served_versions.py
@@ -31,8 +31,11 @@
 from yuccahitch.resources import version_record
 
 PREFIX = "yuccahitch/versions/"
-# Time for which a version stays announced beyond the largest age of knowledge, in seconds.
-HOLD_MARGIN_S = 0.5
+# Age of the knowledge up to which the only version counts as the origin of all open streams, in
+# seconds: the wait of a watch's call in the store. Callers wait for younger knowledge.
+MAX_INFERENCE_AGE_S = 1.0
+# Time for which a version stays announced beyond that, in seconds.
+HOLD_MARGIN_S = 0.25
 # Age of the knowledge from which no stream begins, in seconds: half of the time for which a retired
 # version is kept, so that streams that begin by old knowledge can be taken up for as long.
 MAX_BEGIN_AGE_S = _service_versions.RETENTION_S / 2
@@ -126,7 +129,7 @@
     @property
     def hold_s(self) -> float:
         """Return the time for which a version stays announced, in seconds."""
-        return self.times.max_age_s + HOLD_MARGIN_S
+        return MAX_INFERENCE_AGE_S + HOLD_MARGIN_S
 
     def begin_era(self, now: float) -> None:
         """Forget the records; whoever knew the store until now vouches for the versions known."""
@@ -218,11 +221,12 @@
 
     def only_origin(self, service: str, now: float) -> str | None:
         """Return the version that began every open stream of a service, or None if unknown."""
-        known = self.by_service.get(service)
-        if known is None or not self._is_fresh(now) or not self._is_vouched(known):
-            return None
-        possible = known.possible_origins(now, max_age_s=self.times.max_age_s)
-        return next(iter(possible)) if len(possible) == 1 else None
+        is_fresh = now - self.source.updated_at <= MAX_INFERENCE_AGE_S
+        return self._only_possible(service, now) if is_fresh else None
+
+    def awaits_knowledge(self, service: str, now: float) -> bool:
+        """Return whether younger knowledge would show which version began every open stream."""
+        return self._only_possible(service, now) is not None
 
     def ambiguous_services(self) -> set[str]:
         """Return the services of which several versions may have begun open streams."""
@@ -253,6 +257,14 @@
             )
             self.outbox.append(log_event)
 
+    def _only_possible(self, service: str, now: float) -> str | None:
+        """Return the only version that can have begun streams, as far as is known, or None."""
+        known = self.by_service.get(service)
+        if known is None or not self._is_vouched(known):
+            return None
+        possible = known.possible_origins(now, max_age_s=MAX_INFERENCE_AGE_S)
+        return next(iter(possible)) if len(possible) == 1 else None
+
     def _adopt(
         self,
         service: str,
--- a/yuccahitch/controllers/take_ups.py
+++ b/yuccahitch/controllers/take_ups.py
@@ -41,14 +41,14 @@
     """A request that waits for the origin of its stream.
 
     Attributes:
-        key: Key of the stream.
+        key: Key of the stream; None if the caller does not name the stream.
         service: Service that the route chooses for the stream.
         until: When the wait ends, in monotonic seconds.
     """
 
     __slots__ = ("key", "service", "until")
 
-    def __init__(self, key: int, service: str, until: float) -> None:
+    def __init__(self, key: int | None, service: str, until: float) -> None:
         self.key = key
         self.service = service
         self.until = until
@@ -93,6 +93,10 @@
         origin = None if key is None else self.origins.find(key) or self.recorded.find(key)
         return origin or self._infer(service, now)
 
+    def awaits_knowledge(self, service: str, now: float) -> bool:
+        """Return whether younger knowledge of the store would show the origin of any stream."""
+        return self.versions.awaits_knowledge(service, now)
+
     def wait(self, request_id: str, wait: Wait) -> None:
         """Let a request wait for the origin of its stream."""
         self.waits[request_id] = wait
@@ -106,7 +110,7 @@
         news = self.recorded.take_news()
         settled: list[tuple[str, OriginKnown | OriginUnknown]] = []
         for request_id, wait in self.waits.items():
-            found = (batch.find(wait.key) for batch in news)
+            found = (batch.find(wait.key) for batch in news if wait.key is not None)
             origin = next((item for item in found if item is not None), None)
             origin = origin or self._infer(wait.service, now)
             if origin is not None:
--- a/yuccahitch/filters/resumption.py
+++ b/yuccahitch/filters/resumption.py
@@ -75,7 +75,8 @@
         if origin is not None:
             return self.go_on(context, origin, now)
         wait_until = min(now + MAX_WAIT_S, context.give_up_at - WAIT_RESERVE_S)
-        if key is None or wait_until <= now:
+        may_learn = key is not None or self.streams.awaits_knowledge(context.service.name, now)
+        if not may_learn or wait_until <= now:
             return self.refuse(context, errors.Code.ORIGIN_UNKNOWN, now)
         self.streams.wait(context.id, take_ups.Wait(key, context.service.name, wait_until))
         return actions.Perform(actions.AwaitOrigin(wait_until=wait_until))
