--- a/tests/features/served_versions.feature
+++ b/tests/features/served_versions.feature
@@ -115,3 +115,11 @@
     Then edge-2 takes that stream up at v1
     When the zone runs on for 100 seconds
     Then edge-1 takes up a stream that it doesn't know at v1
+
+  # Guards against knowledge that an instance takes for fresh as its clock stood still with it (ORDER).
+  Scenario: An instance that was suspended infers nothing from what it knew before
+    Given 3 instances of a zone with upstreams of v1
+    When edge-1 has just learned that the store is as it knows it
+    And edge-1 stands still for 5 seconds while upstreams of v2 register
+    Then edge-1 doesn't send a stream that it doesn't know to v1 at once
+    And the clock of an instance counts the time of a suspension
--- a/tests/features/steps/served_versions.py
+++ b/tests/features/steps/served_versions.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import time
+
 import behave
 
 from tests import platform_builders, stream_builders, stream_simulation, zone_simulation
+from yuccahitch import clock
 from yuccahitch.controllers import rendezvous, served_versions
 
 UNKNOWN_STREAM = "nobody-knows-it"
@@ -210,3 +213,26 @@
 @behave.then("{name:S} takes that stream up at {version:w}")
 def step_check_taken_up(context, name, version):
     assert settled_take_up(context, name, context.stream) == version
+
+
+@behave.when(
+    "{name:S} stands still for {seconds:g} seconds while upstreams of {version:w} register"
+)
+def step_stand_still(context, name, seconds, version):
+    context.site.paused.add(name)
+    stream_simulation.register(context.site, version)
+    context.site.run(seconds)
+    context.site.paused.clear()
+    context.site.edges[name].now = context.site.now
+
+
+@behave.then("{name:S} doesn't send a stream that it doesn't know to {version:w} at once")
+def step_check_no_haste(context, name, version):
+    outcome = stream_simulation.take_up(context.site, name, UNKNOWN_STREAM)
+    assert outcome is None or stream_simulation.went_to(outcome) != version, outcome
+
+
+@behave.then("the clock of an instance counts the time of a suspension")
+def step_check_clock(context):
+    since_boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    assert 0 <= clock.SystemClock().now() - since_boot_s < 1.0
--- a/tests/forwarding_pair.py
+++ b/tests/forwarding_pair.py
@@ -9,7 +9,6 @@
 import asyncio
 import itertools
 import socket
-import time
 
 from aiohttp import web
 
@@ -29,6 +28,7 @@
 )
 
 HOST = "127.0.0.1"
+SYSTEM_CLOCK = clock.SystemClock()
 EVENT_COUNT = 6
 _request_numbers = itertools.count(1)
 
@@ -83,7 +83,7 @@
 
     def __init__(self, name, region):
         system_clock = clock.SystemClock()
-        self.edge = platform_builders.EdgeUnderTest(name, region=region, now=time.monotonic())
+        self.edge = platform_builders.EdgeUnderTest(name, region=region, now=SYSTEM_CLOCK.now())
         self.log_lines = []
         log = events.Log(self.edge.decisions.instance, events.HybridClock(system_clock.wall))
         self.replicas = replica_client.ReplicaClient(
@@ -174,7 +174,7 @@
         own = self.remote.edge.decisions.members.own
         own.host, own.peer_port = HOST, relay_port
         for node in (self.entry, self.remote):
-            node.edge.now = time.monotonic()
+            node.edge.now = SYSTEM_CLOCK.now()
             node.edge.publish(platform_builders.a_publication())
             node.edge.mark_store_read()
             node.edge.decisions.members.own.ready = True
@@ -202,7 +202,7 @@
         sink = sink or RecordingSink()
         request = a_platform_request(path, method, body, deadline_s, request_id)
         task = self.requests.start(
-            runner.Runner(self.entry.mailboxes, request, sink, now=time.monotonic).run()
+            runner.Runner(self.entry.mailboxes, request, sink, now=SYSTEM_CLOCK.now).run()
         )
         return request_id, sink, task
 
@@ -218,7 +218,7 @@
     def overlap_s(self, request_id):
         """Return for how long an upstream worked on a request after the next one had begun."""
         runs = sorted(self.runs(request_id).values(), key=lambda record: record["began_at"])
-        now = time.monotonic()
+        now = SYSTEM_CLOCK.now()
         return max(
             (
                 first.get("ended_at", now) - second["began_at"]
@@ -264,7 +264,7 @@
         path=path,
         headers=headers.items(),
         body=body,
-        now=time.monotonic(),
+        now=SYSTEM_CLOCK.now(),
         new_id=request_id,
     )
 
--- a/yuccahitch/clock.py
+++ b/yuccahitch/clock.py
@@ -28,8 +28,8 @@
     __slots__ = ()
 
     def now(self) -> float:
-        """Return monotonic seconds."""
-        return time.monotonic()
+        """Return monotonic seconds, those included for which the machine was suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -200,13 +200,14 @@
                 the timeout as it is.
         """
         if give_up_at is not None:
-            self.request_timeout.reschedule(give_up_at + TIMEOUT_MARGIN_S)
+            left_s = give_up_at + TIMEOUT_MARGIN_S - self.now()
+            self.request_timeout.reschedule(asyncio.get_running_loop().time() + left_s)
 
     def give_up(self) -> None:
         """End the request now, as the instance stops; the caller still gets an answer."""
         if self.can_expire:
             self.stopping = True
-            self.request_timeout.reschedule(self.now())
+            self.request_timeout.reschedule(asyncio.get_running_loop().time())
 
     async def _on_timeout(self) -> None:
         """Refuse a request that timed out.
