--- a/tests/features/served_versions.feature
+++ b/tests/features/served_versions.feature
@@ -103,6 +103,15 @@
     Then edge-1 takes up no stream that it doesn't know in the next 4 seconds
     And the record is "v1 serving, v2 serving"
 
+  Scenario: After an outage from which the store comes back as a copy, streams can be taken up again soon
+    Given 3 instances of a zone with upstreams of v1
+    And a copy of the store
+    When no instance can reach the store for 5 seconds
+    And the store comes back from the copy
+    Then edge-1 takes up no stream that it doesn't know in the next 4 seconds
+    When the zone runs on for 10 seconds
+    Then edge-1 takes up a stream that it doesn't know at v1
+
   Scenario: Nobody vouches for a restored record when all instances start with it
     Given 3 instances of a zone with upstreams of v1
     And a copy of the store
--- a/tests/features/steps/served_versions.py
+++ b/tests/features/steps/served_versions.py
@@ -187,6 +187,13 @@
     assert results == {"origin-unknown"}, results
 
 
+@behave.when("no instance can reach the store for {seconds:g} seconds")
+def step_cut_all(context, seconds):
+    context.site.cut = set(context.site.edges)
+    context.site.run(seconds)
+    context.site.cut = set()
+
+
 @behave.when('another writer leaves "{text}" as the record')
 def step_spoil(context, text):
     context.site.write(stream_simulation.VERSIONS_KEY, text.encode())
--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/served_versions.py
@@ -81,8 +81,8 @@
     Attributes:
         source: Follows the store.
         by_service: What is known of each service, by name.
-        vouches: Whether this instance followed the store up to the beginning of its present era,
-            so that it knows all versions with open streams.
+        vouches_from: From when this instance vouches that it knows all versions with open streams,
+            in monotonic seconds; infinity if it has not known the store before its present era.
         next_check_at: When the records are checked next, in monotonic seconds.
         resumable: Services with resumable routes in the configuration ``resumable_in``.
         resumable_in: Version of the configuration that ``resumable`` belongs to.
@@ -95,7 +95,7 @@
         "config",
         "times",
         "first_start",
-        "vouches",
+        "vouches_from",
         "source",
         "by_service",
         "next_check_at",
@@ -118,7 +118,7 @@
         self.config = config
         self.times = times
         self.first_start = first_start
-        self.vouches = False
+        self.vouches_from = math.inf
         self.source: feed.Feed | None = None
         self.by_service: dict[str, _service_versions.ServiceVersions] = {}
         self.next_check_at = -math.inf
@@ -132,8 +132,18 @@
         return MAX_INFERENCE_AGE_S + HOLD_MARGIN_S
 
     def begin_era(self, now: float) -> None:
-        """Forget the records; whoever knew the store until now vouches for the versions known."""
-        self.vouches = self._is_fresh(now)
+        """Forget the records, and work out from when this instance vouches for the versions.
+
+        If its knowledge is fresh, that is at once. Otherwise others may know more; they and the
+        upstreams have written again what was lost before it vouches.
+        """
+        is_complete = all(known.is_vouched(self.source.era) for known in self.by_service.values())
+        is_fresh = now - self.source.updated_at <= MAX_INFERENCE_AGE_S
+        rewritten_s = self.source.settle_s + RANK_DELAY_S * (MAX_RANK + 1)
+        self.vouches_from = max(
+            -math.inf if is_complete else self.vouches_from,
+            now if is_fresh else now + rewritten_s,
+        )
         for known in self.by_service.values():
             known.forget_record()
             known.writing = False
@@ -335,7 +345,7 @@
             states = known.next_states(offered, now, fresh=fresh, hold_s=self.hold_s)
         is_untouched = is_first and known.revision == 0
         outlasted = now - known.unvouched_since >= _service_versions.RETENTION_S
-        if self.vouches or outlasted or (self.first_start and is_untouched):
+        if now >= self.vouches_from or outlasted or (self.first_start and is_untouched):
             era = self.source.era
         else:
             era = known.record.era if known.record is not None else version_record.NO_ERA
