--- a/tests/features/steps/version_simulation.py
+++ b/tests/features/steps/version_simulation.py
@@ -11,6 +11,7 @@
 PLANS = {
     "all kinds of trouble": "mixed",
     "the loss of all instances around a first release": "races",
+    "a first release that some instances don't hear of": "stale",
     "releases long after each other, and losses of all": "ages",
     "a store that forgets a release as all instances die": "restores",
 }
--- a/tests/features/version_simulation.feature
+++ b/tests/features/version_simulation.feature
@@ -11,5 +11,6 @@
       | trouble                                               | first | count |
       | all kinds of trouble                                  | 1     | 8     |
       | the loss of all instances around a first release      | 1     | 12    |
+      | a first release that some instances don't hear of     | 1     | 12    |
       | releases long after each other, and losses of all     | 1     | 2     |
       | a store that forgets a release as all instances die   | 1     | 6     |
--- a/tests/version_faults.py
+++ b/tests/version_faults.py
@@ -11,6 +11,9 @@
 # Length of the plans, in seconds.
 MIXED_S = 45.0
 RACES_S = 25.0
+STALE_S = 20.0
+# Instances that have their zone for themselves, so that nobody passes changes of the store on.
+LONE_INSTANCES = ("edge-4", "edge-5")
 # Time during which no trouble begins at the end of a run, in seconds.
 QUIET_END_S = 8.0
 # Time for which an upstream serves on after its entry is gone or says that it is leaving, in
@@ -63,6 +66,19 @@
     return at + QUIET_END_S
 
 
+def stale(site):
+    """Schedule a release that instances alone in their zones don't hear of, and hasty callers."""
+    rng = site.rng
+    site.stream_interval_s, site.leaving_share, site.leave_s = 0.1, 0.9, (0.5, 0.8)
+    site.pauses_s, site.max_pause_s = (0.02,), 0.3
+    at = rng.uniform(3.0, 5.0)
+    for name in LONE_INSTANCES:
+        cut = functools.partial(cut_off, site, name, rng.uniform(3.0, 12.0))
+        site.clock.schedule_after(at - rng.choice((0.1, rng.uniform(0.0, 2.5))), cut)
+    site.clock.schedule_after(at, functools.partial(release, site))
+    return STALE_S
+
+
 def restores(site):
     """Schedule a release that the store forgets while all instances are lost."""
     rng = site.rng
@@ -189,7 +205,11 @@
 def cut_one(site):
     """Cut an instance off from the store."""
     name = site.rng.choice(sorted(site.touched_at.keys() - {STORE}))
-    seconds = site.rng.uniform(0.5, 8.0)
+    cut_off(site, name, site.rng.uniform(0.5, 8.0))
+
+
+def cut_off(site, name, seconds):
+    """Cut an instance off from the store for some time."""
     site.note(f"{name} is cut off for {seconds:.1f}")
     site.cut_until[name] = site.touched_at[name] = site.clock.now + seconds
 
@@ -272,4 +292,4 @@
     restore_store,
     reset_connections,
 )
-PLANS = {"mixed": mixed, "races": races, "ages": ages, "restores": restores}
+PLANS = {"mixed": mixed, "races": races, "stale": stale, "ages": ages, "restores": restores}
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -35,9 +35,13 @@
 LOST_REPLIES = 0.3
 LATE_CALL_S = (0.0, 3.0)
 DATAGRAM_LOSS = 0.01
+# Time between two new streams, in seconds.
 STREAM_INTERVAL_S = 0.25
-# Longest pause of a caller before it takes its stream up, in seconds.
+# Pauses of callers before they take a stream up, in seconds, beside those drawn up to the longest.
+PAUSES_S = (0.05, 0.3, 1.0)
 MAX_PAUSE_S = 8.0
+# When callers leave that leave in the middle, in seconds after their request.
+LEAVE_S = (0.5, 3.0)
 TRIES = 5
 
 
@@ -60,6 +64,11 @@
         paused_until: Until when each instance stands still, in virtual seconds.
         touched_at: When each instance, or the store, last had trouble, in virtual seconds.
         lossy_until: Until when replies of the store are lost now and then, in virtual seconds.
+        stream_interval_s: Time between two new streams, in seconds.
+        leaving_share: Share of the callers that leave in the middle of a stream.
+        leave_s: The earliest and the latest moment at which they do, in seconds after they came.
+        pauses_s: Pauses of callers before they take a stream up, in seconds.
+        max_pause_s: Longest pause beside these, in seconds.
         logged: Number of log events by name.
         notes: What was done to the site, with times.
     """
@@ -79,6 +88,11 @@
         self.paused_until: dict[str, float] = {}
         self.touched_at: dict[str, float] = {}
         self.lossy_until = 0.0
+        self.stream_interval_s = STREAM_INTERVAL_S
+        self.leaving_share = 0.4
+        self.leave_s = LEAVE_S
+        self.pauses_s = PAUSES_S
+        self.max_pause_s = MAX_PAUSE_S
         self.logged: collections.Counter[str] = collections.Counter()
         self.notes: list[str] = []
         self.publish()
@@ -326,7 +340,7 @@
         self.runs.get(run.instance, {}).pop(run.id, None)
         stream = run.stream
         if not stream.is_whole() and stream.tries_left > 0:
-            pause_s = self.rng.choice((0.05, 0.3, 1.0, self.rng.uniform(0, MAX_PAUSE_S)))
+            pause_s = self.rng.choice((*self.pauses_s, self.rng.uniform(0, self.max_pause_s)))
             self.clock.schedule_after(pause_s, functools.partial(self.ask, stream))
 
     def begin_streams(self) -> None:
@@ -335,10 +349,10 @@
         stream = version_streams.Stream(f"{path}{len(self.streams)}", TRIES)
         self.streams.append(stream)
         self.ask(stream)
-        if stream.tries and self.rng.random() < 0.4:
+        if stream.tries and self.rng.random() < self.leaving_share:
             leave = functools.partial(self._leave, stream.tries[0])
-            self.clock.schedule_after(self.rng.uniform(0.5, 3.0), leave)
-        self.clock.schedule_after(STREAM_INTERVAL_S, self.begin_streams)
+            self.clock.schedule_after(self.rng.uniform(*self.leave_s), leave)
+        self.clock.schedule_after(self.stream_interval_s, self.begin_streams)
 
     def run(self, plan: typing.Callable[[Site], float]) -> None:
         """Play with the trouble that a plan schedules; it returns for how long, in seconds."""
