--- a/yuccahitch/controllers/stream_records.py
+++ b/yuccahitch/controllers/stream_records.py
@@ -23,18 +23,14 @@
     Attributes:
         groups: Its streams by origin.
         revision: Revision of the batch in the store.
-        learned_at: When it was read first, in monotonic seconds.
         former_era: Whether it was read in a former era of the store, which may have lost it.
     """
 
-    __slots__ = ("groups", "revision", "learned_at", "former_era")
+    __slots__ = ("groups", "revision", "former_era")
 
-    def __init__(
-        self, groups: list[stream_batches.OriginGroup], *, revision: int, learned_at: float
-    ) -> None:
+    def __init__(self, groups: list[stream_batches.OriginGroup], *, revision: int) -> None:
         self.groups = groups
         self.revision = revision
-        self.learned_at = learned_at
         self.former_era = False
 
     @property
@@ -62,16 +58,18 @@
     Attributes:
         batches: The batches by key, the one read last at the end.
         size: Number of streams in all batches.
+        former_until: When the batches of former eras are forgotten, in monotonic seconds.
         news: The batches read since the last ``take_news``.
         outbox: Commands that wait for the next ``take_commands``.
     """
 
-    __slots__ = ("instance", "batches", "size", "news", "outbox")
+    __slots__ = ("instance", "batches", "size", "former_until", "news", "outbox")
 
     def __init__(self, instance: str) -> None:
         self.instance = instance
         self.batches: dict[str, Batch] = {}
         self.size = 0
+        self.former_until = math.inf
         self.news: list[Batch] = []
         self.outbox: list[commands.Command] = []
 
@@ -79,6 +77,7 @@
         """Keep what is known, as the store may have lost it."""
         for batch in self.batches.values():
             batch.former_era = True
+        self.former_until = now + RECORD_LIFETIME_S
 
     def apply_snapshot(
         self,
@@ -116,17 +115,19 @@
             self.outbox.append(log_event)
             return
         self._drop(key)
-        batch = self.batches[key] = Batch(groups, revision=item.revision, learned_at=now)
+        batch = self.batches[key] = Batch(groups, revision=item.revision)
         self.size += batch.size
         self.news.append(batch)
         while self.size > MAX_STREAMS:
             self._drop(next(iter(self.batches)))
 
     def expire(self, now: float) -> None:
-        """Forget batches of a former era whose lease must have ended."""
-        for key, batch in list(self.batches.items()):
-            if batch.former_era and now - batch.learned_at > RECORD_LIFETIME_S:
-                self._drop(key)
+        """Forget batches of a former era once their leases must have ended."""
+        if now < self.former_until:
+            return
+        self.former_until = math.inf
+        for key in [key for key, batch in self.batches.items() if batch.former_era]:
+            self._drop(key)
 
     def take_news(self) -> list[Batch]:
         """Return the batches that were read since the last call."""
