--- a/tests/features/steps/stream_take_ups.py
+++ b/tests/features/steps/stream_take_ups.py
@@ -38,8 +38,16 @@
     return platform_calls.run(context, work())
 
 
+async def start_missing(site):
+    """Start the instances that an earlier scenario left killed."""
+    missing = [name for name in platform_site.INSTANCE_ZONES if name not in site.processes]
+    await asyncio.gather(*(site.start(name) for name in missing))
+    await site.wait_until_ready(*missing)
+
+
 async def publish(context, *services):
     """Publish routes to the services, as the newest configuration."""
+    await start_missing(context.site)
     context.services = services
     context.version += 1
     document = versioned_site.a_document(context.version, *services)
