--- a/yuccahitch/cli/explain.py
+++ b/yuccahitch/cli/explain.py
@@ -47,6 +47,8 @@
         events.Event.STORE_LOST,
         events.Event.STORE_FOUND,
         events.Event.WATCH_BROKEN,
+        events.Event.STREAMS_RECORDED,
+        events.Event.STREAMS_NOT_RECORDED,
         events.Event.FAULT,
     )
 )
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -212,6 +212,8 @@
             store_watched=lambda: float(state.feed.watching),
             feed_reports_dropped=lambda: state.relay.dropped,
             upstreams=lambda: state.registry.count_by_state(now()),
+            streams_recorded_elsewhere=lambda: state.recorded.size,
+            take_ups_waiting=lambda: len(state.take_ups.waits),
             upstreams_with_rate=lambda: state.registry.limits.count_in_force(),
             upstream_connections_opened=lambda: self.replicas.opened_total,
             log_lines_dropped=lambda: self.pipe.dropped_total,
