--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -16,7 +16,7 @@
 
 import aiohttp
 
-from standins import deployment
+from standins import deployment, versioned_upstreams
 
 ROOT = deployment.ROOT
 SETTINGS_TEMPLATE = ROOT / "deploy" / "settings.ini"
@@ -61,6 +61,7 @@
         processes: Running instances by name.
         session: HTTP client, or None before the start.
         pipe_ends: File descriptors of the pipes that nobody reads.
+        started: Names of the instances that have been started.
         upstreams_born_ms: Start that the entries of upstreams name, in milliseconds since the Unix
             epoch.
     """
@@ -71,6 +72,7 @@
         "processes",
         "session",
         "pipe_ends",
+        "started",
         "upstreams_born_ms",
     )
 
@@ -80,6 +82,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.session: aiohttp.ClientSession | None = None
         self.pipe_ends: list[int] = []
+        self.started: set[str] = set()
         self.upstreams_born_ms = 1_700_000_000_000
 
     async def start_standins(self) -> None:
@@ -94,6 +97,11 @@
             f" id={name} events={events}"
             for name, (_, _, events) in UPSTREAMS.items()
         ]
+        lines += [
+            f"replica {UPSTREAM_PORT} host={_host(upstream_address(name))}"
+            f" id={name} events={versioned_upstreams.EVENTS} version={upstream.version}"
+            for name, upstream in versioned_upstreams.UPSTREAMS.items()
+        ]
         standin_arguments = " -- ".join(lines).split()
         self.standins = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -147,7 +155,9 @@
     async def start(self, name: str, *, unread_log: bool = False) -> None:
         """Start an instance that logs to a file, or to a pipe that nobody reads."""
         path = self.run_dir / f"{name}.ini"
-        path.write_text(render_settings(SETTINGS_TEMPLATE.read_text(), platform_fields(name)))
+        fields = platform_fields(name) | {"bootstrap": str(name not in self.started).lower()}
+        self.started.add(name)
+        path.write_text(render_settings(SETTINGS_TEMPLATE.read_text(), fields))
         log = (self.run_dir / f"{name}.log").open("ab")
         self.processes[name] = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -232,18 +242,18 @@
 
 def upstream_address(name: str) -> str:
     """Return the address of an upstream, ``IP:PORT``."""
-    host_number = list(UPSTREAMS).index(name) + 101
-    return f"127.30.{ZONE_NUMBERS[UPSTREAMS[name][1]]}.{host_number}:{UPSTREAM_PORT}"
+    host_number = [*UPSTREAMS, *versioned_upstreams.UPSTREAMS].index(name) + 101
+    return f"127.30.{ZONE_NUMBERS[_upstream_zone(name)]}.{host_number}:{UPSTREAM_PORT}"
 
 
 def upstream_entry(name: str, **fields: typing.Any) -> dict[str, typing.Any]:
     """Return the entry of an upstream in the store; fields replace those of the default."""
-    service, zone, _ = UPSTREAMS[name]
+    versioned = versioned_upstreams.UPSTREAMS.get(name)
     return {
-        "service": service,
+        "service": UPSTREAMS[name][0] if versioned is None else "text",
         "address": upstream_address(name),
-        "zone": zone,
-        "version": "v1",
+        "zone": _upstream_zone(name),
+        "version": "v1" if versioned is None else versioned.version,
         "capacity": 8,
         "state": "ready",
         "warmupLeftMs": 0,
@@ -270,7 +280,7 @@
         "internalPorts": [7104, 7109],
         "heartbeatMs": 1200,
         "bounds": BOUNDS,
-        "provider": {"address": STORE_ADDRESSES[ZONE_REGIONS[zone]]},
+        "provider": {"address": STORE_ADDRESSES[ZONE_REGIONS[zone]], "writesPerS": 400},
     }
 
 
@@ -303,6 +313,12 @@
     return re.sub(r"\{\{([\w.]+)\}\}", value, text)
 
 
+def _upstream_zone(name: str) -> str:
+    """Return the availability zone of an upstream."""
+    versioned = versioned_upstreams.UPSTREAMS.get(name)
+    return UPSTREAMS[name][1] if versioned is None else versioned.zone
+
+
 def _host(address: str) -> str:
     return address.rpartition(":")[0]
 
--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -273,10 +273,15 @@
         attempt=work.attempt,
         parts=[pb.PromptPart(id=name, tokens=tokens) for name, tokens in request.prompt_parts],
         resume_after=request.resume_after,
-        **hop.as_dict(),
+        **(hop.as_dict() | {"versions": _version_set(hop.versions)}),
     )
 
 
+def _version_set(versions: tuple[str, ...] | None) -> pb.VersionSet | None:
+    """Return software versions as a message; None, which stands for all, has none."""
+    return None if versions is None else pb.VersionSet(names=versions)
+
+
 def from_forwarded(
     message: pb.Forwarded, *, now: float
 ) -> tuple[requests.Request, requests.Hop, int]:
@@ -332,6 +337,7 @@
         avoid=tuple(message.avoid),
         streams=message.streams,
         leased=message.leased,
+        versions=tuple(message.versions.names) if message.HasField("versions") else None,
     )
     return request, hop, message.attempt
 
@@ -353,6 +359,7 @@
         status=part.status,
         headers=[pb.Header(name=name, value=value) for name, value in part.headers],
         source=part.source,
+        software_version=part.software_version,
     )
     return pb.Part(stamp=stamp, request_id=part.request_id, attempt=part.attempt, head=head)
 
@@ -416,6 +423,7 @@
         status=message.status,
         headers=tuple((header.name, header.value) for header in message.headers),
         source=message.source,
+        software_version=message.software_version,
     )
 
 
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -168,7 +168,13 @@
         )
 
     def usable(
-        self, service: str, now: float, *, region: str | None = None, avoid: tuple[str, ...] = ()
+        self,
+        service: str,
+        now: float,
+        *,
+        region: str | None = None,
+        avoid: tuple[str, ...] = (),
+        versions: frozenset[str] | None = None,
     ) -> list[replica_state.Replica]:
         """Return the upstreams of a service in a region that may get new work.
 
@@ -179,6 +185,7 @@
             now: Monotonic seconds.
             region: Name of the region; None means that of this instance.
             avoid: Names of upstreams to leave out.
+            versions: Software versions to choose from; None means every one.
         """
         wanted_region = region or self.region
         return [
@@ -187,9 +194,29 @@
             if replica.upstream.service == service
             and replica.upstream.region == wanted_region
             and replica.upstream.name not in avoid
+            and (versions is None or replica.upstream.software_version in versions)
             and self._is_usable(replica, now)
         ]
 
+    def serves(
+        self, service: str, version: str, now: float, *, regions: frozenset[str] | None
+    ) -> bool:
+        """Return whether a software version of a service has an upstream that may get new work.
+
+        Args:
+            service: Name of the service.
+            version: The software version.
+            now: Monotonic seconds.
+            regions: Regions to look at; None means every region.
+        """
+        return any(
+            replica.upstream.service == service
+            and replica.upstream.software_version == version
+            and (regions is None or replica.upstream.region in regions)
+            and self._is_usable(replica, now)
+            for replica in self.by_name.values()
+        )
+
     def usages(self) -> list[pulses.UpstreamUsage]:
         """Return the work of this instance at each upstream that runs requests of it."""
         return [
@@ -405,6 +432,7 @@
                 entry.name,
                 zone=entry.zone,
                 slots=entry.slots,
+                software_version=entry.software_version,
                 cold_s=entry.cold_s,
                 leaving=entry.leaving,
                 revision=revision,
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -6,8 +6,16 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import allowance, balance, fleet, fleet_member, replicas, suspects
-from yuccahitch.filters import chain, poison, request_context
+from yuccahitch.controllers import (
+    allowance,
+    balance,
+    fleet,
+    fleet_member,
+    replicas,
+    stream_origins,
+    suspects,
+)
+from yuccahitch.filters import chain, poison, request_context, resumption
 from yuccahitch.messages import actions, answers, requests
 from yuccahitch.resources import route as routes
 
@@ -28,9 +36,10 @@
         policy: Counts the requests at each upstream.
         budget: Limits retries to a share of the requests.
         suspects: Traits of the requests that were running when upstreams crashed.
+        origins: Remembers which software version began a stream.
     """
 
-    __slots__ = ("members", "registry", "policy", "budget", "suspects")
+    __slots__ = ("members", "registry", "policy", "budget", "suspects", "origins")
     step = "send"
 
     def __init__(
@@ -41,12 +50,14 @@
         policy: balance.Balancer,
         budget: allowance.RetryAllowance,
         suspects: suspects.Suspects,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self.members = members
         self.registry = registry
         self.policy = policy
         self.budget = budget
         self.suspects = suspects
+        self.origins = origins
 
     def enter(self, context: request_context.RequestContext, now: float) -> actions.Action:
         """Start an attempt at the chosen upstream or instance."""
@@ -78,6 +89,7 @@
             upstream=chosen_upstream.name,
             incarnation=self.registry.incarnation(chosen_upstream.name),
             address=chosen_upstream.address,
+            software_version=chosen_upstream.software_version,
             attempt=context.attempt,
             request=context.request,
             max_tokens=0,
@@ -110,6 +122,7 @@
             avoid=tuple(context.failed_targets),
             streams=context.route.streams,
             leased=context.idempotent,
+            versions=None if context.versions is None else tuple(sorted(context.versions)),
         )
         work = actions.Forward(
             instance=context.instance,
@@ -153,8 +166,8 @@
         )
         _record_failed_target(send_filter, context, now)
         return actions.Rewind(balance.STEP)
-    if context.head is not None and not _continues(reply, context.head):
-        detail = f"the upstream sent status {reply.status} instead of the rest of the answer"
+    detail = _mismatch(reply, context)
+    if detail:
         error = errors.GatewayError(
             errors.Code.ANSWER_CUT,
             step=send_filter.step,
@@ -163,13 +176,33 @@
             run=errors.RunStatus.MAY_HAVE_RUN,
         )
         return actions.Refuse(error)
+    if _begins_resumable(reply, context):
+        resumption.record_begin(context, reply, send_filter.origins)
     context.head = context.head or reply
     return actions.Deliver(context.head)
 
 
-def _continues(reply: answers.Head, begun: answers.Head) -> bool:
-    """Return whether the answer to a resumed attempt can go on with the one that had begun."""
-    return (reply.status, reply.media_type()) == (begun.status, begun.media_type())
+def _begins_resumable(reply: answers.Head, context: request_context.RequestContext) -> bool:
+    """Return whether an answer is a stream that may be taken up later."""
+    is_resumable = context.route.repeat is routes.RepeatPolicy.RESUMABLE
+    return is_resumable and reply.is_success()
+
+
+def _mismatch(reply: answers.Head, context: request_context.RequestContext) -> str:
+    """Return why an answer can't go on with the stream that had begun, or an empty text."""
+    begun = context.head
+    if begun is not None and (reply.status, reply.media_type()) != (
+        begun.status,
+        begun.media_type(),
+    ):
+        return f"the upstream sent status {reply.status} instead of the rest of the answer"
+    is_other_version = context.origin_version not in (None, reply.software_version)
+    if _begins_resumable(reply, context) and is_other_version:
+        return (
+            f"software version {reply.software_version!r} answered a stream that version "
+            f"{context.origin_version!r} began"
+        )
+    return ""
 
 
 @_resume.register
--- a/yuccahitch/messages/actions.py
+++ b/yuccahitch/messages/actions.py
@@ -84,6 +84,7 @@
         upstream: Name of the upstream.
         incarnation: Name of the upstream's present start.
         address: Base URL of the upstream.
+        software_version: Version of the upstream's software, or empty.
         attempt: Number of the attempt, from 1.
         request: The request.
         max_tokens: Output limit sent to the upstream, in tokens; 0 for plain services.
@@ -99,6 +100,7 @@
         "upstream",
         "incarnation",
         "address",
+        "software_version",
         "attempt",
         "request",
         "max_tokens",
@@ -120,6 +122,7 @@
         priority: int,
         echoes_request_id: bool,
         incarnation: str = "",
+        software_version: str = "",
         streams: bool = False,
         account: str = "",
         give_up_at: float | None = None,
@@ -127,6 +130,7 @@
         self.upstream = upstream
         self.incarnation = incarnation
         self.address = address
+        self.software_version = software_version
         self.attempt = attempt
         self.request = request
         self.max_tokens = max_tokens
@@ -212,5 +216,18 @@
         self.key = key
 
 
-Work = Dispatch | Forward | AwaitTokens | AwaitUpstreamSlot | AwaitIdempotencyClaim
+class AwaitOrigin(records.Record):
+    """Wait until it is known which software version began the stream that is taken up.
+
+    Attributes:
+        wait_until: Time at which the wait ends, in monotonic seconds.
+    """
+
+    __slots__ = ("wait_until",)
+
+    def __init__(self, *, wait_until: float) -> None:
+        self.wait_until = wait_until
+
+
+Work = Dispatch | Forward | AwaitTokens | AwaitUpstreamSlot | AwaitIdempotencyClaim | AwaitOrigin
 Action = Proceed | Refuse | Replay | Rewind | Deliver | Perform
