Answer a request at once whose attempt raises an error

Cause: an error that no client of attempts expects ended the attempt's task, and nothing told the request. Class: a task that dies without a word to who waits for it. The stream of the answer says so now, as a failure that may have run.

--- a/tests/forwarding_pair.py
+++ b/tests/forwarding_pair.py
@@ -196,11 +196,21 @@
         """Let the entry know of an upstream of its own region."""
         self.register(self.entry, "near", "east-a")
 
-    def send(self, path, *, method="GET", body=b"", deadline_s=8.0, request_id=None, sink=None):
+    def send(
+        self,
+        path,
+        *,
+        method="GET",
+        body=b"",
+        deadline_s=8.0,
+        request_id=None,
+        sink=None,
+        headers=(),
+    ):
         """Run a request at the entry; return its id, its sink and its task."""
         request_id = request_id or f"pair-{next(_request_numbers)}"
         sink = sink or RecordingSink()
-        request = a_platform_request(path, method, body, deadline_s, request_id)
+        request = a_platform_request(path, method, body, deadline_s, request_id, headers)
         task = self.requests.start(
             runner.Runner(self.entry.mailboxes, request, sink, now=SYSTEM_CLOCK.now).run()
         )
@@ -251,9 +261,9 @@
         self.runners.append(app_runner)
 
 
-def a_platform_request(path, method, body, deadline_s, request_id) -> requests.Request:
-    """Return a caller's request on the platform, with the account's key."""
-    headers = {
+def a_platform_request(path, method, body, deadline_s, request_id, headers=()) -> requests.Request:
+    """Return a caller's request on the platform, with the account's key and further headers."""
+    headers = dict(headers) | {
         "Host": platform_builders.HOST,
         "Authorization": f"Token {platform_builders.PLATFORM_KEY}",
         "X-Request-Id": request_id,
--- a/yuccahitch/tasks/answer_stream.py
+++ b/yuccahitch/tasks/answer_stream.py
@@ -5,9 +5,11 @@
 import asyncio
 import typing
 
+from yuccahitch import errors
 from yuccahitch.messages import answers
 from yuccahitch.tasks import mailbox
 
+STEP = "attempt"
 # Bytes of an answer that are buffered for a slow caller.
 MAX_BUFFERED_BYTES = 131_072
 
@@ -62,7 +64,24 @@
         if self.closed:
             attempt.close()
             return
-        self.producer = children.start(attempt)
+        self.producer = children.start(self._run(attempt))
+
+    async def _run(self, attempt: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+        """Run the attempt; one that raises an error fails at once, as nobody else would end it."""
+        try:
+            await attempt
+        except Exception as error:  # logged with the end of the request
+            await self.put(self._internal_failure(error))
+
+    def _internal_failure(self, cause: Exception) -> answers.Failure:
+        """Return the failure of the attempt after an error of the gateway."""
+        error = errors.GatewayError(
+            errors.Code.INTERNAL,
+            step=STEP,
+            detail=f"{type(cause).__name__}: {cause}",
+            run=errors.RunStatus.MAY_HAVE_RUN,
+        )
+        return answers.Failure(request_id=self.request_id, attempt=self.attempt, error=error)
 
     async def put(self, part: answers.Part) -> None:
         """Add a part, or drop and count it if it answers another request or attempt."""
