Send header values on as the bytes that came

Cause: h11 takes text for ASCII, protobuf for UTF-8 without surrogates. Values go to both as bytes now; the field of the message between instances has the same form on the wire for UTF-8.

--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -7,7 +7,7 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.codecs import resources, suspects
+from yuccahitch.codecs import header_text, resources, suspects
 from yuccahitch.codecs.generated import peer_pb2 as pb
 from yuccahitch.messages import actions, answers, peers, requests
 from yuccahitch.resources import entry
@@ -261,7 +261,7 @@
         target=request.target,
         method=request.method,
         path=request.path,
-        headers=[pb.Header(name=name, value=value) for name, value in request.headers],
+        headers=_to_headers(request.headers),
         body=request.body,
         stream=request.stream,
         prompt_tokens=request.prompt_tokens,
@@ -277,6 +277,16 @@
     )
 
 
+def _to_headers(headers: tuple[tuple[str, str], ...]) -> list[pb.Header]:
+    """Return headers as messages."""
+    return [pb.Header(name=name, value=header_text.to_bytes(value)) for name, value in headers]
+
+
+def _from_headers(messages: typing.Iterable[pb.Header]) -> tuple[tuple[str, str], ...]:
+    """Return the headers that messages hold."""
+    return tuple((item.name, header_text.from_bytes(item.value)) for item in messages)
+
+
 def _version_set(versions: tuple[str, ...] | None) -> pb.VersionSet | None:
     """Return software versions as a message; None, which stands for all, has none."""
     return None if versions is None else pb.VersionSet(names=versions)
@@ -308,7 +318,7 @@
         target=message.target,
         method=message.method,
         path=message.path,
-        headers=tuple((header.name, header.value) for header in message.headers),
+        headers=_from_headers(message.headers),
         body=message.body,
         stream=message.stream,
         prompt_tokens=message.prompt_tokens,
@@ -357,7 +367,7 @@
 def _(part: answers.Head, *, stamp: int) -> pb.Part:
     head = pb.Head(
         status=part.status,
-        headers=[pb.Header(name=name, value=value) for name, value in part.headers],
+        headers=_to_headers(part.headers),
         source=part.source,
         software_version=part.software_version,
     )
@@ -421,7 +431,7 @@
         request_id=request_id,
         attempt=attempt,
         status=message.status,
-        headers=tuple((header.name, header.value) for header in message.headers),
+        headers=_from_headers(message.headers),
         source=message.source,
         software_version=message.software_version,
     )
--- a/yuccahitch/tasks/replica_exchange.py
+++ b/yuccahitch/tasks/replica_exchange.py
@@ -8,7 +8,7 @@
 import h11
 
 from yuccahitch import errors, events
-from yuccahitch.codecs import event_stream
+from yuccahitch.codecs import event_stream, header_text
 from yuccahitch.messages import actions, answers, upstream_notices
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.tasks import answer_stream, replica_connection
@@ -72,10 +72,12 @@
             h11.RemoteProtocolError: When the answer is not valid HTTP.
             replica_connection.InvalidAnswerError: When a part of a stream is no event of a run.
         """
+        headers = [
+            (header_text.to_bytes(name), header_text.to_bytes(value))
+            for name, value in platform_requests.encode(self.action, now)
+        ]
         request = h11.Request(
-            method=self.action.request.method,
-            target=self.action.request.path,
-            headers=platform_requests.encode(self.action, now),
+            method=self.action.request.method, target=self.action.request.path, headers=headers
         )
         self.connection.send(request, self.action.request.body, request_id=self.action.request.id)
         response_head = await self._read_head(request)
