Show requests that count as run and crashed though an idle connection broke before they were sent

TcpConnection.is_idle is true between abort() and connection_lost, so the pool hands out a connection whose writes asyncio drops.

--- a/tests/features/copied_refusals.feature
+++ b/tests/features/copied_refusals.feature
@@ -114,3 +114,16 @@
     Given an upstream that answers 200, and writes that 0 times more before
     When 20 requests of one id are run there, one after another
     Then each ran on a connection of its own, and one is left
+
+  # Guards against an order that counts as run, and as crashed, though no byte of it was sent.
+  Scenario Outline: A request that is sent just as its idle connection breaks goes over a new one
+    Given a server whose connections the test writes
+    When <what> comes on the idle connection of a request as the next one is sent
+    Then the next one is answered on a new connection
+
+    Examples:
+      | what                  |
+      | a copy of its refusal |
+      | half of that copy     |
+      | an end                |
+      | a reset               |
--- a/tests/features/steps/copied_refusals.py
+++ b/tests/features/steps/copied_refusals.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import socket
 
 import behave
 
@@ -12,7 +13,7 @@
 from yuccahitch import errors, events
 from yuccahitch.messages import answers
 from yuccahitch.platform import requests as platform_requests
-from yuccahitch.tasks import replica_connection
+from yuccahitch.tasks import replica_connection, tcp_connection
 
 REQUEST_ID = "r-1"
 STREAMING_PATHS = ("/ask/x", "/plan/x")
@@ -20,6 +21,9 @@
 # Time before a refusal, in which the instance hears of the new name, in seconds.
 REFUSAL_S = 0.2
 MANY = 99
+SECOND_ANSWER = (
+    copying_upstream.SIGNED_HEAD.format(id="second") + "Content-Length: 2\r\n\r\nok"
+)
 _ids = itertools.count(1)
 
 
@@ -350,3 +354,64 @@
     """Record the events that a client logged, for the check that all of them are caused."""
     labels = {event.label for event in events.Event}
     context.caused_events = {dict(series)["event"] for series in log.series} & labels
+
+
+@behave.given("a server whose connections the test writes")
+def step_listen(context):
+    context.listener = socket.create_server((copied_answers.HOST, 0))
+    context.listener.setblocking(False)
+    context.add_cleanup(context.listener.close)
+
+
+@behave.when("{what} comes on the idle connection of a request as the next one is sent")
+def step_break_idle(context, what):
+    async def answer_next(text):
+        """Accept a connection, answer the request on it and return it."""
+        connection, _ = await context.loop.sock_accept(context.listener)
+        context.add_cleanup(connection.close)
+        await context.loop.sock_recv(connection, 65536)
+        await context.loop.sock_sendall(connection, text.encode())
+        return connection
+
+    async def work():
+        subject = copied_answers.ClientUnderTest(None)
+        subject.address = "{}:{}".format(*context.listener.getsockname())
+        subject.tasks.start(subject.client.run())
+        accepted = subject.tasks.start(answer_next(refusal_of(REQUEST_ID)))
+        await subject.send(REQUEST_ID)
+        connection = await accepted
+        subject.tasks.start(answer_next(SECOND_ANSWER))
+        await asyncio.sleep(0)
+        # The loop does not turn between this and the post of the next request.
+        break_connection(connection, what)
+        context.parts = await subject.send("second", body=b"x")
+        await subject.tasks.stop()
+
+    context.loop.run_until_complete(work())
+
+
+def refusal_of(request_id):
+    """Return a whole refusal of a request."""
+    head = copying_upstream.ANSWERS["421"]
+    return f"{head}X-Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n"
+
+
+def break_connection(connection, what):
+    """Send a copy of a refusal on a connection, or end or reset it."""
+    copy = refusal_of(REQUEST_ID).encode()
+    if what == "an end":
+        connection.shutdown(socket.SHUT_WR)
+    elif what == "a reset":
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, tcp_connection.RESET_ON_CLOSE)
+        connection.close()
+    else:
+        connection.send(copy[: len(copy) // 2] if what.startswith("half") else copy)
+
+
+@behave.then("the next one is answered on a new connection")
+def step_check_answered(context):
+    assert [type(part) for part in context.parts] == [
+        answers.Head,
+        answers.Chunk,
+        answers.End,
+    ], context.parts
