--- a/tests/features/copied_refusals.feature
+++ b/tests/features/copied_refusals.feature
@@ -91,12 +91,17 @@
     When a request is answered so, 3 others are run there, and it is sent there again
     Then it gets its own answer in full, and nothing else is believed
 
-  Scenario: A request that is sent again to an address takes an idle connection that did not carry it
+  Scenario Outline: A request that is sent again to an address takes an idle connection that did not carry it
     Given an upstream that answers 503, and writes that 1 times more while it runs
-    When a request is answered so while another one runs there, and is sent there again
+    When a request is answered so <order> another one that runs there, and is sent there again
     Then it gets its own answer in full, and nothing else is believed
     And 2 connections were opened
 
+    Examples:
+      | order  |
+      | before |
+      | after  |
+
   # Guards against new connections after every refusal.
   Scenario: Refused requests share a connection
     Given an upstream that answers 503, and writes that 0 times more before
--- a/tests/features/steps/copied_refusals.py
+++ b/tests/features/steps/copied_refusals.py
@@ -274,8 +274,8 @@
     assert [item["connection"] for item in context.subject.upstream.received] == [1, 1]
 
 
-@behave.when("a request is answered so while another one runs there, and is sent there again")
-def step_send_beside(context):
+@behave.when("a request is answered so {order} another one that runs there, and is sent there again")
+def step_send_beside(context, order):
     async def work():
         first = asyncio.ensure_future(context.subject.send(REQUEST_ID))
         await forwarding_pair.wait_for(lambda: context.subject.upstream.received)
@@ -283,6 +283,7 @@
         await send_again(context)
 
     context.subject.upstream.refusal_s = REFUSAL_S
+    context.subject.upstream.work_s = REFUSAL_S * (2 if order == "before" else 0.25)
     context.loop.run_until_complete(work())
 
 
