--- a/tests/features/copied_refusals.feature
+++ b/tests/features/copied_refusals.feature
@@ -132,3 +132,9 @@
       | half of that copy     |
       | an end                |
       | a reset               |
+
+  # Guards against retries that an upstream at its limit resets, as the connection they replace is still open.
+  Scenario: A request that is sent again to an upstream takes the place of an idle connection
+    Given an upstream under a new name that takes one connection
+    When 20 requests are refused under the old name, and sent there again under the new one
+    Then each gets its own answer, and no connection was reset
--- a/tests/features/steps/copied_refusals.py
+++ b/tests/features/steps/copied_refusals.py
@@ -8,7 +8,7 @@
 
 import behave
 
-from standins import copying_upstream
+from standins import copying_upstream, limited_upstream
 from tests import copied_answers, forwarding_pair, platform_builders
 from yuccahitch import errors, events
 from yuccahitch.messages import answers
@@ -21,9 +21,9 @@
 # Time before a refusal, in which the instance hears of the new name, in seconds.
 REFUSAL_S = 0.2
 MANY = 99
-SECOND_ANSWER = (
-    copying_upstream.SIGNED_HEAD.format(id="second") + "Content-Length: 2\r\n\r\nok"
-)
+# Time in which a server in another thread comes to rest, in seconds.
+REST_S = 0.005
+SECOND_ANSWER = copying_upstream.SIGNED_HEAD.format(id="second") + "Content-Length: 2\r\n\r\nok"
 _ids = itertools.count(1)
 
 
@@ -274,7 +274,9 @@
     assert [item["connection"] for item in context.subject.upstream.received] == [1, 1]
 
 
-@behave.when("a request is answered so {order} another one that runs there, and is sent there again")
+@behave.when(
+    "a request is answered so {order} another one that runs there, and is sent there again"
+)
 def step_send_beside(context, order):
     async def work():
         first = asyncio.ensure_future(context.subject.send(REQUEST_ID))
@@ -416,3 +418,36 @@
         answers.Chunk,
         answers.End,
     ], context.parts
+
+
+@behave.given("an upstream under a new name that takes one connection")
+def step_start_limited(context):
+    context.upstream = limited_upstream.LimitedUpstream(copied_answers.NEW)
+    context.add_cleanup(context.upstream.listener.close)
+    context.upstream.start()
+
+
+@behave.when(
+    "{count:d} requests are refused under the old name, and sent there again under the new one"
+)
+def step_send_limited(context, count):
+    async def work():
+        subject = copied_answers.ClientUnderTest(None)
+        subject.address = context.upstream.address
+        subject.tasks.start(subject.client.run())
+        context.last_parts = []
+        for number in range(count):
+            await subject.send(f"limited-{number}")
+            parts = await subject.send(f"limited-{number}", name=copied_answers.NEW, attempt=2)
+            context.last_parts.append(parts[-1])
+            await asyncio.sleep(REST_S)
+        await subject.tasks.stop()
+
+    context.loop.run_until_complete(work())
+
+
+@behave.then("each gets its own answer, and no connection was reset")
+def step_check_limited(context):
+    kinds = {type(part) for part in context.last_parts}
+    assert kinds == {answers.End}, context.last_parts
+    assert context.upstream.reset_count == 0, context.upstream.reset_count
