Close an idle connection before the one that replaces it is opened

'A request that is sent again to an upstream takes the place of an idle connection' fails without this and passes with it.

--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -140,6 +140,8 @@
                 return connection
         if pool:
             self._close_pooled(pool.popleft(), action.address)
+            # The socket is closed a turn of the loop later.
+            await asyncio.sleep(0)
         return await self._open_connection(action)
 
     async def _open_connection(self, action: actions.Dispatch) -> replica_connection.Connection:
