--- a/tests/features/copied_refusals.feature
+++ b/tests/features/copied_refusals.feature
@@ -91,12 +91,17 @@
     When a request is answered so, 3 others are run there, and it is sent there again
     Then it gets its own answer in full, and nothing else is believed
 
-  Scenario: A request that is sent again to an address takes an idle connection that did not carry it
+  Scenario Outline: A request that is sent again to an address takes an idle connection that did not carry it
     Given an upstream that answers 503, and writes that 1 times more while it runs
-    When a request is answered so while another one runs there, and is sent there again
+    When a request is answered so <order> another one that runs there, and is sent there again
     Then it gets its own answer in full, and nothing else is believed
     And 2 connections were opened
 
+    Examples:
+      | order  |
+      | before |
+      | after  |
+
   # Guards against new connections after every refusal.
   Scenario: Refused requests share a connection
     Given an upstream that answers 503, and writes that 0 times more before
@@ -114,3 +119,22 @@
     Given an upstream that answers 200, and writes that 0 times more before
     When 20 requests of one id are run there, one after another
     Then each ran on a connection of its own, and one is left
+
+  # Guards against an order that counts as run, and as crashed, though no byte of it was sent.
+  Scenario Outline: A request that is sent just as its idle connection breaks goes over a new one
+    Given a server whose connections the test writes
+    When <what> comes on the idle connection of a request as the next one is sent
+    Then the next one is answered on a new connection
+
+    Examples:
+      | what                  |
+      | a copy of its refusal |
+      | half of that copy     |
+      | an end                |
+      | a reset               |
+
+  # Guards against retries that an upstream at its limit resets, as the connection they replace is still open.
+  Scenario: A request that is sent again to an upstream takes the place of an idle connection
+    Given an upstream under a new name that takes one connection
+    When 20 requests are refused under the old name, and sent there again under the new one
+    Then each gets its own answer, and no connection was reset
