Show a store connection that goes on after a reply that was not to its call

'A connection whose reply is not the call's own carries no other call' fails on: the lease gets the reply to the claims (lease 0). The rows on replies in two packets pass.

--- a/tests/features/extra_answers.feature
+++ b/tests/features/extra_answers.feature
@@ -50,6 +50,23 @@
       | platform | a claim      | while idle          |
       | platform | a lease      | while idle          |
 
+  # Guards against a reply too many that comes in two packets, the second with the next call under way.
+  Scenario Outline: A reply of the store too many that has come in part is no reply
+    Given a <dialect> store that sends half of the first reply again while idle, and the rest of it later
+    When the store refuses or grants the same kind of call twice
+    Then the second call gets no reply but its own, or fails
+
+    Examples:
+      | dialect  |
+      | etcd     |
+      | platform |
+
+  # Guards against replies that go to the wrong calls from the first one on that was seen to be wrong.
+  Scenario: A connection whose reply is not the call's own carries no other call
+    Given an etcd store that sends the reply to many claims again where the next is due
+    When it is asked for many other claims, and then for a lease
+    Then the claims fail, and the reply to the lease is its own
+
   # Guards against an old report that is taken for the newest one.
   Scenario: A poll gets no report but its own
     Given an upstream that sends each load report again, while idle
--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 import socket
 import time
@@ -219,6 +220,88 @@
     start_server(context, script)
 
 
+@behave.given(
+    "a {dialect} store that sends half of the first reply again while idle,"
+    " and the rest of it later"
+)
+def step_start_splitting_store(context, dialect):
+    context.dialect = {"etcd": etcd, "platform": platform_store}[dialect]
+    context.call = STORE_CALLS["a lease"]
+    replies = STORE_REPLIES[dialect, "a lease"]
+
+    def script(request, received):
+        """Send the reply to a call, and parts of the first one."""
+        first, own = [
+            extra_answers.an_answer(json.dumps(replies[number - 1][1]).encode())
+            for number in (1, request.number)
+        ]
+        half = len(first) // 2
+        if request.number == 1:
+            return [a_step(0.0, own, is_own=True), a_step(EXTRA_AFTER_S, first[:half])]
+        is_same = request.connection == received[0].connection
+        return [a_step(0.0, first[half:] if is_same else b""), a_step(0.1, own, is_own=True)]
+
+    start_server(context, script)
+
+
+@behave.then("the second call gets no reply but its own, or fails")
+def step_check_no_other_reply(context):
+    first, second = context.replies
+    assert first.lease == 1, first
+    assert type(second) is store.CallFailed or second.lease == 2, second
+
+
+def many_claims(key):
+    """Return a call that claims a key and reads it back."""
+    claim = store.Commit(conditions=[store.Condition(key, 0)], changes=[store.Put(key, b"v")])
+    return store.CommitMany([claim], reads_back=True)
+
+
+def claims_reply(key):
+    """Return the reply to such a call."""
+    encoded = base64.b64encode(key.encode()).decode()
+    item = {"key": encoded, "value": "dg==", "mod_revision": "5"}
+    nested = {"succeeded": True, "responses": [{"response_range": {"kvs": [item]}}]}
+    reply = {"responses": [{"response_txn": nested}]}
+    return extra_answers.an_answer(json.dumps(reply).encode())
+
+
+@behave.given("an etcd store that sends the reply to many claims again where the next is due")
+def step_start_shifting_store(context):
+    def script(request, received):
+        """Send the reply to the first call before that to the second, which takes a while."""
+        if request.target.endswith("lease/grant"):
+            granted = extra_answers.an_answer(b'{"ID": "7", "TTL": "10"}')
+            return [a_step(0.05, granted, is_own=True)]
+        if request.number == 1:
+            return [a_step(0.0, claims_reply("a"), is_own=True)]
+        return [a_step(0.0, claims_reply("a")), a_step(0.1, claims_reply("b"), is_own=True)]
+
+    start_server(context, script)
+
+
+@behave.when("it is asked for many other claims, and then for a lease")
+def step_ask_shifting_store(context):
+    client = attempt_clients.a_store_client(f"http://127.0.0.1:{context.server.port}", dialect=etcd)
+
+    async def work():
+        async with attempt_clients.running(client):
+            while client.session is None:
+                await asyncio.sleep(0.01)
+            calls = (many_claims("a"), many_claims("b"), STORE_CALLS["a lease"])
+            context.replies = [(await client.execute_call(call)).reply for call in calls]
+
+    run(context, work())
+
+
+@behave.then("the claims fail, and the reply to the lease is its own")
+def step_check_shifted(context):
+    first, second, granted = context.replies
+    assert type(first) is store.CommitManyReply, first
+    assert type(second) is store.CallFailed and second.may_have_applied, second
+    assert type(granted) is store.LeaseReply and granted.lease == 7, granted
+
+
 def start_server(context, script):
     context.server = extra_answers.ExtraAnswerServer(script)
     context.loop.run_until_complete(context.server.start())
