Show replies of the store that come late and count as those to the next call

Four rows fail on: a condition that did not hold counts as met, so that two instances may hold the lock of an engine's orders, and a lease has the id of an earlier one.

--- a/tests/features/extra_answers.feature
+++ b/tests/features/extra_answers.feature
@@ -49,6 +49,10 @@
       | etcd     | a claim      | 3 times, while idle |
       | platform | a claim      | while idle          |
       | platform | a lease      | while idle          |
+      | etcd     | a claim      | where next is due   |
+      | etcd     | a lease      | where next is due   |
+      | platform | a claim      | where next is due   |
+      | platform | a lease      | where next is due   |
 
   # Guards against a reply too many that comes in two packets, the second with the next call under way.
   Scenario Outline: A reply of the store too many that has come in part is no reply
--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -214,6 +214,11 @@
         """Send the reply to a call, and that to the first one again."""
         status, body = replies[min(request.number, len(replies)) - 1]
         reply = extra_answers.an_answer(json.dumps(body).encode(), status=status)
+        if when == "where next is due":
+            is_second = request.number == 2 and request.connection == received[0].connection
+            first = extra_answers.an_answer(json.dumps(replies[0][1]).encode())
+            copy = [a_step(0.0, first)] if is_second else []
+            return [*copy, a_step(0.1 if copy else 0.0, reply, is_own=True)]
         again = [a_step(EXTRA_AFTER_S, reply)] * copies if request.number == 1 else []
         return [a_step(0.0, reply, is_own=True), *again]
 
