--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -291,7 +291,7 @@
 
     async def work():
         async with attempt_clients.running(client):
-            while client.session is None:
+            while client.call_session is None:
                 await asyncio.sleep(0.01)
             calls = (many_claims("a"), many_claims("b"), STORE_CALLS["a lease"])
             context.replies = [(await client.execute_call(call)).reply for call in calls]
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -52,6 +52,9 @@
 class StoreClient:
     """Owns the connections to the store; each call of the core is one HTTP request.
 
+    Replies bear no id, so each call has a connection of its own. Polls share one: what they report
+    is told by its revisions.
+
     Failed calls are reported after a growing delay, so that callers that retry at once do not
     overload a failing store.
 
@@ -72,7 +75,8 @@
     Attributes:
         inbox: Messages for this task, ``commands.StoreCall`` and ``commands.WatchStore``.
         children: Tasks of the running calls and watches.
-        session: HTTP session, or None before ``run``.
+        call_session: HTTP session with a new connection for each call, or None before ``run``.
+        poll_session: HTTP session of the watches, which reuses connections, or None before ``run``.
         consecutive_failures: Failed calls since the last successful one.
         watches: Subscriptions of the running watches by prefix.
         call_slots: Limits the calls that run at the same time.
@@ -92,7 +96,8 @@
         "poll_wait_s",
         "inbox",
         "children",
-        "session",
+        "call_session",
+        "poll_session",
         "consecutive_failures",
         "watches",
         "call_slots",
@@ -125,7 +130,8 @@
         self.poll_wait_s = poll_wait_s
         self.inbox = mailbox.Mailbox()
         self.children = mailbox.ChildTasks()
-        self.session: aiohttp.ClientSession | None = None
+        self.call_session: aiohttp.ClientSession | None = None
+        self.poll_session: aiohttp.ClientSession | None = None
         self.consecutive_failures = 0
         self.watches: dict[str, reactivex_abc.DisposableBase] = {}
         self.call_slots = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
@@ -133,10 +139,14 @@
 
     async def run(self) -> None:
         """Start each call or watch that the inbox asks for; stop all of them when cancelled."""
-        async with aiohttp.ClientSession(
-            connector=http_connections.ReusingConnector(), read_bufsize=MAX_WATCH_LINE_BYTES
-        ) as session:
-            self.session = session
+        async with (
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True)) as call_session,
+            aiohttp.ClientSession(
+                connector=http_connections.ReusingConnector(), read_bufsize=MAX_WATCH_LINE_BYTES
+            ) as poll_session,
+        ):
+            self.call_session = call_session
+            self.poll_session = poll_session
             try:
                 while True:
                     _handle(await self.inbox.get(), self)
@@ -154,7 +164,7 @@
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         call_type = type(call).__name__.lower()
         try:
-            async with self.session.request(
+            async with self.call_session.request(
                 http_request.method,
                 self.url + http_request.path,
                 params=http_request.query,
@@ -225,7 +235,7 @@
         body = etcd.watch_request(self.prefix + command.prefix, command.revision)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.timeout_s)
         try:
-            async with self.session.post(
+            async with self.poll_session.post(
                 self.url + "/v3/watch", json=body, timeout=timeout
             ) as response:
                 async for line in response.content:
@@ -308,7 +318,7 @@
         timeout = aiohttp.ClientTimeout(total=wait_s + self.timeout_s)
         result = "failed"
         try:
-            async with self.session.get(
+            async with self.poll_session.get(
                 self.url + self.dialect.WATCH_PATH, params=query, timeout=timeout
             ) as response:
                 response_body = await bounded_body.read(response, MAX_REPLY_BYTES)
