--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -45,7 +45,7 @@
         http_state: The h11 state machine that encodes requests and parses answers.
         reusable_until: Time until which another request may be sent, in monotonic seconds; set
             from the headers of each answer.
-        sent_ids: Hashes of the ids of the requests that were sent, up to MAX_REQUESTS. Two ids of
+        sent_id_hashes: Hashes of the ids of the requests that were sent, up to MAX_REQUESTS. Two ids of
             one hash count as the same.
         events_in_turn: Number of events read since other tasks had their turn.
     """
@@ -55,7 +55,7 @@
         "protocol",
         "http_state",
         "reusable_until",
-        "sent_ids",
+        "sent_id_hashes",
         "events_in_turn",
     )
 
@@ -64,21 +64,21 @@
         self.protocol = wire_protocol
         self.http_state = h11.Connection(h11.CLIENT)
         self.reusable_until = 0.0
-        self.sent_ids: set[int] = set()
+        self.sent_id_hashes: set[int] = set()
         self.events_in_turn = 0
 
     @property
     def earlier_requests(self) -> int:
         """Return the number of requests that were sent before the last one."""
-        return max(0, len(self.sent_ids) - 1)
+        return max(0, len(self.sent_id_hashes) - 1)
 
     def may_carry(self, request_id: str) -> bool:
         """Return whether a request may be sent, as its id is new on this connection."""
-        return hash(request_id) not in self.sent_ids
+        return hash(request_id) not in self.sent_id_hashes
 
     def is_used_up(self) -> bool:
         """Return whether the connection has carried MAX_REQUESTS."""
-        return len(self.sent_ids) >= MAX_REQUESTS
+        return len(self.sent_id_hashes) >= MAX_REQUESTS
 
     def send(self, request: h11.Request, body: bytes, *, request_id: str) -> None:
         """Send a request that the connection may carry.
@@ -90,7 +90,7 @@
             body: Body of the request.
             request_id: Id that the answer must name.
         """
-        self.sent_ids.add(hash(request_id))
+        self.sent_id_hashes.add(hash(request_id))
         segments = [self.http_state.send(request)]
         if body:
             segments.append(self.http_state.send(h11.Data(data=body)))
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -308,7 +308,7 @@
 def _make_session() -> aiohttp.ClientSession:
     """Return an HTTP session with a new connection for each request.
 
-    On a connection that is used again, an answer too many would be taken for the next one, and a
+    On a connection that is used again, a duplicate response would be taken for the next one, and a
     run whose answer was not read would go on.
     """
     connector = aiohttp.TCPConnector(
