--- a/tests/features/steps/header_bytes.py
+++ b/tests/features/steps/header_bytes.py
@@ -55,7 +55,8 @@
 
 
 @behave.then(
-    "the request is answered in full within {seconds:g} seconds, and its upstream got the same bytes"
+    "the request is answered in full within {seconds:g} seconds,"
+    " and its upstream got the same bytes"
 )
 def step_check_bytes(context, seconds):
     assert context.sink.ends == ["complete"], context.sink.ends
--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -45,8 +45,8 @@
         http_state: The h11 state machine that encodes requests and parses answers.
         reusable_until: Time until which another request may be sent, in monotonic seconds; set
             from the headers of each answer.
-        sent_id_hashes: Hashes of the ids of the requests that were sent, up to MAX_REQUESTS. Two ids of
-            one hash count as the same.
+        sent_id_hashes: Hashes of the ids of the requests that were sent, up to MAX_REQUESTS. Two
+            ids of one hash count as the same.
         events_in_turn: Number of events read since other tasks had their turn.
     """
 
