--- /dev/null
+++ b/tests/features/steps/leaving_versions.py
@@ -0,0 +1,56 @@
+"""Steps about upstreams of a software version that are leaving."""
+
+from __future__ import annotations
+
+import behave
+
+from tests import stream_simulation
+from yuccahitch.messages import actions, upstream_notices
+
+ASK_PATH = "/ask/x"
+
+
+@behave.when("upstreams of {version:w} begin to leave")
+def step_begin_to_leave(context, version):
+    stream_simulation.register(context.site, version, state="draining")
+
+
+@behave.when("the answers of the upstreams of {version:w} say to {name:S} that they are leaving")
+def step_say_leaving(context, version, name):
+    edge = context.site.edges[name]
+    registry = edge.decisions.registry
+    for replica in list(registry.by_name.values()):
+        if replica.upstream.software_version == version:
+            notice = upstream_notices.UpstreamNotice(
+                replica.upstream.name,
+                incarnation=replica.incarnation,
+                requests_per_s=None,
+                leaving=True,
+                pause_s=0.0,
+                unreadable="",
+            )
+            edge.decisions.on_upstream_notice(notice, edge.now)
+
+
+@behave.then("a stream begins at {version:w} at {name:S}")
+def step_check_begins(context, version, name):
+    stream_simulation.begin_stream(context.site, name, version=version)
+
+
+@behave.then("no stream begins at {version:w} at {name:S}")
+def step_check_begins_not(context, version, name):
+    try:
+        stream_simulation.begin_stream(context.site, name, version=version)
+    except ValueError:
+        return
+    raise AssertionError(f"a stream began at {version}")
+
+
+@behave.then("nothing else goes to {version:w} at {name:S}")
+def step_check_not_placed(context, version, name):
+    edge = context.site.edges[name]
+    for _ in range(20):
+        outcome = edge.begin_request(ASK_PATH)
+        if type(outcome.action) is actions.Perform:
+            assert outcome.action.work.software_version != version, outcome
+        edge.finish_request(outcome.request_id, succeeded=False)
--- a/tests/stream_simulation.py
+++ b/tests/stream_simulation.py
@@ -15,14 +15,17 @@
 MAX_WAIT_S = 1.0
 
 
-def register(site: zone_simulation.Site, version: str, *, count: int = 2) -> None:
-    """Let upstreams of a software version register, named after it."""
+def register(
+    site: zone_simulation.Site, version: str, *, count: int = 2, state: str = "ready"
+) -> None:
+    """Let upstreams of a software version register, named after it, or write another state."""
     for number in range(count):
         entry = platform_builders.a_registration(
             service=stream_builders.SERVICE,
             version=version,
             address=f"127.0.0.1:{number + 1}",
             capacity=10_000,
+            state=state,
         )
         site.write(f"servers/{version}-{number}", platform_builders.to_bytes(entry))
 
--- a/yuccahitch/controllers/_edge_inputs.py
+++ b/yuccahitch/controllers/_edge_inputs.py
@@ -125,7 +125,7 @@
     controllers.members.record_report(report, now)
     controllers.registry.limits.merge(report.limits, now)
     for incarnation in report.departures:
-        controllers.registry.mark_leaving(incarnation, f"{report.instance} was told so")
+        controllers.registry.mark_leaving(incarnation, f"{report.instance} was told so", now)
     from_other_region = report.region != controllers.members.own.region
     # Of this region, all instances get each report; of another one, a single instance does.
     controllers.suspects.record_report(report.suspects, now, pass_on=from_other_region)
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/balance.py
@@ -39,6 +39,10 @@
 CHOOSERS_OF_ALL = 8
 # Upstreams among which an instance chooses at least.
 MIN_CONSIDERED = 2
+# Cost of an upstream, its time to first token, both in seconds, and the upstream.
+LocalChoice = tuple[float, float, replica_state.Replica | None]
+# Time to first token in another region, in seconds, and an instance there.
+RemoteChoice = tuple[float, peers.InstanceInfo]
 
 
 class Balancer:
@@ -109,9 +113,13 @@
 
         The request then counts as running at the upstream that it is placed on.
         """
-        local_candidates = self._local_candidates(request, now)
-        local_s, first_token_s, best = self._choose_local(local_candidates, request, now)
-        remote_choice = None if request.local_only else self._choose_remote(request, now)
+        local_candidates, local_choice, remote_choice = self._options(request, now)
+        if not local_candidates and remote_choice is None and request.versions is not None:
+            # Only upstreams of some versions will do, and the last of them may be leaving.
+            local_candidates, local_choice, remote_choice = self._options(
+                request, now, lingering=True
+            )
+        local_s, first_token_s, best = local_choice
         inputs = self._placement_inputs(
             request, local_candidates, first_token_s, best, remote_choice, now
         )
@@ -227,7 +235,7 @@
         local_candidates: list[replica_state.Replica],
         first_token_s: float,
         best: replica_state.Replica | None,
-        remote_choice: tuple[float, peers.InstanceInfo] | None,
+        remote_choice: RemoteChoice | None,
         now: float,
     ) -> placement_inputs.PlacementInputs:
         """Return the inputs of a placement decision, for the log."""
@@ -245,13 +253,30 @@
             inputs.elsewhere = remote_choice[1].region
         return inputs
 
+    def _options(
+        self, request: assignments.PlacementRequest, now: float, *, lingering: bool = False
+    ) -> tuple[list[replica_state.Replica], LocalChoice, RemoteChoice | None]:
+        """Return the upstreams of this region that can take a request, and the choices.
+
+        Args:
+            request: The request.
+            now: Monotonic seconds.
+            lingering: Whether to choose among the upstreams that are leaving.
+        """
+        candidates = self._local_candidates(request, now, lingering=lingering)
+        local_choice = self._choose_local(candidates, request, now)
+        remote_choice = (
+            None if request.local_only else self._choose_remote(request, now, lingering=lingering)
+        )
+        return candidates, local_choice, remote_choice
+
     def _local_candidates(
-        self, request: assignments.PlacementRequest, now: float
+        self, request: assignments.PlacementRequest, now: float, *, lingering: bool
     ) -> list[replica_state.Replica]:
         """Return the upstreams of this region that can take a request."""
         if request.regions is not None and self.region not in request.regions:
             return []
-        usable = self._usable(request, now)
+        usable = self._usable(request, now, lingering=lingering)
         near_ids = self.members.near_ids(now)
         sharers = self.members.rate_sharers(now)
         return [
@@ -262,11 +287,15 @@
         ]
 
     def _usable(
-        self, request: assignments.PlacementRequest, now: float
+        self, request: assignments.PlacementRequest, now: float, *, lingering: bool = False
     ) -> list[replica_state.Replica]:
         """Return the upstreams of this region that a request may be sent to."""
         return self.registry.usable(
-            request.service.name, now, avoid=request.avoid, versions=request.versions
+            request.service.name,
+            now,
+            avoid=request.avoid,
+            versions=request.versions,
+            lingering=lingering,
         )
 
     def _choose_local(
@@ -274,7 +303,7 @@
         candidates: list[replica_state.Replica],
         request: assignments.PlacementRequest,
         now: float,
-    ) -> tuple[float, float, replica_state.Replica | None]:
+    ) -> LocalChoice:
         """Return the least cost of an upstream, its time to first token, and the upstream.
 
         Cost and time are estimates in seconds. Ties are broken at random. Without candidates the
@@ -395,10 +424,11 @@
         return max(1, int(min(slots, rate_per_s * self.estimates.work_time(service))))
 
     def _choose_remote(
-        self, request: assignments.PlacementRequest, now: float
-    ) -> tuple[float, peers.InstanceInfo] | None:
+        self, request: assignments.PlacementRequest, now: float, *, lingering: bool
+    ) -> RemoteChoice | None:
         """Return the best other region's estimated time to first token, and an instance there."""
-        return self.remote.choose(request, self._part_holder(request, now), now)
+        holder = self._part_holder(request, now)
+        return self.remote.choose(request, holder, now, lingering=lingering)
 
     def _assign(
         self, replica: replica_state.Replica, request: assignments.PlacementRequest, now: float
--- a/yuccahitch/controllers/freshness.py
+++ b/yuccahitch/controllers/freshness.py
@@ -77,6 +77,14 @@
             return grace_end
         return max(now, min(grace_end, known_at + self.drain_s - ARRIVAL_RESERVE_S))
 
+    def lingers_until(self, known_at: float) -> float:
+        """Return until when a leaving upstream may still get requests that no other one can take.
+
+        Args:
+            known_at: When it was last known not to be leaving, in monotonic seconds.
+        """
+        return known_at + self.drain_s - ARRIVAL_RESERVE_S
+
 
 def known_until(change: store.KeysChanged, *, sent_at: float, wait_s: float, now: float) -> float:
     """Return the moment up to which the reply to a poll has all changes.
--- a/yuccahitch/controllers/remote_regions.py
+++ b/yuccahitch/controllers/remote_regions.py
@@ -70,7 +70,12 @@
         self.declined_until[(region, service)] = now + DECLINED_FOR_S
 
     def choose(
-        self, request: assignments.PlacementRequest, holder: str, now: float
+        self,
+        request: assignments.PlacementRequest,
+        holder: str,
+        now: float,
+        *,
+        lingering: bool = False,
     ) -> tuple[float, peers.InstanceInfo] | None:
         """Return the best other region's estimated time to first token, and an instance there.
 
@@ -78,6 +83,7 @@
             request: The request.
             holder: Name of the upstream that holds its shared prompt part, or empty.
             now: Monotonic seconds.
+            lingering: Whether regions count by the upstreams that are leaving and still take work.
         """
         regions = {m.info.region for m in self.members.reachable_members(now)} - {
             self.members.own.region
@@ -87,7 +93,11 @@
         options = []
         for region in sorted(regions):
             if not self.registry.usable(
-                request.service.name, now, region=region, versions=request.versions
+                request.service.name,
+                now,
+                region=region,
+                versions=request.versions,
+                lingering=lingering,
             ):
                 continue
             if not self._has_room(region, request.service.name, now):
--- a/yuccahitch/controllers/replica_state.py
+++ b/yuccahitch/controllers/replica_state.py
@@ -20,6 +20,8 @@
         removed: Whether the entry was missing for longer than the grace period.
         removal_at: When the grace period of a missing entry ends, in monotonic seconds; infinite
             while the store has the entry.
+        lingers_until: Until when the upstream, once it is leaving, may get requests that no other
+            one can take, in monotonic seconds; infinite while it is not known to be leaving.
         cold_until: When the upstream stops being cold by its entry, in monotonic seconds.
         warmup_tokens: Token bucket of the requests that this instance may send while the upstream
             is cold; at most 1.
@@ -42,6 +44,7 @@
         "revision",
         "removed",
         "removal_at",
+        "lingers_until",
         "cold_until",
         "warmup_tokens",
         "warmup_updated_at",
@@ -61,6 +64,7 @@
         self.revision = revision
         self.removed = False
         self.removal_at = math.inf
+        self.lingers_until = -math.inf if entry.leaving else math.inf
         self.cold_until = -math.inf
         self.warmup_tokens = 0.0
         self.warmup_updated_at = -math.inf
@@ -84,6 +88,10 @@
         """Return whether the upstream is leaving, by its entry or by its answers."""
         return self.upstream.leaving or self.said_leaving
 
+    def bound_lingering(self, until: float) -> None:
+        """Let the upstream, once it is leaving, take no work after a time, in monotonic seconds."""
+        self.lingers_until = min(self.lingers_until, until)
+
     def record_parts(self, names: typing.Iterable[str]) -> None:
         """Record that the upstream reads some prompt parts, given by id."""
         for name in names:
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -175,6 +175,7 @@
         region: str | None = None,
         avoid: tuple[str, ...] = (),
         versions: frozenset[str] | None = None,
+        lingering: bool = False,
     ) -> list[replica_state.Replica]:
         """Return the upstreams of a service in a region that may get new work.
 
@@ -186,8 +187,10 @@
             region: Name of the region; None means that of this instance.
             avoid: Names of upstreams to leave out.
             versions: Software versions to choose from; None means every one.
+            lingering: Whether to return the ones instead that are leaving and still take work.
         """
         wanted_region = region or self.region
+        may_get_work = self._lingers if lingering else self._is_usable
         return [
             replica
             for replica in self.by_name.values()
@@ -195,7 +198,7 @@
             and replica.upstream.region == wanted_region
             and replica.upstream.name not in avoid
             and (versions is None or replica.upstream.software_version in versions)
-            and self._is_usable(replica, now)
+            and may_get_work(replica, now)
         ]
 
     def serves(
@@ -203,6 +206,8 @@
     ) -> bool:
         """Return whether a software version of a service has an upstream that may get new work.
 
+        One that is leaving counts while it still takes work.
+
         Args:
             service: Name of the service.
             version: The software version.
@@ -213,7 +218,7 @@
             replica.upstream.service == service
             and replica.upstream.software_version == version
             and (regions is None or replica.upstream.region in regions)
-            and self._is_usable(replica, now)
+            and (self._is_usable(replica, now) or self._lingers(replica, now))
             for replica in self.by_name.values()
         )
 
@@ -331,7 +336,7 @@
         if notice.requests_per_s is not None:
             self.limits.record_answer(notice.incarnation, notice.requests_per_s, now)
         if notice.leaving:
-            self.mark_leaving(notice.incarnation, "its answer says that it is leaving")
+            self.mark_leaving(notice.incarnation, "its answer says that it is leaving", now)
         replica = self.by_name[notice.upstream]
         if notice.pause_s > 0:
             self._pause(replica, notice.pause_s, now)
@@ -341,12 +346,13 @@
                 events.Event.NOTICE_UNREADABLE, notice.upstream, detail=notice.unreadable[:200]
             )
 
-    def mark_leaving(self, incarnation: str, reason: str) -> None:
-        """Give an upstream no more requests until it has started again."""
+    def mark_leaving(self, incarnation: str, reason: str, now: float) -> None:
+        """Give an upstream no more requests that others can take until it has started again."""
         replica = self.by_name.get(incarnation.rpartition("@")[0])
         if replica is None or replica.incarnation != incarnation or replica.said_leaving:
             return
         replica.said_leaving = True
+        replica.bound_lingering(self.times.lingers_until(now))
         self.left.pop(replica.upstream.name, None)
         self.left[replica.upstream.name] = incarnation
         self._log(events.Event.UPSTREAM_LEAVING, replica.upstream.name, reason=reason)
@@ -403,12 +409,19 @@
 
     def _is_usable(self, replica: replica_state.Replica, now: float) -> bool:
         """Return whether an upstream may get new work; ejections are not considered."""
-        entry = replica.upstream
+        return not replica.leaving and self._is_reachable(replica, now)
+
+    def _lingers(self, replica: replica_state.Replica, now: float) -> bool:
+        """Return whether an upstream that is leaving still takes work that no other one can."""
+        is_in_time = now < replica.lingers_until
+        return replica.leaving and is_in_time and self._is_reachable(replica, now)
+
+    def _is_reachable(self, replica: replica_state.Replica, now: float) -> bool:
+        """Return whether an upstream is there, and its zone is not evacuated."""
         return (
-            not replica.leaving
-            and not replica.misdirected
+            not replica.misdirected
             and now < replica.removal_at
-            and entry.zone not in self.config.evacuated
+            and replica.upstream.zone not in self.config.evacuated
         )
 
     def _service(self, replica: replica_state.Replica) -> services.Service | None:
@@ -427,6 +440,8 @@
         if not is_same:
             existing = self.by_name[key] = replica_state.Replica(entry, revision=revision)
             existing.said_leaving = self.left.get(key) == existing.incarnation
+            if existing.said_leaving:
+                existing.bound_lingering(-math.inf)
             self._log(
                 events.Event.UPSTREAM_FOUND,
                 entry.name,
@@ -450,6 +465,10 @@
             self._log(
                 events.Event.UPSTREAM_COLD, entry.name, cold_s=entry.cold_s, revision=revision
             )
+        if entry.leaving and not existing.upstream.leaving:
+            existing.bound_lingering(self.times.lingers_until(known_at))
+            if entry.leaves_in_s is not None:
+                existing.bound_lingering(known_at + entry.leaves_in_s)
         existing.upstream = entry
         existing.revision = revision
         existing.removed = False
