--- a/yuccahitch/controllers/_service_versions.py
+++ b/yuccahitch/controllers/_service_versions.py
@@ -31,6 +31,8 @@
         absent_at: Latest moment at which the record surely lacked each version that is announced,
             in monotonic seconds.
         named_at: When an entry named each version last, in monotonic seconds.
+        begun_at: When this instance last let streams begin at each version by old knowledge, in
+            monotonic seconds.
         unvouched_since: Since when nobody has vouched for the record, in monotonic seconds;
             infinity while somebody does.
         wanted: The record that this instance waits to write, or None.
@@ -45,6 +47,7 @@
         "since",
         "absent_at",
         "named_at",
+        "begun_at",
         "unvouched_since",
         "wanted",
         "due_at",
@@ -58,6 +61,7 @@
         self.since: dict[str, float] = {}
         self.absent_at: dict[str, float] = {}
         self.named_at: dict[str, float] = {}
+        self.begun_at: dict[str, float] = {}
         self.unvouched_since = math.inf
         self.wanted: version_record.VersionRecord | None = None
         self.due_at = math.inf
@@ -118,12 +122,20 @@
         A version is announced for longer than ``max_age_s`` before it serves, so none has begun at
         one that the record lacked no longer ago than that.
         """
-        return {
+        return self.unrecorded(now) | {
             version
             for version, state in self.states.items()
             if state is not ANNOUNCED or now - self.absent_at.get(version, -math.inf) > max_age_s
         }
 
+    def unrecorded(self, now: float) -> set[str]:
+        """Return the versions that the record lacks although streams began here meanwhile."""
+        return {
+            version
+            for version, begun_at in self.begun_at.items()
+            if version not in self.states and now - begun_at < RETENTION_S
+        }
+
     def observe_entries(self, named: set[str], now: float, *, fresh: bool) -> None:
         """Record when entries named each version; old knowledge does not show one missing."""
         for version in named | set(self.states):
@@ -143,7 +155,7 @@
             fresh: Whether the knowledge of the store is fresh.
             hold_s: Time for which a version stays announced, in seconds.
         """
-        states = dict(self.states)
+        states = dict.fromkeys(self.unrecorded(now), RETIRED) | self.states
         for version in offered:
             if version not in states:
                 states[version] = ANNOUNCED
--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/served_versions.py
@@ -33,9 +33,9 @@
 PREFIX = "yuccahitch/versions/"
 # Time for which a version stays announced beyond the age of knowledge that counts, in seconds.
 HOLD_MARGIN_S = 0.25
-# Age of the knowledge from which no stream begins, in seconds: half of the time for which a retired
-# version is kept, so that streams that begin by old knowledge can be taken up for as long.
-MAX_BEGIN_AGE_S = _service_versions.RETENTION_S / 2
+# Age of the knowledge from which the store may soon lack a version at which streams begin here, in
+# seconds: less than the time for which a retired version is kept.
+OLD_KNOWLEDGE_S = _service_versions.RETENTION_S / 2
 # Time until the first record is written, in seconds: the instances that start together know each
 # other by then, and one of them writes it.
 FIRST_WRITE_DELAY_S = 0.5
@@ -218,13 +218,16 @@
     def beginnable(self, service: str, now: float) -> frozenset[str]:
         """Return the versions of a service at which a resumable stream may begin."""
         known = self.by_service.get(service)
-        if known is None or now - self.source.updated_at > MAX_BEGIN_AGE_S:
+        if known is None:
             return frozenset()
-        return frozenset(
+        serving = frozenset(
             version
             for version, state in known.states.items()
             if state is version_record.VersionState.SERVING
         )
+        if now - self.source.updated_at > OLD_KNOWLEDGE_S:
+            known.begun_at.update(dict.fromkeys(serving, now))
+        return serving
 
     def only_origin(self, service: str, now: float) -> str | None:
         """Return the version that began every open stream of a service, or None if unknown."""
@@ -317,8 +320,7 @@
             return
         if wanted != known.wanted:
             known.wanted = wanted
-            first_s = FIRST_WRITE_DELAY_S if known.record is None else 0.0
-            known.due_at = now + first_s + RANK_DELAY_S * self._rank(service, now)
+            known.due_at = now + self._write_delay_s(service, known, now)
         if now >= known.due_at and not known.writing:
             self._write(service, known)
 
@@ -348,6 +350,16 @@
             era = known.record.era if known.record is not None else version_record.NO_ERA
         return version_record.VersionRecord(states, era=era)
 
+    def _write_delay_s(
+        self, service: str, known: _service_versions.ServiceVersions, now: float
+    ) -> float:
+        """Return how long this instance waits for those before it to write, in seconds."""
+        if known.unrecorded(now):
+            # Nobody else knows of these versions.
+            return 0.0
+        first_s = FIRST_WRITE_DELAY_S if known.record is None else 0.0
+        return first_s + RANK_DELAY_S * self._rank(service, now)
+
     def _rank(self, service: str, now: float) -> int:
         """Return the rank of this instance among the reachable ones, at most MAX_RANK."""
         own = self.members.own.instance
