Keep the events of a site's logs when the next feature starts the site anew

Traced: a feature that starts the site deletes the logs of the one before, and stream_take_ups.feature now comes after platform.feature, whose processes log these. Their events are recorded first now; the check is as it was.

--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -61,8 +61,7 @@
 async def start_site() -> platform_site.Site:
     """Start the platform's stand-ins and all instances, and wait until they are ready."""
     site = platform_site.Site(ROOT / ".run" / "test-platform")
-    for log in site.run_dir.glob("*.log"):
-        log.unlink()
+    forget_logs(site.run_dir)
     try:
         await site.start_standins()
         await site.write_item("op/config", platform_builders.a_publication(1))
@@ -75,6 +74,13 @@
     return site
 
 
+def forget_logs(folder: pathlib.Path) -> None:
+    """Delete the logs of an earlier feature's instances, after recording their events."""
+    CAUSED_EVENTS.update(event_coverage.events_in_logs(folder))
+    for log in folder.glob("*.log"):
+        log.unlink()
+
+
 async def reset_site(context) -> None:
     """Undo the faults, entries and configurations of the previous scenario.
 
@@ -121,8 +127,7 @@
 async def start_example(name: str) -> deployment.Deployment:
     """Start an example deployment, apply its resources, and wait until all instances have them."""
     example = deployment.Deployment(ROOT / "examples" / name, ROOT / ".run" / f"test-{name}")
-    for log in example.run_dir.glob("*.log"):
-        log.unlink()
+    forget_logs(example.run_dir)
     try:
         await example.start_standins()
         await example.start_all()
