--- a/tests/features/served_versions.feature
+++ b/tests/features/served_versions.feature
@@ -142,3 +142,14 @@
     And edge-1 stands still for 5 seconds while upstreams of v2 register
     Then edge-1 doesn't send a stream that it doesn't know to v1 at once
     And the clock of an instance counts the time of a suspension
+
+  # Guards against reports that waited while their receiver stood still, and pass for new ones (ORDER).
+  Scenario Outline: An instance that stood still infers nothing from reports that waited for it meanwhile
+    Given 3 instances of a zone with upstreams of v1
+    When the instance that watches no store stands still for <seconds> seconds while upstreams of v2 register
+    Then it sends no stream that it doesn't know to v1 while it reads the reports that waited
+
+    Examples:
+      | seconds |
+      | 3       |
+      | 12      |
--- a/tests/features/steps/served_versions.py
+++ b/tests/features/steps/served_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 
 import behave
@@ -223,6 +224,34 @@
     context.site.edges[name].now = context.site.now
 
 
+@behave.when(
+    "the instance that watches no store stands still for {seconds:g} seconds while upstreams of"
+    " {version:w} register"
+)
+def step_follower_stands_still(context, seconds, version):
+    site = context.site
+    context.follower = next(name for name in site.edges if name not in site.readers())
+    site.paused.add(context.follower)
+    stream_simulation.register(site, version)
+    site.run(seconds)
+    site.paused.clear()
+
+
+@behave.then(
+    "it sends no stream that it doesn't know to {version:w} while it reads the reports that waited"
+)
+def step_check_reports_that_waited(context, version):
+    site, edge = context.site, context.site.edges[context.follower]
+    edge.now = site.now
+    reports = site.waiting.pop(context.follower)
+    went_to = collections.Counter()
+    for raw in reports:
+        edge.receive_pulse(raw)
+        outcome = stream_simulation.take_up(site, context.follower, UNKNOWN_STREAM)
+        went_to[outcome and stream_simulation.went_to(outcome)] += 1
+    assert reports and not went_to[version], went_to
+
+
 @behave.then("{name:S} doesn't send a stream that it doesn't know to {version:w} at once")
 def step_check_no_haste(context, name, version):
     outcome = stream_simulation.take_up(context.site, name, UNKNOWN_STREAM)
--- a/tests/zone_simulation.py
+++ b/tests/zone_simulation.py
@@ -72,6 +72,7 @@
         cut: Names of instances that don't reach the store.
         muted: Names of instances whose watches get no replies.
         paused: Names of instances that stand still.
+        waiting: Datagrams that wait in the sockets of instances that stand still, by instance name.
         reply_delay_s: Time that replies to polls take, by instance name, in seconds.
         loss: Share of the datagrams that are lost, from 0 to 1.
         era: How often the store was restored from an older copy.
@@ -106,6 +107,7 @@
         self.cut: set[str] = set()
         self.muted: set[str] = set()
         self.paused: set[str] = set()
+        self.waiting: dict[str, list[bytes]] = collections.defaultdict(list)
         self.reply_delay_s: dict[str, float] = {}
         self.dropped: set[str] = set()
         self.replies_lost: set[str] = set()
@@ -137,6 +139,7 @@
     def kill(self, name: str) -> None:
         """End an instance without notice."""
         self.edges.pop(name, None)
+        self.waiting.pop(name, None)
         self.versions.pop(name, None)
         for key in [key for key in self.watches if key[0] == name]:
             del self.watches[key]
@@ -193,6 +196,8 @@
     def _step(self, name: str) -> None:
         edge = self.edges[name]
         edge.now = self.now
+        for raw in self.waiting.pop(name, []):
+            edge.decisions.on_report(datagrams.decode(raw), self.now)
         for key in [key for key in self.watches if key[0] == name]:
             self._poll(name, key[1])
         edge.decisions.tick(self.now)
@@ -272,10 +277,14 @@
     def deliver(self, name: str, message: pulses.SendDatagram) -> None:
         """Deliver a datagram of an instance to its receivers."""
         raw = datagrams.encode(message.report)
-        for edge in list(self.edges.values()):
+        for receiver, edge in list(self.edges.items()):
             own = edge.decisions.members.own
             lost = name in self.dropped or self.rng.random() < self.loss
-            if f"{own.host}:{own.peer_port}" in message.addresses and not lost:
+            if f"{own.host}:{own.peer_port}" not in message.addresses or lost:
+                continue
+            if receiver in self.paused:
+                self.waiting[receiver].append(raw)
+            else:
                 edge.decisions.on_report(datagrams.decode(raw), self.now)
 
 
--- a/yuccahitch/codecs/feeds.py
+++ b/yuccahitch/codecs/feeds.py
@@ -16,6 +16,8 @@
         era=report.era,
         age_ms=max(0, math.ceil(report.age_s * 1000)),
     )
+    if report.sent_at > -math.inf:
+        message.sent_ms = math.floor(report.sent_at * 1000)
     if report.news is not None:
         message.news.CopyFrom(
             pb.StoreChanges(
@@ -38,8 +40,14 @@
         )
     era = message.era if message.HasField("era") else None
     age_s = message.age_ms / 1000 if message.HasField("age_ms") else math.inf
+    sent_at = message.sent_ms / 1000 if message.HasField("sent_ms") else -math.inf
     return feeds.FeedReport(
-        message.instance, revision=message.revision, age_s=age_s, era=era, news=news
+        message.instance,
+        revision=message.revision,
+        age_s=age_s,
+        sent_at=sent_at,
+        era=era,
+        news=news,
     )
 
 
--- a/yuccahitch/controllers/relay.py
+++ b/yuccahitch/controllers/relay.py
@@ -13,7 +13,14 @@
 import math
 
 from yuccahitch import clock, events
-from yuccahitch.controllers import feed, fleet, fleet_member, freshness, rendezvous
+from yuccahitch.controllers import (
+    clock_differences,
+    feed,
+    fleet,
+    fleet_member,
+    freshness,
+    rendezvous,
+)
 from yuccahitch.messages import commands, feeds, pulses, store
 
 # Two, so that the zone goes on being told of changes when one is killed or cut off.
@@ -69,6 +76,7 @@
 
     Attributes:
         readers: The readers heard of late, by instance id.
+        clocks: The clocks of the readers.
         started_at: When the relay first ran, in monotonic seconds, or infinity.
         missed_revision: Revision that a report told of when this instance was behind it.
         missed_era: Era of the store that the revision belongs to, or None.
@@ -84,6 +92,7 @@
         "source",
         "times",
         "readers",
+        "clocks",
         "started_at",
         "missed_revision",
         "missed_era",
@@ -99,6 +108,7 @@
         self.source = source
         self.times = times
         self.readers: dict[str, HeardReader] = {}
+        self.clocks = clock_differences.ClockDifferences()
         self.started_at = math.inf
         self.missed_revision = 0
         self.missed_era: int | None = None
@@ -138,7 +148,8 @@
             return
         if not self.source.observe_era(report.era, now):
             return
-        as_of = now - report.age_s
+        sent_at = self.clocks.own_time(report.instance, report.sent_at, now)
+        as_of = sent_at - report.age_s
         reader = self.readers.setdefault(report.instance, HeardReader(now))
         if not reader.is_sound(now, max_age_s=self.times.max_age_s):
             reader.since = now
@@ -221,6 +232,7 @@
                 self.members.own.instance,
                 revision=self.source.revision,
                 age_s=age_s,
+                sent_at=now,
                 era=self.source.era,
                 news=news,
             )
--- a/yuccahitch/messages/feeds.py
+++ b/yuccahitch/messages/feeds.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from yuccahitch import records
 from yuccahitch.messages import store
 
@@ -31,10 +33,11 @@
         revision: Revision up to which the sender knows the store.
         era: Era of the store that the revisions belong to, or None if it names none.
         age_s: Time since the store was certainly at that revision, in seconds.
+        sent_at: When the report was made, in monotonic seconds of the sender.
         news: Changes that the sender has just seen, or None.
     """
 
-    __slots__ = ("instance", "revision", "era", "age_s", "news")
+    __slots__ = ("instance", "revision", "era", "age_s", "sent_at", "news")
 
     def __init__(
         self,
@@ -42,6 +45,7 @@
         *,
         revision: int,
         age_s: float,
+        sent_at: float = -math.inf,
         era: int | None = None,
         news: StoreChanges | None = None,
     ) -> None:
@@ -49,4 +53,5 @@
         self.revision = revision
         self.era = era
         self.age_s = age_s
+        self.sent_at = sent_at
         self.news = news
