--- a/tests/features/served_versions.feature
+++ b/tests/features/served_versions.feature
@@ -153,3 +153,20 @@
       | seconds |
       | 3       |
       | 12      |
+
+  # Guards against a version that serves before others can have seen it announced (ORDER).
+  Scenario: A version that was forgotten and came back while an instance heard nothing is announced for as long
+    Given 4 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    And the zone runs on for 0.6 seconds
+    And the instance that ranks first hears nothing, and upstreams of v2 leave
+    And the zone runs on for 14 seconds
+    Then the record is "v1 serving"
+    When upstreams of v2 register
+    And the zone runs on for 2 seconds
+    Then the record is "v1 serving, v2 announced"
+    When the instance that ranks first reads the store again
+    And the zone runs on for 1 seconds
+    Then the record is "v1 serving, v2 announced"
+    When the zone runs on for 4 seconds
+    Then the record is "v1 serving, v2 serving"
--- a/tests/features/steps/served_versions.py
+++ b/tests/features/steps/served_versions.py
@@ -103,11 +103,33 @@
     assert not began_at(context.site, name)
 
 
+def first_to_write(site):
+    """Return the name of the instance that ranks first for the record."""
+    ids = {edge.decisions.instance: name for name, edge in site.edges.items()}
+    subject = served_versions.PREFIX + stream_builders.SERVICE
+    return ids[rendezvous.ranked(subject, ids)[0]]
+
+
 @behave.when("the instance that ranks first stands still")
 def step_pause_first(context):
-    ids = {e.decisions.instance: name for name, e in context.site.edges.items()}
-    subject = served_versions.PREFIX + stream_builders.SERVICE
-    context.site.paused.add(ids[rendezvous.ranked(subject, ids)[0]])
+    context.site.paused.add(first_to_write(context.site))
+
+
+@behave.when("the instance that ranks first hears nothing, and upstreams of {version:w} leave")
+def step_isolate_first(context, version):
+    site = context.site
+    name = first_to_write(site)
+    site.cut.add(name)
+    site.deaf.add(name)
+    stream_simulation.leave(site, version)
+
+
+@behave.when("the instance that ranks first reads the store again")
+def step_read_again(context):
+    site = context.site
+    site.oldest_revision = site.revision
+    site.cut.clear()
+    site.deaf.clear()
 
 
 @behave.when("the replies to all commits are lost")
--- a/tests/zone_simulation.py
+++ b/tests/zone_simulation.py
@@ -80,6 +80,7 @@
         versions: Versions of the configuration that each instance had in force, in order.
         logged: Names of the events that the instances logged.
         dropped: Names of instances whose datagrams are lost.
+        deaf: Names of instances that get no datagrams.
         replies_lost: Names of instances whose commits are carried out without a reply.
         refusing: Whether the store refuses all calls without carrying them out.
         calls_by_type: Calls so far by the name of their type.
@@ -110,6 +111,7 @@
         self.waiting: dict[str, list[bytes]] = collections.defaultdict(list)
         self.reply_delay_s: dict[str, float] = {}
         self.dropped: set[str] = set()
+        self.deaf: set[str] = set()
         self.replies_lost: set[str] = set()
         self.refusing = False
         self.calls_by_type: collections.Counter[str] = collections.Counter()
@@ -280,6 +282,7 @@
         for receiver, edge in list(self.edges.items()):
             own = edge.decisions.members.own
             lost = name in self.dropped or self.rng.random() < self.loss
+            lost = lost or receiver in self.deaf
             if f"{own.host}:{own.peer_port}" not in message.addresses or lost:
                 continue
             if receiver in self.paused:
--- a/yuccahitch/controllers/_service_versions.py
+++ b/yuccahitch/controllers/_service_versions.py
@@ -26,8 +26,8 @@
         revision: Revision of the record; 0 if there is none.
         states: State of each version. Once the store was restored, they join what was known before
             and what the record holds, until somebody vouches for the record.
-        since: When the record was first known to have each version in its state, in monotonic
-            seconds.
+        since: Since when the record is known to have had each version in its state all the time,
+            in monotonic seconds.
         absent_at: Latest moment at which the record surely lacked each version that is announced,
             in monotonic seconds.
         named_at: When an entry named each version last, in monotonic seconds.
@@ -100,7 +100,7 @@
             if state is ANNOUNCED and was_vouched
         }
         self.since = {
-            version: self.since[version] if former.get(version) is state else now
+            version: self.since.get(version, now) if former.get(version) is state else now
             for version, state in record.states.items()
         }
         self.record = record
--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/served_versions.py
@@ -158,7 +158,7 @@
         for service in [name for name in self.by_service if name not in present]:
             self.by_service[service].forget_record()
         for service, item in present.items():
-            self.apply_change(service, item, now, known_at=known_at)
+            self._apply_read(service, item, now, known_at=known_at)
 
     def apply_change(
         self, key: str, item: store.KeyValue | None, now: float, *, known_at: float = -math.inf
@@ -256,7 +256,7 @@
                 self._adopt(purpose.service, purpose.record, reply.revision, now, known_at)
         elif type(reply) is store.CommitReply:
             item = next(iter(reply.items), None)
-            self.apply_change(purpose.service, item, now, known_at=self.source.updated_at)
+            self._apply_read(purpose.service, item, now, known_at=self.source.updated_at)
         else:
             known.due_at = now + RETRY_S
             log_event = commands.LogEvent(
@@ -264,6 +264,15 @@
             )
             self.outbox.append(log_event)
 
+    def _apply_read(
+        self, key: str, item: store.KeyValue | None, now: float, *, known_at: float
+    ) -> None:
+        """Apply a record that was read, so that changes before it may have been missed."""
+        known = self.by_service.get(key)
+        if known is not None and item is not None and item.revision > known.revision:
+            known.since = {}
+        self.apply_change(key, item, now, known_at=known_at)
+
     def _only_possible(self, service: str, now: float) -> str | None:
         """Return the only version that can have begun streams, as far as is known, or None."""
         known = self.by_service.get(service)
