--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -156,6 +156,7 @@
             now=self.clock.now,
             bounds=BOUNDS,
             incarnation=next(self.numbers),
+            first_start=self.clock.now == START,
         )
         self.edges[name].decisions.rng.seed(self.rng.random())
         edge = self.edges[name]
