--- a/tests/features/served_versions.feature
+++ b/tests/features/served_versions.feature
@@ -170,3 +170,31 @@
     Then the record is "v1 serving, v2 announced"
     When the zone runs on for 4 seconds
     Then the record is "v1 serving, v2 serving"
+
+  Scenario: A record that another instance has changed meanwhile is not written over
+    Given 3 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    And the record changes while the write of the instance that ranks first is on its way
+    Then that write changes nothing
+
+  # Guards against inference from a version that was announced before another one, and serves since (ORDER).
+  Scenario: A second version that is announced makes the first one no younger
+    Given 4 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    And the zone runs on for 1.2 seconds
+    And upstreams of v3 register
+    And the zone runs on for 0.25 seconds
+    And the instance that ranks last hears nothing more
+    And the zone runs on for 0.25 seconds
+    Then the record is "v1 serving, v2 serving, v3 announced"
+    And the instance that ranks last refuses to take up a stream that it doesn't know
+
+  Scenario: Nobody who has not known all versions vouches for a store that was restored twice
+    Given 3 instances of a zone with upstreams of v1
+    And a copy of the store
+    When upstreams of v2 register
+    And the zone runs on for 5 seconds
+    And upstreams of v2 leave
+    And all instances are killed, the store comes back from the copy, and they start again
+    And the store comes back from the copy
+    Then edge-1 takes up no stream that it doesn't know in the next 30 seconds
--- a/tests/features/steps/served_versions.py
+++ b/tests/features/steps/served_versions.py
@@ -10,6 +10,7 @@
 from tests import platform_builders, stream_builders, stream_simulation, zone_simulation
 from yuccahitch import clock
 from yuccahitch.controllers import rendezvous, served_versions
+from yuccahitch.messages import commands
 
 UNKNOWN_STREAM = "nobody-knows-it"
 # Age of knowledge that is as young as it gets, in seconds.
@@ -103,25 +104,71 @@
     assert not began_at(context.site, name)
 
 
-def first_to_write(site):
-    """Return the name of the instance that ranks first for the record."""
+def ranked_to_write(site):
+    """Return the names of the instances in the order in which they write the record."""
     ids = {edge.decisions.instance: name for name, edge in site.edges.items()}
     subject = served_versions.PREFIX + stream_builders.SERVICE
-    return ids[rendezvous.ranked(subject, ids)[0]]
+    return [ids[instance] for instance in rendezvous.ranked(subject, ids)]
 
 
 @behave.when("the instance that ranks first stands still")
 def step_pause_first(context):
-    context.site.paused.add(first_to_write(context.site))
+    context.site.paused.add(ranked_to_write(context.site)[0])
 
 
 @behave.when("the instance that ranks first hears nothing, and upstreams of {version:w} leave")
 def step_isolate_first(context, version):
     site = context.site
-    name = first_to_write(site)
+    isolate(site, ranked_to_write(site)[0])
+    stream_simulation.leave(site, version)
+
+
+def isolate(site, name):
+    """Let an instance hear nothing of the store nor of the others."""
     site.cut.add(name)
     site.deaf.add(name)
-    stream_simulation.leave(site, version)
+
+
+@behave.when("the instance that ranks last hears nothing more")
+def step_isolate_last(context):
+    isolate(context.site, ranked_to_write(context.site)[-1])
+
+
+@behave.then("the instance that ranks last refuses to take up a stream that it doesn't know")
+def step_check_last_refuses(context):
+    step_check_refused(context, ranked_to_write(context.site)[-1])
+
+
+@behave.when("the record changes while the write of the instance that ranks first is on its way")
+def step_hold_write(context):
+    site = context.site
+    name = ranked_to_write(site)[0]
+    decisions = site.edges[name].decisions
+    item = site.items[stream_simulation.VERSIONS_KEY]
+    write = None
+    while write is None:
+        site.now += zone_simulation.STEP_S
+        registry = decisions.registry
+        entry = site.items["servers/v2-0"]
+        registry.apply_change("v2-0", site.edges[name].store_item("v2-0", entry.value), site.now)
+        decisions.tick(site.now)
+        writes = [c for c in decisions.take_commands(site.now) if is_versions_write(c)]
+        write = writes[0] if writes else None
+    context.newest = item.value + b" "
+    site.write(stream_simulation.VERSIONS_KEY, context.newest)
+    site.call(name, write)
+
+
+def is_versions_write(command):
+    """Return whether a command writes the record of a service."""
+    is_call = type(command) is commands.StoreCall
+    return is_call and type(command.purpose) is served_versions.VersionsWrite
+
+
+@behave.then("that write changes nothing")
+def step_check_newest(context):
+    value = context.site.items[stream_simulation.VERSIONS_KEY].value
+    assert value == context.newest, value
 
 
 @behave.when("the instance that ranks first reads the store again")
