--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -115,6 +115,31 @@
     assert context.outcome.action.error.code is errors.Code.ANSWER_CUT, context.outcome
 
 
+@behave.when(
+    "a resumable stream is sent to an upstream, which starts again with version {version:w} before"
+    " it answers"
+)
+def step_replace_upstream(context, version):
+    edge = context.edge
+    outcome = edge.begin_request(stream_builders.STREAM_PATH)
+    work = outcome.action.work
+    context.first = work.upstream
+    stream_builders.register(edge, work.upstream, version, born=2)
+    head = stream_builders.a_head(outcome.request_id, work.software_version)
+    context.outcome = edge.resume_request(outcome.request_id, head)
+
+
+@behave.then("the stream is sent to the other one")
+def step_check_other(context):
+    second = edge_simulation.dispatched_upstream(context.outcome)
+    assert {context.first, second} == {"u1", "u3"}, (context.first, second)
+
+
+@behave.then("no event of the stream reaches its caller")
+def step_check_not_delivered(context):
+    assert type(context.outcome.action) is actions.Refuse, context.outcome
+
+
 @behave.when("a safe request fails at its first upstream")
 def step_fail_safe(context):
     register_all(context.edge, "d1 of version v1, d2 of version v2", service="desk")
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -26,6 +26,17 @@
     When a resumable stream breaks off and the resumed attempt is answered by version v2
     Then it ends with answer-cut
 
+  # Guards against streams of an upstream that came back under its id with another version (ORDER).
+  Scenario Outline: A stream is not passed on from an upstream that started again with another version meanwhile
+    Given an instance with <upstreams>
+    When a resumable stream is sent to an upstream, which starts again with version v2 before it answers
+    Then <outcome>
+
+    Examples:
+      | upstreams                                       | outcome                                   |
+      | upstreams u1 of version v1 and u3 of version v1 | the stream is sent to the other one       |
+      | upstream u1 of version v1                       | no event of the stream reaches its caller |
+
   Scenario: A plain request may be repeated at another software version
     Given an instance with upstreams u1 of version v1 and u2 of version v2
     When a safe request fails at its first upstream
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -23,6 +23,7 @@
 # A retry with less time left is not made.
 MIN_TIME_LEFT_S = 0.05
 MIN_SERVER_ERROR_STATUS = 500
+REPLACED_DETAIL = "the upstream has started again with another software version"
 # Codes by which an upstream that was reached refuses a request without running it.
 REJECTION_CODES = frozenset((errors.Code.UPSTREAM_SHED, errors.Code.UPSTREAM_MOVED))
 
@@ -146,13 +147,13 @@
 def _(
     reply: answers.Head, send_filter: Send, context: request_context.RequestContext, now: float
 ) -> actions.Action:
-    """Deliver an answer that began; a server error is retried if that is allowed."""
+    """Deliver an answer that began; one that is not wanted is retried if that is allowed."""
     send_filter.policy.record_prompt_read(context.id)
     context.possible_runs += 1
     context.record_answer_begin(now)
-    is_server_error = reply.status >= MIN_SERVER_ERROR_STATUS
+    unwanted = _unwanted(reply, send_filter, context)
     if (
-        is_server_error
+        unwanted
         and context.head is None
         and context.idempotent
         and _may_send_again(send_filter, context, now)
@@ -161,12 +162,12 @@
             errors.Code.UPSTREAM_FAILED,
             step=send_filter.step,
             peer=reply.source,
-            detail=f"the upstream answered with status {reply.status}",
+            detail=unwanted,
             run=errors.RunStatus.MAY_HAVE_RUN,
         )
         _record_failed_target(send_filter, context, now)
         return actions.Rewind(balance.STEP)
-    detail = _mismatch(reply, context)
+    detail = _mismatch(reply, send_filter, context)
     if detail:
         error = errors.GatewayError(
             errors.Code.ANSWER_CUT,
@@ -188,8 +189,36 @@
     return is_resumable and reply.is_success()
 
 
-def _mismatch(reply: answers.Head, context: request_context.RequestContext) -> str:
-    """Return why an answer can't go on with the stream that had begun, or an empty text."""
+def _is_replaced(
+    reply: answers.Head, send_filter: Send, context: request_context.RequestContext
+) -> bool:
+    """Return whether a stream comes from an upstream that now has another software version.
+
+    An upstream may start again under its id. Its entry says so, possibly after the attempt was
+    sent, and the answers of the two don't differ.
+    """
+    known = send_filter.registry.by_name.get(context.upstream)
+    is_other = known is not None and known.upstream.software_version != reply.software_version
+    return is_other and _begins_resumable(reply, context)
+
+
+def _unwanted(
+    reply: answers.Head, send_filter: Send, context: request_context.RequestContext
+) -> str:
+    """Return why another attempt is better than this answer, or an empty text."""
+    if _is_replaced(reply, send_filter, context):
+        return REPLACED_DETAIL
+    if reply.status >= MIN_SERVER_ERROR_STATUS:
+        return f"the upstream answered with status {reply.status}"
+    return ""
+
+
+def _mismatch(
+    reply: answers.Head, send_filter: Send, context: request_context.RequestContext
+) -> str:
+    """Return why an answer can't be passed on, or an empty text."""
+    if _is_replaced(reply, send_filter, context):
+        return REPLACED_DETAIL
     begun = context.head
     if begun is not None and (reply.status, reply.media_type()) != (
         begun.status,
