--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -129,6 +129,20 @@
     context.outcome = edge.resume_request(outcome.request_id, head)
 
 
+@behave.when(
+    "a resumable stream of u1 breaks off and is forwarded to west, where w1 starts again with"
+    " version v2 before it answers"
+)
+def step_replace_far_upstream(context):
+    east, west = context.edges
+    breaks = [begin_and_break(east) for _ in range(20)]
+    outcome = next(outcome for first, outcome in breaks if first == "u1")
+    arrived = stream_builders.forwarded(outcome.action.work, west)
+    stream_builders.register(west, "w1", "v2", zone="west-a", born=2)
+    head = stream_builders.a_head(arrived.request_id, "v1")
+    context.outcome = west.resume_request(arrived.request_id, head)
+
+
 @behave.then("the stream is sent to the other one")
 def step_check_other(context):
     second = edge_simulation.dispatched_upstream(context.outcome)
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -199,7 +199,7 @@
     """
     known = send_filter.registry.by_name.get(context.upstream)
     is_other = known is not None and known.upstream.software_version != reply.software_version
-    return is_other and _begins_resumable(reply, context)
+    return is_other and context.versions is not None and reply.is_success()
 
 
 def _unwanted(
