--- a/tests/features/relay.feature
+++ b/tests/features/relay.feature
@@ -91,3 +91,17 @@
     When the upstream u1 registers and leaves 20 times in quick succession and registers again
     And the zone runs for 2 seconds
     Then every instance knows the upstream u1
+
+  Scenario Outline: Reports count for what they are although the clocks of instances go differently
+    Given a sender whose clock goes <drift> in a day
+    When it reports every 10 seconds for a day, and one report in 50 is 3 seconds late
+    Then the time of each report is told within 0.1 seconds
+
+    Examples:
+      | drift          |
+      | 8 seconds fast |
+      | 8 seconds slow |
+
+  Scenario: A report that doesn't tell when it was sent shows nothing of the present
+    Given a sender whose clock goes 0 seconds fast in a day
+    Then a report of it without a time counts as of no time
--- a/tests/features/steps/relay.py
+++ b/tests/features/steps/relay.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import math
+
 import behave
 
 from tests import platform_builders, zone_simulation
 from yuccahitch.codecs import datagrams
+from yuccahitch.controllers import clock_differences
 from yuccahitch.messages import feeds, store
 
 SETTLE_S = 5.0
+DAY_S = 86_400
 UPSTREAM_KEY = "servers/u1"
 
 
@@ -264,3 +268,29 @@
         name for name, edge in context.site.edges.items() if "u1" in edge.decisions.registry.by_name
     ]
     assert not knowing, knowing
+
+
+@behave.given("a sender whose clock goes {seconds:d} seconds {way:w} in a day")
+def step_drifting_sender(context, seconds, way):
+    context.rate = 1 + (seconds if way == "fast" else -seconds) / DAY_S
+    context.clocks = clock_differences.ClockDifferences()
+
+
+@behave.when("it reports every 10 seconds for a day, and one report in 50 is 3 seconds late")
+def step_report_for_a_day(context):
+    context.errors_s = []
+    for number in range(1, DAY_S // 10):
+        sent_at = 10.0 * number
+        arrived_at = sent_at + (3.0 if number % 50 == 0 else 0.02)
+        told = context.clocks.own_time("edge-2~1", 500 + sent_at * context.rate, arrived_at)
+        context.errors_s.append(abs(told - sent_at))
+
+
+@behave.then("the time of each report is told within {seconds:g} seconds")
+def step_check_times(context, seconds):
+    assert max(context.errors_s) <= seconds, max(context.errors_s)
+
+
+@behave.then("a report of it without a time counts as of no time")
+def step_check_no_time(context):
+    assert context.clocks.own_time("edge-2~1", -math.inf, 1000.0) == -math.inf
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -129,14 +129,30 @@
     context.outcome = edge.resume_request(outcome.request_id, head)
 
 
+def forward_of_u1(east):
+    """Break a stream of u1 off at an instance, and return the action that forwards it."""
+    breaks = [begin_and_break(east) for _ in range(20)]
+    return next(outcome for first, outcome in breaks if first == "u1")
+
+
+@behave.when(
+    "a resumable stream of u1 breaks off, is forwarded to west and answered by version {version:w}"
+)
+def step_answer_from_west(context, version):
+    east, _ = context.edges
+    outcome = forward_of_u1(east)
+    assert type(outcome.action.work) is actions.Forward, outcome
+    head = stream_builders.a_head(outcome.request_id, version, attempt=2)
+    context.outcome = east.resume_request(outcome.request_id, head)
+
+
 @behave.when(
     "a resumable stream of u1 breaks off and is forwarded to west, where w1 starts again with"
     " version v2 before it answers"
 )
 def step_replace_far_upstream(context):
     east, west = context.edges
-    breaks = [begin_and_break(east) for _ in range(20)]
-    outcome = next(outcome for first, outcome in breaks if first == "u1")
+    outcome = forward_of_u1(east)
     arrived = stream_builders.forwarded(outcome.action.work, west)
     stream_builders.register(west, "w1", "v2", zone="west-a", born=2)
     head = stream_builders.a_head(arrived.request_id, "v1")
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -26,6 +26,11 @@
     When a resumable stream breaks off and the resumed attempt is answered by version v2
     Then it ends with answer-cut
 
+  Scenario: The rest of a stream from another software version in another region is not joined to it
+    Given an instance of east with upstreams u1 of version v1 and u2 of version v2, and one of west with w1 of version v1 and w2 of version v2
+    When a resumable stream of u1 breaks off, is forwarded to west and answered by version v2
+    Then it ends with answer-cut
+
   # Guards against streams of an upstream that came back under its id with another version (ORDER).
   Scenario Outline: A stream is not passed on from an upstream that started again with another version meanwhile
     Given an instance with <upstreams>
