--- a/tests/features/steps/version_simulation.py
+++ b/tests/features/steps/version_simulation.py
@@ -14,6 +14,8 @@
     "a first release that some instances don't hear of": "stale",
     "releases long after each other, and losses of all": "ages",
     "a store that forgets a release as all instances die": "restores",
+    "upstreams that start again with another version": "replaced",
+    "such upstreams, and instances that don't hear of them": "replaced-unheard",
 }
 
 
--- a/tests/features/version_simulation.feature
+++ b/tests/features/version_simulation.feature
@@ -14,3 +14,5 @@
       | a first release that some instances don't hear of     | 1     | 12    |
       | releases long after each other, and losses of all     | 1     | 2     |
       | a store that forgets a release as all instances die   | 1     | 6     |
+      | upstreams that start again with another version       | 1     | 12    |
+      | such upstreams, and instances that don't hear of them | 1     | 12    |
--- a/tests/version_faults.py
+++ b/tests/version_faults.py
@@ -21,6 +21,9 @@
 SERVES_ON_S = 3.5
 # Time until the entry of an upstream that crashed is removed, in seconds.
 ENTRY_LAPSES_S = 1.5
+# Time between two upstreams that start again, and the time that they take, in seconds.
+REPLACE_GAP_S = 0.4
+REPLACE_START_S = (0.3, 1.5)
 STORE = "store"
 
 
@@ -79,6 +82,38 @@
     return STALE_S
 
 
+def replaced(site):
+    """Schedule releases in place: upstreams start again under their ids with another version."""
+    at = site.rng.uniform(3.0, 5.0)
+    for number in range(2):
+        replace = functools.partial(replace_in_place, site, f"r{number}")
+        site.clock.schedule_after(at + 7.0 * number, replace)
+    return RACES_S
+
+
+def replaced_unheard(site):
+    """Schedule releases in place while some instances don't reach the store."""
+    for _ in range(3):
+        site.clock.schedule_after(site.rng.uniform(2.0, 14.0), functools.partial(cut_one, site))
+    return replaced(site)
+
+
+def replace_in_place(site, version):
+    """Let the upstreams of a service start again one after another, with another version."""
+    site.note(f"upstreams of model start again one after another, with {version}")
+    former = [item for item in site.upstreams.values() if item.service == "model"]
+    for number, upstream in enumerate(former):
+        stop = functools.partial(start_as, site, upstream, version)
+        site.clock.schedule_after(REPLACE_GAP_S * number, stop)
+
+
+def start_as(site, upstream, version):
+    """Let an upstream end, and start again under its id with another version."""
+    upstream.is_up = upstream.is_listed = False
+    start_s = site.rng.uniform(*REPLACE_START_S)
+    site.clock.schedule_after(start_s, functools.partial(site.replace, upstream, version))
+
+
 def restores(site):
     """Schedule a release that the store forgets while all instances are lost."""
     rng = site.rng
@@ -292,4 +327,12 @@
     restore_store,
     reset_connections,
 )
-PLANS = {"mixed": mixed, "races": races, "stale": stale, "ages": ages, "restores": restores}
+PLANS = {
+    "mixed": mixed,
+    "races": races,
+    "stale": stale,
+    "ages": ages,
+    "restores": restores,
+    "replaced": replaced,
+    "replaced-unheard": replaced_unheard,
+}
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -131,6 +131,14 @@
             self.upstreams[name] = upstream
             self.register(upstream)
 
+    def replace(self, former: version_streams.Upstream, version: str) -> None:
+        """Let an upstream serve that took over the id and the place of a former one."""
+        upstream = version_streams.Upstream(
+            former.name, former.service, version, former.zone, self.clock.now
+        )
+        self.upstreams[former.name] = upstream
+        self.register(upstream)
+
     def register(self, upstream: version_streams.Upstream, **fields: typing.Any) -> None:
         """Write the entry of an upstream."""
         entry = platform_builders.a_registration(
