--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -126,6 +126,7 @@
     context.first = work.upstream
     stream_builders.register(edge, work.upstream, version, born=2)
     head = stream_builders.a_head(outcome.request_id, work.software_version)
+    head.source = work.upstream
     context.outcome = edge.resume_request(outcome.request_id, head)
 
 
@@ -156,9 +157,23 @@
     arrived = stream_builders.forwarded(outcome.action.work, west)
     stream_builders.register(west, "w1", "v2", zone="west-a", born=2)
     head = stream_builders.a_head(arrived.request_id, "v1")
+    head.source = "w1"
     context.outcome = west.resume_request(arrived.request_id, head)
 
 
+@behave.when(
+    "a resumable stream of u1 breaks off, is forwarded to west and answered by w1, which started"
+    " again with version v2, as only east knows"
+)
+def step_replace_unheard(context):
+    east, _ = context.edges
+    outcome = forward_of_u1(east)
+    stream_builders.register(east, "w1", "v2", zone="west-a", born=2)
+    head = stream_builders.a_head(outcome.request_id, "v1", attempt=2)
+    head.source = "w1"
+    context.outcome = east.resume_request(outcome.request_id, head)
+
+
 @behave.then("the stream is sent to the other one")
 def step_check_other(context):
     second = edge_simulation.dispatched_upstream(context.outcome)
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -47,6 +47,11 @@
     When a resumable stream of u1 breaks off and is forwarded to west, where w1 starts again with version v2 before it answers
     Then no event of the stream reaches its caller
 
+  Scenario: A stream that was forwarded is not passed on if only its sender has heard that the upstream started again
+    Given an instance of east with upstreams u1 of version v1 and u2 of version v2, and one of west with w1 of version v1 and w2 of version v2
+    When a resumable stream of u1 breaks off, is forwarded to west and answered by w1, which started again with version v2, as only east knows
+    Then it ends with answer-cut
+
   Scenario: A plain request may be repeated at another software version
     Given an instance with upstreams u1 of version v1 and u2 of version v2
     When a safe request fails at its first upstream
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -197,7 +197,7 @@
     An upstream may start again under its id. Its entry says so, possibly after the attempt was
     sent, and the answers of the two don't differ.
     """
-    known = send_filter.registry.by_name.get(context.upstream)
+    known = send_filter.registry.by_name.get(reply.source)
     is_other = known is not None and known.upstream.software_version != reply.software_version
     return is_other and context.versions is not None and reply.is_success()
 
