--- a/tests/features/served_versions.feature
+++ b/tests/features/served_versions.feature
@@ -156,3 +156,59 @@
     And edge-1 stands still for 5 seconds while upstreams of v2 register
     Then edge-1 doesn't send a stream that it doesn't know to v1 at once
     And the clock of an instance counts the time of a suspension
+
+  # Guards against reports that waited while their receiver stood still, and pass for new ones (ORDER).
+  Scenario Outline: An instance that stood still infers nothing from reports that waited for it meanwhile
+    Given 3 instances of a zone with upstreams of v1
+    When the instance that watches no store stands still for <seconds> seconds while upstreams of v2 register
+    Then it sends no stream that it doesn't know to v1 while it reads the reports that waited
+
+    Examples:
+      | seconds |
+      | 3       |
+      | 12      |
+
+  # Guards against a version that serves before others can have seen it announced (ORDER).
+  Scenario: A version that was forgotten and came back while an instance heard nothing is announced for as long
+    Given 4 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    And the zone runs on for 0.6 seconds
+    And the instance that ranks first hears nothing, and upstreams of v2 leave
+    And the zone runs on for 14 seconds
+    Then the record is "v1 serving"
+    When upstreams of v2 register
+    And the zone runs on for 2 seconds
+    Then the record is "v1 serving, v2 announced"
+    When the instance that ranks first reads the store again
+    And the zone runs on for 1 seconds
+    Then the record is "v1 serving, v2 announced"
+    When the zone runs on for 4 seconds
+    Then the record is "v1 serving, v2 serving"
+
+  Scenario: A record that another instance has changed meanwhile is not written over
+    Given 3 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    And the record changes while the write of the instance that ranks first is on its way
+    Then that write changes nothing
+
+  # Guards against inference from a version that was announced before another one, and serves since (ORDER).
+  Scenario: A second version that is announced makes the first one no younger
+    Given 4 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    And the zone runs on for 1.2 seconds
+    And upstreams of v3 register
+    And the zone runs on for 0.25 seconds
+    And the instance that ranks last hears nothing more
+    And the zone runs on for 0.25 seconds
+    Then the record is "v1 serving, v2 serving, v3 announced"
+    And the instance that ranks last refuses to take up a stream that it doesn't know
+
+  Scenario: Nobody who has not known all versions vouches for a store that was restored twice
+    Given 3 instances of a zone with upstreams of v1
+    And a copy of the store
+    When upstreams of v2 register
+    And the zone runs on for 5 seconds
+    And upstreams of v2 leave
+    And all instances are killed, the store comes back from the copy, and they start again
+    And the store comes back from the copy
+    Then edge-1 takes up no stream that it doesn't know in the next 30 seconds
--- a/tests/features/steps/served_versions.py
+++ b/tests/features/steps/served_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 
 import behave
@@ -9,6 +10,7 @@
 from tests import platform_builders, stream_builders, stream_simulation, zone_simulation
 from yuccahitch import clock
 from yuccahitch.controllers import rendezvous, served_versions
+from yuccahitch.messages import commands
 
 UNKNOWN_STREAM = "nobody-knows-it"
 # Age of knowledge that is as young as it gets, in seconds.
@@ -97,11 +99,79 @@
     assert began_at(context.site, name) == {version}, began_at(context.site, name)
 
 
+def ranked_to_write(site):
+    """Return the names of the instances in the order in which they write the record."""
+    ids = {edge.decisions.instance: name for name, edge in site.edges.items()}
+    subject = served_versions.PREFIX + stream_builders.SERVICE
+    return [ids[instance] for instance in rendezvous.ranked(subject, ids)]
+
+
 @behave.when("the instance that ranks first stands still")
 def step_pause_first(context):
-    ids = {e.decisions.instance: name for name, e in context.site.edges.items()}
-    subject = served_versions.PREFIX + stream_builders.SERVICE
-    context.site.paused.add(ids[rendezvous.ranked(subject, ids)[0]])
+    context.site.paused.add(ranked_to_write(context.site)[0])
+
+
+@behave.when("the instance that ranks first hears nothing, and upstreams of {version:w} leave")
+def step_isolate_first(context, version):
+    site = context.site
+    isolate(site, ranked_to_write(site)[0])
+    stream_simulation.leave(site, version)
+
+
+def isolate(site, name):
+    """Let an instance hear nothing of the store nor of the others."""
+    site.cut.add(name)
+    site.deaf.add(name)
+
+
+@behave.when("the instance that ranks last hears nothing more")
+def step_isolate_last(context):
+    isolate(context.site, ranked_to_write(context.site)[-1])
+
+
+@behave.then("the instance that ranks last refuses to take up a stream that it doesn't know")
+def step_check_last_refuses(context):
+    step_check_refused(context, ranked_to_write(context.site)[-1])
+
+
+@behave.when("the record changes while the write of the instance that ranks first is on its way")
+def step_hold_write(context):
+    site = context.site
+    name = ranked_to_write(site)[0]
+    decisions = site.edges[name].decisions
+    item = site.items[stream_simulation.VERSIONS_KEY]
+    write = None
+    while write is None:
+        site.now += zone_simulation.STEP_S
+        registry = decisions.registry
+        entry = site.items["servers/v2-0"]
+        registry.apply_change("v2-0", site.edges[name].store_item("v2-0", entry.value), site.now)
+        decisions.tick(site.now)
+        writes = [c for c in decisions.take_commands(site.now) if is_versions_write(c)]
+        write = writes[0] if writes else None
+    context.newest = item.value + b" "
+    site.write(stream_simulation.VERSIONS_KEY, context.newest)
+    site.call(name, write)
+
+
+def is_versions_write(command):
+    """Return whether a command writes the record of a service."""
+    is_call = type(command) is commands.StoreCall
+    return is_call and type(command.purpose) is served_versions.VersionsWrite
+
+
+@behave.then("that write changes nothing")
+def step_check_newest(context):
+    value = context.site.items[stream_simulation.VERSIONS_KEY].value
+    assert value == context.newest, value
+
+
+@behave.when("the instance that ranks first reads the store again")
+def step_read_again(context):
+    site = context.site
+    site.oldest_revision = site.revision
+    site.cut.clear()
+    site.deaf.clear()
 
 
 @behave.when("the replies to all commits are lost")
@@ -224,6 +294,34 @@
     context.site.edges[name].now = context.site.now
 
 
+@behave.when(
+    "the instance that watches no store stands still for {seconds:g} seconds while upstreams of"
+    " {version:w} register"
+)
+def step_follower_stands_still(context, seconds, version):
+    site = context.site
+    context.follower = next(name for name in site.edges if name not in site.readers())
+    site.paused.add(context.follower)
+    stream_simulation.register(site, version)
+    site.run(seconds)
+    site.paused.clear()
+
+
+@behave.then(
+    "it sends no stream that it doesn't know to {version:w} while it reads the reports that waited"
+)
+def step_check_reports_that_waited(context, version):
+    site, edge = context.site, context.site.edges[context.follower]
+    edge.now = site.now
+    reports = site.waiting.pop(context.follower)
+    went_to = collections.Counter()
+    for raw in reports:
+        edge.receive_pulse(raw)
+        outcome = stream_simulation.take_up(site, context.follower, UNKNOWN_STREAM)
+        went_to[outcome and stream_simulation.went_to(outcome)] += 1
+    assert reports and not went_to[version], went_to
+
+
 @behave.then("{name:S} doesn't send a stream that it doesn't know to {version:w} at once")
 def step_check_no_haste(context, name, version):
     outcome = stream_simulation.take_up(context.site, name, UNKNOWN_STREAM)
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -115,6 +115,76 @@
     assert context.outcome.action.error.code is errors.Code.ANSWER_CUT, context.outcome
 
 
+@behave.when(
+    "a resumable stream is sent to an upstream, which starts again with version {version:w} before"
+    " it answers"
+)
+def step_replace_upstream(context, version):
+    edge = context.edge
+    outcome = edge.begin_request(stream_builders.STREAM_PATH)
+    work = outcome.action.work
+    context.first = work.upstream
+    stream_builders.register(edge, work.upstream, version, born=2)
+    head = stream_builders.a_head(outcome.request_id, work.software_version)
+    head.source = work.upstream
+    context.outcome = edge.resume_request(outcome.request_id, head)
+
+
+def forward_of_u1(east):
+    """Break a stream of u1 off at an instance, and return the action that forwards it."""
+    breaks = [begin_and_break(east) for _ in range(20)]
+    return next(outcome for first, outcome in breaks if first == "u1")
+
+
+@behave.when(
+    "a resumable stream of u1 breaks off, is forwarded to west and answered by version {version:w}"
+)
+def step_answer_from_west(context, version):
+    east, _ = context.edges
+    outcome = forward_of_u1(east)
+    assert type(outcome.action.work) is actions.Forward, outcome
+    head = stream_builders.a_head(outcome.request_id, version, attempt=2)
+    context.outcome = east.resume_request(outcome.request_id, head)
+
+
+@behave.when(
+    "a resumable stream of u1 breaks off and is forwarded to west, where w1 starts again with"
+    " version v2 before it answers"
+)
+def step_replace_far_upstream(context):
+    east, west = context.edges
+    outcome = forward_of_u1(east)
+    arrived = stream_builders.forwarded(outcome.action.work, west)
+    stream_builders.register(west, "w1", "v2", zone="west-a", born=2)
+    head = stream_builders.a_head(arrived.request_id, "v1")
+    head.source = "w1"
+    context.outcome = west.resume_request(arrived.request_id, head)
+
+
+@behave.when(
+    "a resumable stream of u1 breaks off, is forwarded to west and answered by w1, which started"
+    " again with version v2, as only east knows"
+)
+def step_replace_unheard(context):
+    east, _ = context.edges
+    outcome = forward_of_u1(east)
+    stream_builders.register(east, "w1", "v2", zone="west-a", born=2)
+    head = stream_builders.a_head(outcome.request_id, "v1", attempt=2)
+    head.source = "w1"
+    context.outcome = east.resume_request(outcome.request_id, head)
+
+
+@behave.then("the stream is sent to the other one")
+def step_check_other(context):
+    second = edge_simulation.dispatched_upstream(context.outcome)
+    assert {context.first, second} == {"u1", "u3"}, (context.first, second)
+
+
+@behave.then("no event of the stream reaches its caller")
+def step_check_not_delivered(context):
+    assert type(context.outcome.action) is actions.Refuse, context.outcome
+
+
 @behave.when("a safe request fails at its first upstream")
 def step_fail_safe(context):
     register_all(context.edge, "d1 of version v1, d2 of version v2", service="desk")
