--- a/yuccahitch/controllers/stream_origins.py
+++ b/yuccahitch/controllers/stream_origins.py
@@ -23,12 +23,16 @@
 ENDED_MEMORY_S = 10.0
 # Streams that are remembered at most; the oldest one is dropped for a new one.
 MAX_STREAMS = 50_000
-# Streams from which on a batch gets no more; as many join it with one write at most.
-BATCH_STREAMS = 64
+# Streams from which on a batch gets no more: all instances get a batch again with each that joins.
+BATCH_STREAMS = 16
+# Streams that join a batch with one write at most.
+MAX_JOINING = 64
 # Time after which a new lease is granted for the records, in seconds.
 LEASE_USED_S = stream_records.RECORD_LIFETIME_S / 2
 # Part of the store's writes that the instances together make for records.
 WRITE_SHARE = 0.25
+# Writes that they make at most, each second: every instance gets the changes of each.
+MAX_FLEET_WRITES_PER_S = 100.0
 # Shortest time between two writes of an instance, in seconds.
 MIN_PAUSE_S = 0.2
 # Largest part by which a pause is longer than needed.
@@ -273,7 +277,7 @@
             call = store.GrantLease(stream_records.RECORD_LIFETIME_S)
             self.outbox.append(commands.StoreCall(call, RecordLease()))
             return
-        self._write(waiting[:BATCH_STREAMS])
+        self._write(waiting[:MAX_JOINING])
 
     def _write(self, joining: list[OwnStream]) -> None:
         """Write the present batch with the streams that join it."""
@@ -291,8 +295,8 @@
 
         It varies, so that instances that begin to record together do not go on in step.
         """
-        instances = self.members.count_recent(now)
-        pause_s = max(MIN_PAUSE_S, instances / (WRITE_SHARE * self.writes_per_s))
+        fleet_writes_per_s = min(MAX_FLEET_WRITES_PER_S, WRITE_SHARE * self.writes_per_s)
+        pause_s = max(MIN_PAUSE_S, self.members.count_recent(now) / fleet_writes_per_s)
         return pause_s * (1 + self.rng.random() * PAUSE_SPREAD)
 
     def _start_batch(self) -> None:
