--- a/tests/features/steps/stream_resumption.py
+++ b/tests/features/steps/stream_resumption.py
@@ -121,6 +121,14 @@
     assert outcome.action.error.code.status == 400
 
 
+@behave.then(
+    "a take-up at {name:S} of a stream that it doesn't know is refused with {code:S} at once"
+)
+def step_check_unknown_refused(context, name, code):
+    outcome = stream_simulation.take_up(context.site, name, "unknown")
+    assert settle(context, name, outcome) == code
+
+
 @behave.then("no stream of that id is known for another client account")
 def step_check_account(context):
     origins = context.site.edges["edge-1"].decisions.origins
@@ -132,6 +140,7 @@
 def step_check_gone(context, name, code):
     outcome = stream_simulation.take_up(context.site, name, context.stream)
     assert settle(context, name, outcome) == code
+    assert outcome.action.error.retry_after is None
 
 
 def a_shared_route(version, *names):
--- a/tests/features/stream_resumption.feature
+++ b/tests/features/stream_resumption.feature
@@ -29,6 +29,14 @@
     When the zone runs on for 0.2 seconds
     Then it is refused with origin-unknown, not run, with a time to come back
 
+  # Guards against callers that wait for news of the store where none can come.
+  Scenario: A take-up is refused at once while the store is out of reach
+    Given 2 instances of a zone with upstreams of v1
+    When edge-2 can't reach the store
+    And the zone runs on for 3 seconds
+    Then a take-up at edge-2 that names no stream is refused with origin-unknown at once
+    And a take-up at edge-2 of a stream that it doesn't know is refused with origin-unknown at once
+
   Scenario: A caller with little time waits no longer than that
     Given 2 instances of a zone with upstreams of v1 and v2
     When a caller with 300 ms takes up a stream at edge-2 that nobody knows
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -370,7 +370,7 @@
         "first_start": _option_rule(
             "Whether the whole fleet starts for the first time, so that no streams are open.",
             "true or false",
-            default="true",
+            default="false",
             type="string",
             allowed=["true", "false"],
         ),
--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/served_versions.py
@@ -36,6 +36,9 @@
 # Age of the knowledge from which the store may soon lack a version at which streams begin here, in
 # seconds: less than the time for which a retired version is kept.
 OLD_KNOWLEDGE_S = _service_versions.RETENTION_S / 2
+# Time by which the newest knowledge is older than a poll makes it when the store is out of reach, in
+# seconds; no news can be expected then.
+OVERDUE_S = 1.0
 # Time until the first record is written, in seconds: the instances that start together know each
 # other by then, and one of them writes it.
 FIRST_WRITE_DELAY_S = 0.5
@@ -234,6 +237,10 @@
         is_fresh = now - self.source.updated_at <= self.times.inference_age_s
         return self._only_possible(service, now) if is_fresh else None
 
+    def hears_of_store(self, now: float) -> bool:
+        """Return whether news of the store can be expected soon."""
+        return now - self.source.updated_at <= self.times.inference_age_s + OVERDUE_S
+
     def awaits_knowledge(self, service: str, now: float) -> bool:
         """Return whether younger knowledge would show which version began every open stream."""
         return self._only_possible(service, now) is not None
--- a/yuccahitch/controllers/take_ups.py
+++ b/yuccahitch/controllers/take_ups.py
@@ -93,9 +93,10 @@
         origin = None if key is None else self.origins.find(key) or self.recorded.find(key)
         return origin or self._infer(service, now)
 
-    def awaits_knowledge(self, service: str, now: float) -> bool:
-        """Return whether younger knowledge of the store would show the origin of any stream."""
-        return self.versions.awaits_knowledge(service, now)
+    def may_learn(self, key: int | None, service: str, now: float) -> bool:
+        """Return whether news of the store may show the origin of a stream soon."""
+        awaits_news = key is not None or self.versions.awaits_knowledge(service, now)
+        return awaits_news and self.versions.hears_of_store(now)
 
     def wait(self, request_id: str, wait: Wait) -> None:
         """Let a request wait for the origin of its stream."""
--- a/yuccahitch/filters/resumption.py
+++ b/yuccahitch/filters/resumption.py
@@ -25,7 +25,7 @@
 MAX_WAIT_S = 0.7
 # Time that a wait leaves for the request, in seconds.
 WAIT_RESERVE_S = 0.1
-# Time after which a refused caller may try again, in seconds.
+# Time after which a caller may try again whose stream's origin may become known, in seconds.
 RETRY_AFTER_S = 0.4
 # Longest id of the request that began a stream.
 MAX_ID_LENGTH = 200
@@ -75,7 +75,7 @@
         if origin is not None:
             return self.go_on(context, origin, now)
         wait_until = min(now + MAX_WAIT_S, context.give_up_at - WAIT_RESERVE_S)
-        may_learn = key is not None or self.streams.awaits_knowledge(context.service.name, now)
+        may_learn = self.streams.may_learn(key, context.service.name, now)
         if not may_learn or wait_until <= now:
             return self.refuse(context, errors.Code.ORIGIN_UNKNOWN, now)
         self.streams.wait(context.id, take_ups.Wait(key, context.service.name, wait_until))
@@ -127,7 +127,8 @@
         """Refuse to go on with a stream, with the reason in the log."""
         fields = {"code": code.wire} | ({"detail": detail} if detail else {})
         self.streams.log(events.Event.ORIGIN_MISSED, **_fields(context, now), **fields)
-        error = errors.GatewayError(code, step=self.step, detail=detail, retry_after=RETRY_AFTER_S)
+        retry_after = RETRY_AFTER_S if code is errors.Code.ORIGIN_UNKNOWN else None
+        error = errors.GatewayError(code, step=self.step, detail=detail, retry_after=retry_after)
         return actions.Refuse(error)
 
 
