--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/served_versions.py
@@ -36,8 +36,7 @@
 # Age of the knowledge from which the store may soon lack a version at which streams begin here, in
 # seconds: less than the time for which a retired version is kept.
 OLD_KNOWLEDGE_S = _service_versions.RETENTION_S / 2
-# Time by which the newest knowledge is older than a poll makes it when the store is out of reach, in
-# seconds; no news can be expected then.
+# Time beyond that of a poll after which no news of the store can be expected soon, in seconds.
 OVERDUE_S = 1.0
 # Time until the first record is written, in seconds: the instances that start together know each
 # other by then, and one of them writes it.
