--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -174,17 +174,29 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def running_store_client(client):
+    """Run a client of a store; wait until its sessions are open."""
+    async with running(client):
+        while client.call_session is None or client.poll_session is None:
+            await asyncio.sleep(0.01)
+        yield client
+
+
+async def call_store(url, call):
+    """Make a call to a store; return the reply."""
+    async with running_store_client(a_store_client(url)) as client:
+        return await client.execute_call(call)
+
+
 async def read_store_item(url):
     """Read an item of the store; return the reply."""
-    client = a_store_client(url)
-    async with aiohttp.ClientSession() as client.session:
-        return await client.execute_call(store.Range("op/"))
+    return await call_store(url, store.Range("op/"))
 
 
 async def poll_store_change(url):
     """Poll the store for a change; return why that failed."""
-    client = a_store_client(url)
-    async with aiohttp.ClientSession() as client.session:
+    async with running_store_client(a_store_client(url)) as client:
         try:
             return await client._fetch_changes("op/", 1, 1.0)
         except aiohttp.ClientError as error:
--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -290,9 +290,7 @@
     client = attempt_clients.a_store_client(f"http://127.0.0.1:{context.server.port}", dialect=etcd)
 
     async def work():
-        async with attempt_clients.running(client):
-            while client.call_session is None:
-                await asyncio.sleep(0.01)
+        async with attempt_clients.running_store_client(client):
             calls = (many_claims("a"), many_claims("b"), STORE_CALLS["a lease"])
             context.replies = [(await client.execute_call(call)).reply for call in calls]
 
--- a/tests/features/steps/single_runs.py
+++ b/tests/features/steps/single_runs.py
@@ -6,7 +6,6 @@
 import socket
 import struct
 
-import aiohttp
 import behave
 from aiohttp import web
 from click import testing
@@ -174,14 +173,9 @@
 
 @behave.when("an instance makes it commit to the store")
 def step_commit(context):
-    client = attempt_clients.a_store_client(context.service_url)
     commit = store.Commit(conditions=[store.Condition("k", 0)], changes=[store.Put("k", b"v")])
-
-    async def work():
-        async with aiohttp.ClientSession() as client.session:
-            return await client.execute_call(commit)
-
-    reply = context.loop.run_until_complete(work()).reply
+    call = attempt_clients.call_store(context.service_url, commit)
+    reply = context.loop.run_until_complete(call).reply
     assert type(reply) is store.CallFailed and reply.may_have_applied, reply
 
 
