--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -8,7 +8,6 @@
 import socket
 import time
 
-import aiohttp
 import behave
 
 from standins import extra_answers
@@ -16,7 +15,7 @@
 from yuccahitch.codecs import etcd
 from yuccahitch.messages import answers, commands, store
 from yuccahitch.platform import store as platform_store
-from yuccahitch.tasks import answer_stream, http_connections, mailbox, pollers
+from yuccahitch.tasks import answer_stream, mailbox, pollers
 
 # Time between two requests, within which what comes while a connection is idle has come.
 PAUSE_S = 0.15
@@ -399,14 +398,16 @@
         return connection
 
     async def work():
-        connector = http_connections.ReusingConnector()
-        async with aiohttp.ClientSession(connector=connector) as session:
+        settings = builders.quick_settings("muscat-a-1", "muscat-a", "muscat-a1")
+        poller = pollers.Pollers(settings, core_inbox=mailbox.Mailbox())
+        async with attempt_clients.running(poller):
+            while poller.session is None:
+                await asyncio.sleep(0.01)
             for _ in range(2):
-                request = asyncio.ensure_future(session.get(url))
+                request = asyncio.ensure_future(poller._get_json(url))
                 connection = await accept()
                 connection.sendall(answer)
-                async with await request as response:
-                    await response.read()
+                assert await request == {}
                 # The loop does not turn between this and the next request.
                 connection.sendall(answer)
 
--- a/yuccahitch/tasks/pollers.py
+++ b/yuccahitch/tasks/pollers.py
@@ -20,7 +20,7 @@
 from yuccahitch.codecs import platform, upstreams
 from yuccahitch.controllers import gateway, rendezvous
 from yuccahitch.messages import peers
-from yuccahitch.tasks import bounded_body, core_messages, http_connections, mailbox
+from yuccahitch.tasks import bounded_body, core_messages, mailbox
 
 # Exceptions of a failed or malformed response; the poll is skipped.
 READ_ERRORS = (
@@ -156,13 +156,15 @@
 class Pollers:
     """Polls upstreams and the platform, and posts the results to the core.
 
+    Replies bear no id, so each poll has a connection of its own.
+
     Args:
         settings: Settings of the instance.
         core_inbox: Mailbox of the core.
 
     Attributes:
         children: Tasks of the polls in progress.
-        session: HTTP connections for polling, or None before ``run``.
+        session: HTTP session with a new connection for each poll, or None before ``run``.
         assignment: The polls assigned to this instance.
         ticks: Numbers of the timer ticks, each of which starts the polls that are due.
         unreadable: Entries that the last poll of each list could not read, by its name.
@@ -197,7 +199,7 @@
         ticks_per_platform_poll = max(1, round(self.settings.platform.poll_s / tick_interval_s))
         try:
             async with aiohttp.ClientSession(
-                connector=http_connections.ReusingConnector(), timeout=timeout
+                connector=aiohttp.TCPConnector(force_close=True), timeout=timeout
             ) as session:
                 self.session = session
                 while True:
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -16,7 +16,7 @@
 from yuccahitch.codecs import etcd
 from yuccahitch.controllers import freshness
 from yuccahitch.messages import commands, store
-from yuccahitch.tasks import bounded_body, http_connections, mailbox
+from yuccahitch.tasks import bounded_body, mailbox
 
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
@@ -52,8 +52,7 @@
 class StoreClient:
     """Owns the connections to the store; each call of the core is one HTTP request.
 
-    Replies bear no id, so each call has a connection of its own. Polls share one: what they report
-    is told by its revisions.
+    Replies bear no id, so each call and each poll has a connection of its own.
 
     Failed calls are reported after a growing delay, so that callers that retry at once do not
     overload a failing store.
@@ -76,7 +75,7 @@
         inbox: Messages for this task, ``commands.StoreCall`` and ``commands.WatchStore``.
         children: Tasks of the running calls and watches.
         call_session: HTTP session with a new connection for each call, or None before ``run``.
-        poll_session: HTTP session of the watches, which reuses connections, or None before ``run``.
+        poll_session: The same for the calls of the watches, whose replies have long lines.
         consecutive_failures: Failed calls since the last successful one.
         watches: Subscriptions of the running watches by prefix.
         call_slots: Limits the calls that run at the same time.
@@ -142,7 +141,7 @@
         async with (
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True)) as call_session,
             aiohttp.ClientSession(
-                connector=http_connections.ReusingConnector(), read_bufsize=MAX_WATCH_LINE_BYTES
+                connector=aiohttp.TCPConnector(force_close=True), read_bufsize=MAX_WATCH_LINE_BYTES
             ) as poll_session,
         ):
             self.call_session = call_session
