--- a/tests/copied_answers.py
+++ b/tests/copied_answers.py
@@ -42,7 +42,7 @@
         await self.upstream.start(port)
         self.tasks.start(self.client.run())
 
-    async def send(self, request_id, *, name=OLD, attempt=1, body=b"", streams=False):
+    async def send(self, request_id, *, name=OLD, attempt=1, body=b"", streams=False, method=""):
         """Send a request under a name of the upstream; return the parts of its answer."""
         action = platform_builders.a_dispatch(name, incarnation=f"{name}@1")
         action.address = self.address
@@ -50,7 +50,7 @@
         action.streams = streams
         action.request.id = request_id
         action.request.body = body
-        action.request.method = "POST" if body else "GET"
+        action.request.method = method or ("POST" if body else "GET")
         action.request.headers = (("Host", platform_builders.HOST),)
         stream = answer_stream.AnswerStream(request_id, attempt, capacity=64)
         attempt_clients.post_dispatch(self.client, action, stream)
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -22,6 +22,9 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_IDLE_PER_ADDRESS = 64
+# Method whose answers end with their heads. What follows a head that came again can't be told from
+# its body where requests of this method share a connection with others.
+BODILESS_METHOD = "HEAD"
 
 
 class ReplicaClient:
@@ -134,7 +137,7 @@
             if not _is_reusable(connection, now):
                 pool.remove(connection)
                 self._close_pooled(connection, action.address)
-            elif connection.may_carry(action.request.id):
+            elif _may_share(action) and connection.may_carry(action.request.id):
                 pool.remove(connection)
                 connection.protocol.idle = False
                 return connection
@@ -169,7 +172,7 @@
         both_done = http_state.our_state is h11.DONE and http_state.their_state is h11.DONE
         if not both_done or http_state.trailing_data[0] or connection.is_used_up():
             return False
-        if not _is_reusable(connection, self.time.now()):
+        if not _may_share(action) or not _is_reusable(connection, self.time.now()):
             return False
         http_state.start_next_cycle()
         pool = self.pools.setdefault(action.address, collections.deque(maxlen=MAX_IDLE_PER_ADDRESS))
@@ -202,6 +205,11 @@
         connection.protocol.close()
 
 
+def _may_share(action: actions.Dispatch) -> bool:
+    """Return whether a request may go over a connection that carries others."""
+    return action.request.method != BODILESS_METHOD
+
+
 def _is_reusable(connection: replica_connection.Connection, now: float) -> bool:
     """Return whether an idle connection is still open and within its keep-alive time."""
     return connection.reusable_until > now and connection.protocol.is_idle()
