--- a/tests/features/copied_forms.feature
+++ b/tests/features/copied_forms.feature
@@ -16,3 +16,7 @@
       | 1      | after                                   |
       | 1      | glued to the first answer               |
       | 1      | half while idle, the rest with the next |
+      | 8      | before                                  |
+      | 8      | glued to the next answer                |
+      | 8      | in two pieces                           |
+      | 8      | after                                   |
--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -47,6 +47,7 @@
             from the headers of each answer.
         sent_id_hashes: Hashes of the ids of the requests that were sent, up to MAX_REQUESTS. Two
             ids of one hash count as the same.
+        received_bytes: Bytes received since the last request was sent.
         events_in_turn: Number of events read since other tasks had their turn.
     """
 
@@ -56,6 +57,7 @@
         "http_state",
         "reusable_until",
         "sent_id_hashes",
+        "received_bytes",
         "events_in_turn",
     )
 
@@ -65,6 +67,7 @@
         self.http_state = h11.Connection(h11.CLIENT)
         self.reusable_until = 0.0
         self.sent_id_hashes: set[int] = set()
+        self.received_bytes = 0
         self.events_in_turn = 0
 
     @property
@@ -91,6 +94,7 @@
             request_id: Id that the answer must name.
         """
         self.sent_id_hashes.add(hash(request_id))
+        self.received_bytes = 0
         segments = [self.http_state.send(request)]
         if body:
             segments.append(self.http_state.send(h11.Data(data=body)))
@@ -110,13 +114,18 @@
             event = self.http_state.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.http_state.receive_data(await self.protocol.read())
+            data = await self.protocol.read()
+            self.received_bytes += len(data)
+            self.http_state.receive_data(data)
 
-    def skip_stray_answer(self, request: h11.Request, body: bytes) -> None:
+    def skip_stray_answer(self, request: h11.Request, body: bytes) -> int:
         """Prepare to parse the next answer to a request after a stray one; sends nothing.
 
         Feeds the request and the unparsed bytes to a new h11 state, without writing to the
         connection.
+
+        Returns:
+            Size of the stray answers so far, in bytes.
         """
         unread, _ = self.http_state.trailing_data
         self.http_state = h11.Connection(h11.CLIENT)
@@ -126,6 +135,7 @@
         self.http_state.send(h11.EndOfMessage())
         if unread:
             self.http_state.receive_data(unread)
+        return self.received_bytes - len(unread)
 
 
 class ResponseHead:
--- a/yuccahitch/tasks/replica_exchange.py
+++ b/yuccahitch/tasks/replica_exchange.py
@@ -15,8 +15,11 @@
 
 STEP = "send"
 MAX_BUFFERED_ANSWER_BYTES = 65_536
-# Answers read for one request, stray ones included, before the connection is given up.
-MAX_ANSWERS_PER_REQUEST = 3
+# Stray answers of any size that are read for one request before the connection is given up.
+MAX_STRAY_ANSWERS = 2
+# Size up to which more of them are read, all together, and the number of which each is logged.
+MAX_STRAY_BYTES = 65_536
+LOGGED_STRAY_ANSWERS = 3
 # Interim responses (1xx) that are read before an answer.
 MAX_INTERIM_RESPONSES = 8
 # Size up to which the rest of an answer that nobody gets is read, to reuse the connection.
@@ -125,7 +128,8 @@
 
     async def _read_head(self, request: h11.Request) -> replica_connection.ResponseHead:
         """Return the head of the answer to this request; skips and logs answers to others."""
-        for _ in range(MAX_ANSWERS_PER_REQUEST):
+        stray_bytes = 0
+        while self.stray_answers <= MAX_STRAY_ANSWERS or stray_bytes <= MAX_STRAY_BYTES:
             event = await self._skip_interim_responses()
             if type(event) is not h11.Response:
                 raise ConnectionResetError("the connection closed before an answer")
@@ -136,10 +140,11 @@
             if echoed_id is None and response_head.status >= MIN_UNNAMED_STATUS:
                 return self._check_unnamed(response_head)
             self.stray_answers += 1
-            self._log_drop("it belongs to another request")
+            if self.stray_answers <= LOGGED_STRAY_ANSWERS:
+                self._log_drop("it belongs to another request")
             if not await self._discard_body():
                 break
-            self.connection.skip_stray_answer(request, self.action.request.body)
+            stray_bytes = self.connection.skip_stray_answer(request, self.action.request.body)
         raise ConnectionResetError("received only answers to other requests")
 
     def _check_unnamed(
