--- a/standins/upstream_reports.py
+++ b/standins/upstream_reports.py
@@ -32,8 +32,8 @@
 
     Attributes:
         switches: ``born`` and the ``manner`` in which the report is answered: sound, slow, last
-            (with the end of the connection), copied (a second answer comes later) or one of those
-            above. Set over HTTP, too.
+            (with the end of the connection), named (with the id of a request), copied (a second
+            answer comes later) or one of those above. Set over HTTP, too.
         asked: Counts how often it was asked for.
     """
 
@@ -64,6 +64,8 @@
         response = web.json_response(
             ODD_REPORTS.get(manner, sound), status=STATUSES.get(manner, 200)
         )
+        if manner == "named":
+            response.headers["X-Request-Id"] = "another"
         if manner == "last":
             response.force_close()
         if manner.startswith("copied"):
--- a/tests/features/steps/restarted_upstreams.py
+++ b/tests/features/steps/restarted_upstreams.py
@@ -194,6 +194,11 @@
     assert error.run is errors.RunStatus.MAY_HAVE_RUN, error
 
 
+@behave.then("the instance has opened {count:d} connections to upstreams")
+def step_check_opened(context, count):
+    assert context.restarts.node.replicas.opened_total == count
+
+
 @behave.then("upstreams were asked for their reports once")
 def step_check_asked(context):
     assert context.restarts.reports_asked() == 1, context.restarts.reports_asked()
--- a/tests/version_faults.py
+++ b/tests/version_faults.py
@@ -306,6 +306,7 @@
     """Break the attempts at one instance off."""
     name = site.rng.choice(sorted(site.edges) or [""])
     site.note(f"{name} loses its connections")
+    site.connections.drop(name)
     for run in list(site.runs.get(name, {}).values()):
         if run.is_open and run.upstream is not None and not site.is_paused(name):
             run.fail(errors.Code.UPSTREAM_FAILED, may_have_run=True, peer=run.upstream.name)
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -12,7 +12,13 @@
 import typing
 
 from fakes import platform_store, virtual_time
-from tests import platform_builders, version_faults, version_streams, zone_simulation
+from tests import (
+    platform_builders,
+    version_connections,
+    version_faults,
+    version_streams,
+    zone_simulation,
+)
 from yuccahitch.codecs import datagrams
 from yuccahitch.controllers import freshness
 from yuccahitch.messages import commands, pulses, request_lifecycle, store
@@ -59,6 +65,7 @@
         runs: Open requests by instance name and request id.
         watches: Open watches by instance name and prefix.
         upstreams: All upstreams by name.
+        connections: Idle connections of the instances to upstreams.
         streams: All streams.
         cut_until: Until when each instance is cut off from the store, in virtual seconds.
         paused_until: Until when each instance stands still, in virtual seconds.
@@ -83,6 +90,7 @@
         self.runs: dict[str, dict[str, version_streams.Run]] = {}
         self.watches: dict[tuple[str, str], zone_simulation.Watch] = {}
         self.upstreams: dict[str, version_streams.Upstream] = {}
+        self.connections = version_connections.Pools()
         self.streams: list[version_streams.Stream] = []
         self.cut_until: dict[str, float] = {}
         self.paused_until: dict[str, float] = {}
@@ -178,6 +186,7 @@
             return
         self.touched_at[name] = self.clock.now
         self.paused_until.pop(name, None)
+        self.connections.drop(name)
         for key in [key for key in self.watches if key[0] == name]:
             del self.watches[key]
         for run in list(self.runs.pop(name).values()):
--- a/tests/version_streams.py
+++ b/tests/version_streams.py
@@ -9,9 +9,10 @@
 import functools
 import typing
 
+from tests import version_connections
 from yuccahitch import errors
 from yuccahitch.codecs import peer
-from yuccahitch.messages import actions, answers, request_lifecycle
+from yuccahitch.messages import actions, answers, request_lifecycle, upstream_notices
 
 EVENTS = 12
 EVENT_GAP_S = 0.25
@@ -115,6 +116,7 @@
         child: The run that it was forwarded to, or None.
         work: The present attempt, or None.
         upstream: The upstream of the present attempt, or None.
+        connection: The connection of the present attempt, or None.
         resumes: Whether it takes a stream up.
         last_id: Number of the last event that was passed on.
         began_at: When it began, in virtual seconds.
@@ -135,6 +137,7 @@
         "child",
         "work",
         "upstream",
+        "connection",
         "resumes",
         "last_id",
         "began_at",
@@ -157,6 +160,7 @@
         self.child: Run | None = None
         self.work: actions.Dispatch | actions.Forward | None = None
         self.upstream: Upstream | None = None
+        self.connection: version_connections.Connection | None = None
         self.resumes = parent is None and bool(stream.events)
         self.last_id = stream.events[-1].number if stream.events else 0
         self.began_at = site.clock.now
@@ -221,9 +225,14 @@
         )
         if self.has_head:
             failure.last_event_id = str(self.last_id) if self.last_id else ""
-        self.work = self.upstream = None
+        self.work = self.upstream = self.connection = None
         self.resume(failure)
 
+    def complete(self) -> None:
+        """End the request after its whole answer; its connection can carry another one."""
+        self.site.connections.put_back(self.instance, self.connection)
+        self.end(None)
+
     def end(self, error: errors.GatewayError | None) -> None:
         """End the request at its instance, and tell who waits for it."""
         self.close(error)
@@ -262,7 +271,7 @@
 
     def send_event(self, number: int) -> None:
         """Let the upstream of the present attempt send an event."""
-        if not self.upstream.is_up:
+        if self.connection.is_broken():
             self.fail(
                 errors.Code.UPSTREAM_FAILED,
                 may_have_run=True,
@@ -272,7 +281,7 @@
             return
         self.pass_on(number, self.upstream)
         if number >= EVENTS:
-            self.later(EVENT_GAP_S, self.end, None)
+            self.later(EVENT_GAP_S, self.complete)
         else:
             self.later(EVENT_GAP_S, self.send_event, number + 1)
 
@@ -303,7 +312,7 @@
 @_carry_out.register
 def _(action: actions.Perform, run: Run) -> None:
     run.work = action.work
-    run.upstream = run.child = None
+    run.upstream = run.connection = run.child = None
     _start(action.work, run)
 
 
@@ -314,16 +323,46 @@
 
 @_start.register
 def _(work: actions.Dispatch, run: Run) -> None:
-    run.later(HOP_S, _arrive, work, run)
+    connection = run.site.connections.take(run.instance, work)
+    if connection is None:
+        run.later(HOP_S, _connect, work, run)
+    else:
+        run.later(HOP_S, _arrive, work, run, connection)
 
 
-def _arrive(work: actions.Dispatch, run: Run) -> None:
-    """Let a request arrive at its upstream, which runs it if it is up."""
+def _connect(work: actions.Dispatch, run: Run) -> None:
+    """Open a connection to the present start of an upstream, and ask for that start."""
     upstream = run.site.upstreams[work.upstream]
     if not upstream.is_up:
         run.fail(errors.Code.UPSTREAM_REFUSED, may_have_run=False, peer=upstream.name)
         return
-    run.upstream = upstream
+    connection = version_connections.Connection(upstream)
+    run.later(HOP_S, _send, work, run, connection)
+
+
+def _send(work: actions.Dispatch, run: Run, connection: version_connections.Connection) -> None:
+    """Send a request on a connection whose start was told, unless it is another one."""
+    required = work.required_start
+    if connection.is_broken():
+        run.fail(errors.Code.UPSTREAM_REFUSED, may_have_run=False, peer=work.upstream)
+    elif required.admits(connection.born_ms):
+        run.later(HOP_S, _arrive, work, run, connection)
+    else:
+        notice = upstream_notices.UpstreamNotice(
+            work.upstream,
+            incarnation=work.incarnation,
+            replaced=required.is_other(connection.born_ms),
+        )
+        run.edge.decisions.on_upstream_notice(notice, run.site.clock.now)
+        run.fail(errors.Code.UPSTREAM_REPLACED, may_have_run=False, peer=work.upstream)
+
+
+def _arrive(work: actions.Dispatch, run: Run, connection: version_connections.Connection) -> None:
+    """Let a request arrive at the start of an upstream that its connection leads to."""
+    if connection.is_broken():
+        _lose(work, run)
+        return
+    run.upstream, run.connection = connection.upstream, connection
     for ancestor in (run, run.parent):
         if ancestor is not None:
             ancestor.ran = True
@@ -332,13 +371,17 @@
 
 def _answer(work: actions.Dispatch, run: Run) -> None:
     """Let an upstream begin its answer."""
-    if not run.upstream.is_up:
-        name = run.upstream.name
-        run.fail(errors.Code.UPSTREAM_FAILED, may_have_run=True, peer=name, crashed=True)
+    if run.connection.is_broken():
+        _lose(work, run)
         return
     run.resume(a_head(work))
 
 
+def _lose(work: actions.Dispatch, run: Run) -> None:
+    """Let the connection of an attempt break."""
+    run.fail(errors.Code.UPSTREAM_FAILED, may_have_run=True, peer=work.upstream, crashed=True)
+
+
 @_start.register
 def _(work: actions.Forward, run: Run) -> None:
     run.site.defer(run.instance, HOP_S, functools.partial(_forward, work, run))
--- a/yuccahitch/controllers/replica_state.py
+++ b/yuccahitch/controllers/replica_state.py
@@ -31,6 +31,8 @@
         success_rate: Moving average of the requests that did not fail there, from 0 to 1.
         ejected_until: When an ejection for failures ends, in monotonic seconds.
         misdirected: Whether another upstream answered at the address.
+        replaced: Whether the upstream is known to have started again, so that its software version
+            is not known.
         said_leaving: Whether an answer said that the upstream is shutting down.
         sent_unreadable: Whether an answer held a statement that can't be read.
         paused_until: Until when the upstream wants no requests of this instance, in monotonic
@@ -53,6 +55,7 @@
         "success_rate",
         "ejected_until",
         "misdirected",
+        "replaced",
         "said_leaving",
         "sent_unreadable",
         "paused_until",
@@ -73,6 +76,7 @@
         self.success_rate = 1.0
         self.ejected_until = -math.inf
         self.misdirected = False
+        self.replaced = False
         self.said_leaving = False
         self.sent_unreadable = False
         self.paused_until = -math.inf
@@ -88,6 +92,10 @@
         """Return whether the upstream is leaving, by its entry or by its answers."""
         return self.upstream.leaving or self.said_leaving
 
+    def has_version(self, versions: frozenset[str]) -> bool:
+        """Return whether the upstream is known to have one of some software versions."""
+        return not self.replaced and self.upstream.software_version in versions
+
     def bound_lingering(self, until: float) -> None:
         """Let the upstream, once it is leaving, take no work after a time, in monotonic seconds."""
         self.lingers_until = min(self.lingers_until, until)
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/replicas.py
@@ -197,7 +197,7 @@
             if replica.upstream.service == service
             and replica.upstream.region == wanted_region
             and replica.upstream.name not in avoid
-            and (versions is None or replica.upstream.software_version in versions)
+            and (versions is None or replica.has_version(versions))
             and may_get_work(replica, now)
         ]
 
@@ -216,7 +216,7 @@
         """
         return any(
             replica.upstream.service == service
-            and replica.upstream.software_version == version
+            and replica.has_version(frozenset((version,)))
             and (regions is None or replica.upstream.region in regions)
             and (self._is_usable(replica, now) or self._lingers(replica, now))
             for replica in self.by_name.values()
@@ -338,6 +338,9 @@
         if notice.leaving:
             self.mark_leaving(notice.incarnation, "its answer says that it is leaving", now)
         replica = self.by_name[notice.upstream]
+        if notice.replaced and not replica.replaced:
+            replica.replaced = True
+            self._log(events.Event.UPSTREAM_REPLACED, notice.upstream)
         if notice.pause_s > 0:
             self._pause(replica, notice.pause_s, now)
         if notice.unreadable and not replica.sent_unreadable:
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -53,6 +53,11 @@
         "The upstreams of the service take no further requests at present.",
     )
     UPSTREAM_MOVED = ("upstream-moved", 503, "Another upstream answers at this upstream's address.")
+    UPSTREAM_REPLACED = (
+        "upstream-replaced",
+        503,
+        "The upstream at the address is not known to have the software version of its entry.",
+    )
     ANSWER_CUT = ("answer-cut", 502, "The answer ended before it was complete.")
     RESUMPTION_INVALID = (
         "resumption-invalid",
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -127,6 +127,12 @@
         "notice-unreadable",
         "An answer says something of its upstream that can't be read; logged once for each start.",
     )
+    UPSTREAM_REPLACED = (
+        315,
+        "upstream-replaced",
+        "An upstream has started again; until its new entry is known, it gets no streams that "
+        "depend on its software version.",
+    )
     CONFIG_APPLIED = (400, "config-applied", "Newer resources were applied.")
     CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
     CONFIG_UNREADABLE = (
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -18,6 +18,7 @@
 from yuccahitch.filters import chain, poison, request_context, resumption
 from yuccahitch.messages import actions, answers, requests
 from yuccahitch.resources import route as routes
+from yuccahitch.resources import upstream
 
 MAX_SENDS = 4
 # A retry with less time left is not made.
@@ -99,8 +100,27 @@
             streams=context.route.streams,
             account=context.account.name,
             give_up_at=context.give_up_at,
+            required_start=self._required_start(context, chosen_upstream),
         )
 
+    def _required_start(
+        self, context: request_context.RequestContext, chosen: upstream.Upstream
+    ) -> actions.RequiredStart | None:
+        """Return the start of the chosen upstream that a request is bound to, or None.
+
+        If only one software version is known, an upstream that doesn't tell its start has that one.
+        """
+        if context.versions is None:
+            return None
+        listed = {
+            replica.upstream.software_version
+            for replica in self.registry.by_name.values()
+            if replica.upstream.service == chosen.service
+        }
+        ambiguous = self.origins.versions.ambiguous_services()
+        is_single = len(listed) == 1 and chosen.service not in ambiguous
+        return actions.RequiredStart(chosen.born_ms, or_untold=is_single)
+
     def _forward(self, context: request_context.RequestContext, now: float) -> actions.Action:
         """Forward a request to its instance; place it again if that instance is unknown."""
         member = self.members.members.get(context.instance)
@@ -275,14 +295,19 @@
     member = send_filter.members.members.get(context.instance)
     if member is not None and error.code is errors.Code.UPSTREAMS_LIMITED:
         send_filter.policy.remote.record_declined(member.info.region, context.service.name, now)
-    _record_failed_target(send_filter, context, now)
+    is_fault = error.code is not errors.Code.UPSTREAM_REPLACED
+    _record_failed_target(send_filter, context, now, is_fault=is_fault)
 
 
 def _record_failed_target(
-    send_filter: Send, context: request_context.RequestContext, now: float
+    send_filter: Send,
+    context: request_context.RequestContext,
+    now: float,
+    *,
+    is_fault: bool = True,
 ) -> None:
-    """Count a failure of the request's upstream; exclude the target from later attempts."""
-    if context.upstream:
+    """Exclude the request's target from later attempts; a fault of its upstream counts as such."""
+    if context.upstream and is_fault:
         send_filter.registry.record_outcome(context.upstream, good=False, now=now)
     context.failed_targets.append(context.upstream or context.instance)
 
--- a/yuccahitch/messages/actions.py
+++ b/yuccahitch/messages/actions.py
@@ -77,6 +77,36 @@
         self.work = work
 
 
+class RequiredStart(records.Record):
+    """The start of an upstream that a request is bound to.
+
+    An upstream may start again under its name and at its address with other software before its
+    new entry is known.
+
+    Attributes:
+        born_ms: The start by the entry, in milliseconds since the Unix epoch; 0 if it doesn't tell.
+        or_untold: Whether an upstream that doesn't tell its start will do, too.
+    """
+
+    __slots__ = ("born_ms", "or_untold")
+
+    def __init__(self, born_ms: int, *, or_untold: bool) -> None:
+        self.born_ms = born_ms
+        self.or_untold = or_untold
+
+    def is_other(self, told_ms: int) -> bool:
+        """Return whether the upstream told another start than its entry."""
+        return self._is_told(told_ms) and told_ms != self.born_ms
+
+    def admits(self, told_ms: int) -> bool:
+        """Return whether an upstream that told its start, or 0, may get the request."""
+        return told_ms == self.born_ms if self._is_told(told_ms) else self.or_untold
+
+    def _is_told(self, told_ms: int) -> bool:
+        """Return whether both entry and upstream tell a start."""
+        return bool(self.born_ms and told_ms)
+
+
 class Dispatch(records.Record):
     """Send the request to an upstream.
 
@@ -94,6 +124,7 @@
         account: Client account named in the request to the upstream, or empty.
         give_up_at: Time at which the attempt is abandoned, in monotonic seconds; None sets no
             limit for the attempt.
+        required_start: Start of the upstream that the request is bound to; None if any may get it.
     """
 
     __slots__ = (
@@ -109,6 +140,7 @@
         "streams",
         "account",
         "give_up_at",
+        "required_start",
     )
 
     def __init__(
@@ -126,6 +158,7 @@
         streams: bool = False,
         account: str = "",
         give_up_at: float | None = None,
+        required_start: RequiredStart | None = None,
     ) -> None:
         self.upstream = upstream
         self.incarnation = incarnation
@@ -139,6 +172,7 @@
         self.streams = streams
         self.account = account
         self.give_up_at = give_up_at
+        self.required_start = required_start
 
 
 class Forward(records.Record):
--- a/yuccahitch/messages/upstream_notices.py
+++ b/yuccahitch/messages/upstream_notices.py
@@ -10,7 +10,7 @@
 
 
 class UpstreamNotice(records.Record):
-    """Statements of an upstream in the head of one answer.
+    """Statements of an upstream in the head of one answer, or in its report.
 
     Attributes:
         upstream: Name of the upstream.
@@ -19,6 +19,7 @@
             it names no limit, None if the answer says nothing of it.
         leaving: Whether it is shutting down.
         pause_s: Time for which it wants no requests of this instance, in seconds.
+        replaced: Whether another start of it was found at its address.
         unreadable: Header of such a statement that can't be read, with its value; or empty.
     """
 
@@ -28,6 +29,7 @@
         "requests_per_s",
         "leaving",
         "pause_s",
+        "replaced",
         "unreadable",
     )
 
@@ -39,6 +41,7 @@
         requests_per_s: float | None = None,
         leaving: bool = False,
         pause_s: float = 0.0,
+        replaced: bool = False,
         unreadable: str = "",
     ) -> None:
         self.upstream = upstream
@@ -46,4 +49,5 @@
         self.requests_per_s = requests_per_s
         self.leaving = leaving
         self.pause_s = pause_s
+        self.replaced = replaced
         self.unreadable = unreadable
--- a/yuccahitch/platform/names.py
+++ b/yuccahitch/platform/names.py
@@ -63,6 +63,9 @@
     )
 )
 
+# Path at which an upstream reports its state.
+UPSTREAM_REPORT_PATH = "/api/report"
+
 # Path at which callers ask which instances to use.
 DIRECTORY_PATH = "/api/resolve"
 
--- a/yuccahitch/platform/upstreams.py
+++ b/yuccahitch/platform/upstreams.py
@@ -6,6 +6,7 @@
 import json
 import typing
 
+from yuccahitch.platform import names
 from yuccahitch.resources import upstream
 
 # Whether an upstream in this state is leaving.
@@ -15,6 +16,8 @@
 MAX_SLOTS = 1_000_000
 MAX_NUMBER = 2**53
 MAX_PORT = 65535
+OK_STATUS = 200
+REPORT_PATH = names.UPSTREAM_REPORT_PATH
 # What reading an entry that another writer left may raise.
 READ_ERRORS = (KeyError, TypeError, AttributeError, ValueError, ArithmeticError, RecursionError)
 
@@ -56,6 +59,34 @@
         raise ValueError(f"{type(error).__name__}: {error}") from error
 
 
+def report_headers(address: str) -> list[tuple[str, str]]:
+    """Return the headers of a request for the report of the upstream at an address."""
+    return [("host", address)]
+
+
+def is_report(status: int) -> bool:
+    """Return whether an answer with a status is a report."""
+    return status == OK_STATUS
+
+
+def decode_report(status: int, body: bytes) -> int:
+    """Return when an upstream started, by its report.
+
+    Args:
+        status: HTTP status of the report.
+        body: Body of the report, which should be JSON.
+
+    Returns:
+        Milliseconds since the Unix epoch, or 0 if the report doesn't tell.
+    """
+    if not is_report(status):
+        return 0
+    try:
+        return _check_whole_number(json.loads(body)["born"])
+    except READ_ERRORS:
+        return 0
+
+
 def _check_name(name: str) -> str:
     """Return a name that can stand in a header unchanged; raise ValueError for any other one."""
     if not name or not name.isascii() or not name.isprintable() or " " in name:
--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -7,12 +7,11 @@
 import functools
 import typing
 
-import h11
-
 from yuccahitch import clock, errors, events
 from yuccahitch.messages import actions, upstream_notices
 from yuccahitch.tasks import (
     answer_stream,
+    incarnation_check,
     mailbox,
     replica_connection,
     replica_exchange,
@@ -76,12 +75,13 @@
         """
         try:
             connection = await self._take_connection(action)
-        except (OSError, TimeoutError) as error:
-            await stream.put(
-                replica_exchange.failure(
-                    action, errors.Code.UPSTREAM_REFUSED, error, may_have_run=False
-                )
-            )
+        except (*replica_connection.CONNECTION_ERRORS, TimeoutError) as error:
+            await _put_not_run(action, stream, errors.Code.UPSTREAM_REFUSED, error)
+            return
+        except incarnation_check.StartError as error:
+            if error.is_other:
+                self.on_notice(_replacement_notice(action))
+            await _put_not_run(action, stream, errors.Code.UPSTREAM_REPLACED, error)
             return
         answer_complete, cause = False, "given up"
         try:
@@ -127,6 +127,12 @@
 
         A new one replaces the oldest idle one, so that request ids that come again don't add to the
         connections of an upstream.
+
+        Raises:
+            OSError: When the upstream refuses a connection, or it breaks before the report.
+            TimeoutError: When a connection does not open in time, or the report does not come.
+            h11.RemoteProtocolError: When the report is not valid HTTP.
+            incarnation_check.StartError: When it leads to no start that may get the request.
         """
         pool = self.pools.get(action.address, collections.deque())
         now = self.time.now()
@@ -134,15 +140,82 @@
             if not _is_reusable(connection, now):
                 pool.remove(connection)
                 self._close_pooled(connection, action.address)
-            elif connection.may_carry(action.request.id):
+            elif connection.may_carry(action.request.id) and _is_at_start(connection, action):
                 pool.remove(connection)
                 connection.protocol.idle = False
                 return connection
+        if action.required_start is not None:
+            connection = await self._ask_idle(pool, action)
+            if connection is not None:
+                return connection
         if pool:
             self._close_pooled(pool.popleft(), action.address)
             # The socket is closed a turn of the loop later.
             await asyncio.sleep(0)
-        return await self._open_connection(action)
+        if action.required_start is None:
+            return await self._open_connection(action)
+        return await self._open_checked(action)
+
+    async def _ask_idle(
+        self, pool: collections.deque[replica_connection.Connection], action: actions.Dispatch
+    ) -> replica_connection.Connection | None:
+        """Return an idle connection that leads to the start that a request is bound to, or None.
+
+        One that was opened for other requests is asked now.
+
+        Raises:
+            TimeoutError: When the report does not come.
+            incarnation_check.StartError: When it leads to no start that may get the request.
+        """
+        unasked = [
+            connection
+            for connection in pool
+            if connection.born_ms is None and connection.may_carry(action.request.id)
+        ]
+        if not unasked:
+            return None
+        connection = unasked[-1]
+        pool.remove(connection)
+        connection.protocol.idle = False
+        try:
+            await self._check(connection, action)
+        except replica_connection.CONNECTION_ERRORS:
+            return None
+        return connection if _begin_next(connection) else None
+
+    async def _open_checked(self, action: actions.Dispatch) -> replica_connection.Connection:
+        """Open a connection that leads to the start of the upstream that a request is bound to.
+
+        Raises:
+            OSError, TimeoutError, h11.RemoteProtocolError, incarnation_check.StartError: As
+                ``_take_connection``.
+        """
+        connection = await self._open_connection(action)
+        await self._check(connection, action)
+        if _begin_next(connection):
+            return connection
+        # It takes a connection for each request. What a later one tells holds for the earlier one.
+        connection = await self._open_connection(action)
+        try:
+            witness = await self._open_connection(action)
+            await self._check(witness, action)
+        except BaseException:
+            connection.protocol.abort()
+            raise
+        witness.protocol.close()
+        connection.born_ms = witness.born_ms
+        return connection
+
+    async def _check(
+        self, connection: replica_connection.Connection, action: actions.Dispatch
+    ) -> None:
+        """Check where a new connection leads; it is closed if it can't be told or won't do."""
+        try:
+            await incarnation_check.check(connection, action)
+        except BaseException as error:
+            self._log_closed(action, connection, str(error) or type(error).__name__)
+            connection.protocol.abort()
+            raise
 
     async def _open_connection(self, action: actions.Dispatch) -> replica_connection.Connection:
         """Open a connection to the upstream of an attempt.
@@ -165,13 +238,11 @@
         self, action: actions.Dispatch, connection: replica_connection.Connection
     ) -> bool:
         """Put a connection back into the pool; return False if it cannot be reused."""
-        http_state = connection.http_state
-        both_done = http_state.our_state is h11.DONE and http_state.their_state is h11.DONE
-        if not both_done or http_state.trailing_data[0] or connection.is_used_up():
+        if not connection.is_ready() or connection.is_used_up():
             return False
         if not _is_reusable(connection, self.time.now()):
             return False
-        http_state.start_next_cycle()
+        connection.http_state.start_next_cycle()
         pool = self.pools.setdefault(action.address, collections.deque(maxlen=MAX_IDLE_PER_ADDRESS))
         if len(pool) == MAX_IDLE_PER_ADDRESS:
             self._close_pooled(pool.popleft(), action.address)
@@ -207,6 +278,40 @@
     return connection.reusable_until > now and connection.protocol.is_idle()
 
 
+def _begin_next(connection: replica_connection.Connection) -> bool:
+    """Prepare a connection for the request after a report; close it if it can't carry one."""
+    if not connection.is_ready():
+        connection.protocol.close()
+        return False
+    connection.http_state.start_next_cycle()
+    return True
+
+
+def _is_at_start(connection: replica_connection.Connection, action: actions.Dispatch) -> bool:
+    """Return whether an idle connection is known to lead where a request may go."""
+    required = action.required_start
+    if required is None:
+        return True
+    return connection.born_ms is not None and required.admits(connection.born_ms)
+
+
+async def _put_not_run(
+    action: actions.Dispatch,
+    stream: answer_stream.AnswerStream,
+    code: errors.Code,
+    cause: Exception,
+) -> None:
+    """Put the failure of an attempt that was not sent into the stream."""
+    await stream.put(replica_exchange.failure(action, code, cause, may_have_run=False))
+
+
+def _replacement_notice(action: actions.Dispatch) -> upstream_notices.UpstreamNotice:
+    """Return the notice that an upstream has started again."""
+    return upstream_notices.UpstreamNotice(
+        action.upstream, incarnation=action.incarnation, replaced=True
+    )
+
+
 @functools.singledispatch
 def _handle(message: typing.Any, client: ReplicaClient) -> None:
     """Start the attempt that a message of the inbox asks for."""
--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -48,6 +48,8 @@
         sent_id_hashes: Hashes of the ids of the requests that were sent, up to MAX_REQUESTS. Two
             ids of one hash count as the same.
         events_in_turn: Number of events read since other tasks had their turn.
+        born_ms: Start of the upstream at the other end, in milliseconds since the Unix epoch; 0 if
+            it doesn't tell, None if it was not asked.
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         "reusable_until",
         "sent_id_hashes",
         "events_in_turn",
+        "born_ms",
     )
 
     def __init__(self, wire_protocol: tcp_connection.TcpConnection, *, number: int) -> None:
@@ -66,6 +69,7 @@
         self.reusable_until = 0.0
         self.sent_id_hashes: set[int] = set()
         self.events_in_turn = 0
+        self.born_ms: int | None = None
 
     @property
     def earlier_requests(self) -> int:
@@ -76,6 +80,10 @@
         """Return whether a request may be sent, as its id is new on this connection."""
         return hash(request_id) not in self.sent_id_hashes
 
+    def has_carried(self) -> bool:
+        """Return whether the connection has carried a request."""
+        return bool(self.sent_id_hashes)
+
     def is_used_up(self) -> bool:
         """Return whether the connection has carried MAX_REQUESTS."""
         return len(self.sent_id_hashes) >= MAX_REQUESTS
@@ -91,6 +99,25 @@
             request_id: Id that the answer must name.
         """
         self.sent_id_hashes.add(hash(request_id))
+        self._write(request, body)
+
+    def send_unnamed(self, request: h11.Request) -> None:
+        """Send a request that has neither an id nor a body."""
+        self._write(request, b"")
+
+    def record_unnamed(self) -> None:
+        """Count a request without an id whose answer may come again."""
+        self.sent_id_hashes.add(hash(""))
+
+    def is_ready(self) -> bool:
+        """Return whether the last answer ended, and the connection can carry another request."""
+        both_done = (
+            self.http_state.our_state is h11.DONE and self.http_state.their_state is h11.DONE
+        )
+        return both_done and not self.http_state.trailing_data[0]
+
+    def _write(self, request: h11.Request, body: bytes) -> None:
+        """Write a request to the socket, its headers and body at once."""
         segments = [self.http_state.send(request)]
         if body:
             segments.append(self.http_state.send(h11.Data(data=body)))
