--- a/tests/features/steps/stream_resumption.py
+++ b/tests/features/steps/stream_resumption.py
@@ -121,6 +121,36 @@
     assert outcome.action.error.code.status == 400
 
 
+@behave.then(
+    "{count:d} requests at {name:S} that name that stream and no last event go to {version:w}"
+)
+def step_check_from_beginning(context, count, name, version):
+    for _ in range(count):
+        outcome = begin_named(context.site, name, context.stream)
+        assert settle(context, name, outcome) == version
+
+
+@behave.then(
+    "a request at {name:S} that names a stream that nobody knows, and no last event, is refused "
+    "with {code:S}"
+)
+def step_check_unknown_from_beginning(context, name, code):
+    assert begin_named(context.site, name, "unknown") is None
+    context.waiting = list(context.site.edges[name].decisions.take_ups.waits)
+    context.site.run(stream_simulation.MAX_WAIT_S)
+    step_check_refused(context, code)
+
+
+@behave.then("a request at {name:S} with an empty name and no last event begins a stream")
+def step_check_empty_name(context, name):
+    assert settle(context, name, begin_named(context.site, name, "")) in ("v1", "v2")
+
+
+def begin_named(site, name, stream):
+    """Begin a request that names a stream, but no event of it; return the next action."""
+    return site.edges[name].begin_request(stream_builders.STREAM_PATH, Resumes=stream)
+
+
 @behave.then(
     "a take-up at {name:S} of a stream that it doesn't know is refused with {code:S} at once"
 )
--- a/tests/features/stream_resumption.feature
+++ b/tests/features/stream_resumption.feature
@@ -77,6 +77,16 @@
       | a tab                |
       | letters beyond ASCII |
 
+  # Guards against a caller that names its stream, asks from its beginning and gets another version (ORDER).
+  Scenario: A request that names a stream and no last event goes only to the version that began it
+    Given 2 instances of a zone with upstreams of v1 and v2
+    When a stream of v1 breaks off at edge-1
+    And the zone runs on for 1 seconds
+    Then 20 requests at edge-1 that name that stream and no last event go to v1
+    And 20 requests at edge-2 that name that stream and no last event go to v1
+    And a request at edge-2 that names a stream that nobody knows, and no last event, is refused with origin-unknown
+    And a request at edge-2 with an empty name and no last event begins a stream
+
   Scenario: The stream of another client account is not known
     Given 1 instances of a zone with upstreams of v1 and v2
     When a stream of v1 breaks off at edge-1
--- a/yuccahitch/filters/resumption.py
+++ b/yuccahitch/filters/resumption.py
@@ -62,7 +62,7 @@
         if context.route.repeat is not routes.RepeatPolicy.RESUMABLE:
             return actions.Proceed()
         request, account = context.request, context.account.name
-        if not request.resume_after:
+        if not (request.resume_after or request.resumes):
             context.stream_key = stream_origin.stream_key(account, request.id)
             return actions.Proceed()
         if request.resumes is not None and not _is_valid_id(request.resumes):
@@ -175,7 +175,7 @@
             context.service.name,
             head.software_version,
             request=context.id,
-            stream=(context.request.resume_after and context.request.resumes) or context.id,
+            stream=context.request.resumes or context.id,
             upstream=head.source,
         )
 
--- a/yuccahitch/filters/routing.py
+++ b/yuccahitch/filters/routing.py
@@ -48,4 +48,4 @@
 def _stream_id(request: requests.Request, route: routes.Route) -> str:
     """Return the id that selects the service: a stream goes on at the one that began it."""
     is_resumable = route.repeat is routes.RepeatPolicy.RESUMABLE
-    return (is_resumable and request.resume_after and request.resumes) or request.id
+    return (is_resumable and request.resumes) or request.id
