--- a/tests/features/served_versions.feature
+++ b/tests/features/served_versions.feature
@@ -26,6 +26,12 @@
     Then the record is "v1 serving, v2 serving"
     And streams begin at v1 and v2 at every instance
 
+  # Guards against a service that has no version to begin streams at for longer than it must.
+  Scenario: A new version serves as soon as its time as announced is over
+    Given 4 instances of a zone with upstreams of v1
+    When upstreams of v2 register
+    Then v2 is announced within 0.3 seconds, and serves 1.25 to 1.35 seconds later
+
   Scenario: A version without upstreams is retired, and forgotten after the longest stream
     Given 2 instances of a zone with upstreams of v1 and v2
     When upstreams of v1 leave
--- a/tests/features/steps/served_versions.py
+++ b/tests/features/steps/served_versions.py
@@ -67,6 +67,24 @@
     assert found == wanted, found
 
 
+def time_until(site, version, state):
+    """Let time pass until the record has a version in a state; return how long, in seconds."""
+    began_at = site.now
+    while stream_simulation.stored_states(site).get(version) != state:
+        assert site.now - began_at < stream_simulation.START_S
+        site.run(zone_simulation.STEP_S)
+    return site.now - began_at
+
+
+@behave.then(
+    "{version:w} is announced within {limit_s:g} seconds, and serves {least_s:g} to {most_s:g} "
+    "seconds later"
+)
+def step_check_times(context, version, limit_s, least_s, most_s):
+    assert time_until(context.site, version, "announced") <= limit_s
+    assert least_s <= time_until(context.site, version, "serving") <= most_s
+
+
 @behave.then('the record is "{states}", written once')
 def step_check_single_write(context, states):
     step_check_record(context, states)
--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/served_versions.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing
 
@@ -45,8 +46,6 @@
 RANK_DELAY_S = 1.0
 # Rank from which all instances write at the same time.
 MAX_RANK = 5
-# Time between two checks, in seconds.
-CHECK_INTERVAL_S = 0.2
 # Pause after a failed write, in seconds.
 RETRY_S = 1.0
 
@@ -82,7 +81,6 @@
         by_service: What is known of each service, by name.
         vouches_from: From when this instance vouches that it knows all versions with open streams,
             in monotonic seconds; infinity if it has not known the store before its present era.
-        next_check_at: When the records are checked next, in monotonic seconds.
         resumable: Services with resumable routes in the configuration ``resumable_in``.
         resumable_in: Version of the configuration that ``resumable`` belongs to.
         outbox: Commands that wait for the next ``take_commands``.
@@ -97,7 +95,6 @@
         "vouches_from",
         "source",
         "by_service",
-        "next_check_at",
         "resumable",
         "resumable_in",
         "outbox",
@@ -120,7 +117,6 @@
         self.vouches_from = math.inf
         self.source: feed.Feed | None = None
         self.by_service: dict[str, _service_versions.ServiceVersions] = {}
-        self.next_check_at = -math.inf
         self.resumable: frozenset[str] = frozenset()
         self.resumable_in = -1
         self.outbox: list[commands.Command] = []
@@ -186,22 +182,18 @@
 
     def tick(self, now: float) -> None:
         """Write the records that need a change, if it is this instance's turn."""
-        if now < self.next_check_at or not self._is_informed():
+        if not self._is_informed():
             return
-        self.next_check_at = now + CHECK_INTERVAL_S
+        named: dict[str, set[str]] = collections.defaultdict(set)
+        offered: dict[str, set[str]] = collections.defaultdict(set)
+        for replica in self.registry.by_name.values():
+            if replica.removal_at == math.inf:
+                entry = replica.upstream
+                named[entry.service].add(entry.software_version)
+                if not replica.leaving:
+                    offered[entry.service].add(entry.software_version)
         for service in sorted(self.resumable_services()):
-            self._check(service, now)
-
-    def _versions_in_entries(self, service: str) -> tuple[set[str], set[str]]:
-        """Return the versions that entries of a service name, and those that take new work."""
-        present = [
-            replica
-            for replica in self.registry.by_name.values()
-            if replica.upstream.service == service and replica.removal_at == math.inf
-        ]
-        named = {replica.upstream.software_version for replica in present}
-        offered = {r.upstream.software_version for r in present if not r.leaving}
-        return named, offered
+            self._check(service, named[service], offered[service], now)
 
     def resumable_services(self) -> frozenset[str]:
         """Return the services whose streams can be resumed on some route."""
@@ -323,11 +315,17 @@
         """Return whether a record of the present era has all versions with open streams."""
         return not self.source.is_restored and known.is_vouched(self.source.era)
 
-    def _check(self, service: str, now: float) -> None:
-        """Write the record of a service if it needs a change that is due."""
+    def _check(self, service: str, named: set[str], offered: set[str], now: float) -> None:
+        """Write the record of a service if it needs a change that is due.
+
+        Args:
+            service: Name of the service.
+            named: Versions that entries of its upstreams name.
+            offered: Versions with an upstream that takes new work.
+            now: Monotonic seconds.
+        """
         known = self.by_service.setdefault(service, _service_versions.ServiceVersions())
         fresh = self._is_fresh(now)
-        named, offered = self._versions_in_entries(service)
         known.observe_entries(named, now, fresh=fresh)
         wanted = self._wanted(known, offered, now, fresh=fresh)
         if not wanted.states or wanted == known.record:
