--- a/tests/features/leaving_versions.feature
+++ b/tests/features/leaving_versions.feature
@@ -21,6 +21,22 @@
     When the zone runs on for 1.5 seconds
     Then a stream begins at v2 at edge-2
 
+  # Guards against callers that come back in vain while the next version is only announced.
+  Scenario Outline: A caller whose stream no version can begin yet is told when the next one serves
+    Given 2 instances of a zone with upstreams of v1
+    When upstreams of v1 leave
+    And the zone runs on for <before_s> seconds
+    And upstreams of v2 register
+    And the zone runs on for <after_s> seconds
+    Then a stream at edge-2 is refused with no-upstream, not run
+    And streams begin at v2 there when the time to come back is over, and none half a second before
+
+    Examples:
+      | before_s | after_s |
+      | 2.1      | 0.1     |
+      | 2.1      | 0.7     |
+      | 1.9      | 0.5     |
+
   # Guards against requests to upstreams that left (DRAIN): the bound less the time of the way.
   Scenario: Leaving upstreams get nothing once the time of their shutdown is over
     Given 2 instances of a zone with upstreams of v1 and v2
--- a/tests/features/steps/leaving_versions.py
+++ b/tests/features/steps/leaving_versions.py
@@ -4,10 +4,13 @@
 
 import behave
 
-from tests import stream_simulation
+from tests import stream_builders, stream_simulation
+from yuccahitch import errors
 from yuccahitch.messages import actions, upstream_notices
 
 ASK_PATH = "/ask/x"
+# Time before the end of its wait at which a caller would still come in vain, in seconds.
+TOO_EARLY_S = 0.5
 
 
 @behave.when("upstreams of {version:w} begin to leave")
@@ -54,3 +57,24 @@
         if type(outcome.action) is actions.Perform:
             assert outcome.action.work.software_version != version, outcome
         edge.finish_request(outcome.request_id, succeeded=False)
+
+
+@behave.then("a stream at {name:S} is refused with {code:S}, not run")
+def step_check_refused(context, name, code):
+    edge = context.site.edges[name]
+    outcome = edge.begin_request(stream_builders.STREAM_PATH)
+    edge.finish_request(outcome.request_id, succeeded=False)
+    assert stream_simulation.went_to(outcome) == code
+    assert outcome.action.error.run is errors.RunStatus.NOT_RUN
+    context.refused_at, context.wait_s = name, outcome.action.error.retry_after
+
+
+@behave.then(
+    "streams begin at {version:w} there when the time to come back is over, and none half a second "
+    "before"
+)
+def step_check_time(context, version):
+    context.site.run(max(0.0, context.wait_s - TOO_EARLY_S))
+    step_check_begins_not(context, version, context.refused_at)
+    context.site.run(min(context.wait_s, TOO_EARLY_S))
+    step_check_begins(context, version, context.refused_at)
--- a/yuccahitch/controllers/_service_versions.py
+++ b/yuccahitch/controllers/_service_versions.py
@@ -128,6 +128,20 @@
             if state is not ANNOUNCED or now - self.absent_at.get(version, -math.inf) > max_age_s
         }
 
+    def serves_in_s(self, now: float, *, hold_s: float) -> float | None:
+        """Return the time until a version that is announced may serve, or None without one.
+
+        Args:
+            now: Monotonic seconds.
+            hold_s: Time for which a version stays announced, in seconds.
+        """
+        known = [self.states] if self.wanted is None else [self.states, self.wanted.states]
+        announced = {
+            version for states in known for version, state in states.items() if state is ANNOUNCED
+        }
+        waits_s = [max(0.0, self.since.get(v, now) + hold_s - now) for v in announced]
+        return min(waits_s, default=None)
+
     def unrecorded(self, now: float) -> set[str]:
         """Return the versions that the record lacks although streams began here meanwhile."""
         return {
--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/served_versions.py
@@ -223,6 +223,14 @@
             known.begun_at.update(dict.fromkeys(serving, now))
         return serving
 
+    def next_begin_s(self, service: str, now: float) -> float | None:
+        """Return the time until streams may begin at a version that is announced, in seconds.
+
+        None means that no version of the service is.
+        """
+        known = self.by_service.get(service)
+        return None if known is None else known.serves_in_s(now, hold_s=self.hold_s)
+
     def only_origin(self, service: str, now: float) -> str | None:
         """Return the version that began every open stream of a service, or None if unknown."""
         is_fresh = now - self.source.updated_at <= self.times.inference_age_s
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
-from yuccahitch.controllers import assignments, balance, served_versions
+from yuccahitch import errors
+from yuccahitch.controllers import assignments, balance, choices, served_versions
 from yuccahitch.filters import chain, place, request_context
 from yuccahitch.messages import actions
 from yuccahitch.resources import route as routes
 
+# Time after which instances have heard that an announced version serves, and by which callers that
+# wait for it come back spread, in seconds.
+SERVING_KNOWN_S = 0.3
+RETURN_SPREAD_S = 0.2
+
 
 class Assign(chain.BaseFilter):
     """Counts a request at the chosen upstream until the request or its attempt is over.
@@ -28,7 +34,10 @@
         context.upstream = ""
         context.instance = ""
         context.versions = self._wanted_versions(context, now)
-        return place.apply_choice(self.policy.place(_placement_task(context, now), now), context)
+        choice = self.policy.place(_placement_task(context, now), now)
+        if type(choice) is choices.Refused and choice.error.code is errors.Code.NO_UPSTREAM:
+            self._postpone(choice.error, context, now)
+        return place.apply_choice(choice, context)
 
     def leave(self, context: request_context.RequestContext, now: float) -> None:
         """Release the request from its upstream; learn the work time from a success."""
@@ -36,6 +45,23 @@
             self.policy.record_work_time(context.id, now)
         self.policy.release(context.id, now)
 
+    def _postpone(
+        self, error: errors.GatewayError, context: request_context.RequestContext, now: float
+    ) -> None:
+        """Let the caller of a new stream come back once a version that is announced serves."""
+        is_new = context.origin_version is None and context.hop is None
+        if not is_new or context.route.repeat is not routes.RepeatPolicy.RESUMABLE:
+            return
+        service = context.service.name
+        serves = any(
+            self.policy.registry.serves(service, version, now, regions=context.regions)
+            for version in context.versions
+        )
+        wait_s = self.versions.next_begin_s(service, now)
+        if wait_s is not None and not serves:
+            spread_s = self.policy.rng.random() * RETURN_SPREAD_S
+            error.retry_after = wait_s + SERVING_KNOWN_S + spread_s
+
     def _wanted_versions(
         self, context: request_context.RequestContext, now: float
     ) -> frozenset[str] | None:
