--- a/tests/features/stream_resumption.feature
+++ b/tests/features/stream_resumption.feature
@@ -77,6 +77,16 @@
       | a tab                |
       | letters beyond ASCII |
 
+  # Guards against a caller that names its stream, asks from its beginning and gets another version (ORDER).
+  Scenario: A request that names a stream and no last event goes only to the version that began it
+    Given 2 instances of a zone with upstreams of v1 and v2
+    When a stream of v1 breaks off at edge-1
+    And the zone runs on for 1 seconds
+    Then 20 requests at edge-1 that name that stream and no last event go to v1
+    And 20 requests at edge-2 that name that stream and no last event go to v1
+    And a request at edge-2 that names a stream that nobody knows, and no last event, is refused with origin-unknown
+    And a request at edge-2 with an empty name and no last event begins a stream
+
   Scenario: The stream of another client account is not known
     Given 1 instances of a zone with upstreams of v1 and v2
     When a stream of v1 breaks off at edge-1
@@ -97,6 +107,11 @@
     When 30 streams of that route break off and are taken up under other ids
     Then each goes on at the service that began it
 
+  # Guards against a take-up whose own id selects another service than that of its stream (ORDER).
+  Scenario: A take-up that names no stream is refused on a route that several services share
+    Given an instance with a route that two services share, each with a version of its own
+    Then 30 take-ups of that route that name no stream are refused with origin-unknown
+
   Scenario: A stream whose service left its route is refused
     Given an instance with a route that two services share, each with a version of its own
     When 30 streams of that route break off, the route leaves one service, and they are taken up
--- a/yuccahitch/filters/resumption.py
+++ b/yuccahitch/filters/resumption.py
@@ -62,13 +62,16 @@
         if context.route.repeat is not routes.RepeatPolicy.RESUMABLE:
             return actions.Proceed()
         request, account = context.request, context.account.name
-        if not request.resume_after:
+        if not (request.resume_after or request.resumes):
             context.stream_key = stream_origin.stream_key(account, request.id)
             return actions.Proceed()
         if request.resumes is not None and not _is_valid_id(request.resumes):
             error = errors.GatewayError(errors.Code.RESUMPTION_INVALID, step=self.step)
             return actions.Refuse(error)
         is_named = request.resumes is not None
+        if not is_named and len(routes.services_of(context.route)) > 1:
+            # The id of this request says nothing of the service that began the stream.
+            return self.refuse(context, errors.Code.ORIGIN_UNKNOWN, now)
         context.stream_key = stream_origin.stream_key(account, request.resumes or request.id)
         key = context.stream_key if is_named else None
         origin = self.streams.find(key, context.service.name, now)
@@ -175,7 +178,7 @@
             context.service.name,
             head.software_version,
             request=context.id,
-            stream=(context.request.resume_after and context.request.resumes) or context.id,
+            stream=context.request.resumes or context.id,
             upstream=head.source,
         )
 
