Write an electorate only once losses at one time have all been noticed

Cause of (2): an instance counts as lost after 2 s of silence here, counted from the last heartbeat that came by any way, and the electorate waited 1.2 s. The losses of one fleet were noticed 2.6 s apart and more. It now waits at least one and a half times the silence. At the default settings: 7.5 s instead of 4 s.

--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -170,6 +170,7 @@
             term_s=rate_settings.loan_s,
             drift_s=rate_settings.drift_s,
             horizon_s=rate_settings.horizon_s,
+            lost_after_s=self.settings.peers.lost_after_s,
         )
         self.rate_limiter = limits.RateLimiter(
             self.instance,
--- a/yuccahitch/controllers/session.py
+++ b/yuccahitch/controllers/session.py
@@ -23,8 +23,11 @@
 RENEWALS_PER_LEASE = 5
 # Time without contact to the store after which an instance is cut off, in renewal intervals.
 CUT_OFF_RENEWALS = 2
-# Time for which a wanted electorate must stay the same before it is written, in renewal intervals.
+# Time for which a wanted electorate must stay the same before it is written: the greater of these,
+# in renewal intervals and in the silence after which an instance counts as lost. Instances that end
+# together are noticed apart, by up to about that silence: last heartbeats spread by chance.
 ELECTORATE_SETTLE_RENEWALS = 2
+ELECTORATE_SETTLE_SILENCES = 1.5
 VOUCH_ROUNDS_PER_TERM = 3
 
 
@@ -82,6 +85,7 @@
         term_s: Time for which a vouch holds; also the longest loan, in seconds.
         drift_s: Margin for differences between clocks, in seconds.
         horizon_s: Time after which a cut-off instance stops spending, in seconds.
+        lost_after_s: Silence after which an instance counts as lost, in seconds.
 
     Attributes:
         lease: Id of the lease, or 0 without one.
@@ -114,6 +118,7 @@
         "term_s",
         "drift_s",
         "horizon_s",
+        "lost_after_s",
         "lease",
         "registered",
         "generation",
@@ -144,12 +149,14 @@
         term_s: float = 5.0,
         drift_s: float = 0.5,
         horizon_s: float = 5400.0,
+        lost_after_s: float = 5.0,
     ) -> None:
         self.instance = instance
         self.lease_s = lease_s
         self.term_s = term_s
         self.drift_s = drift_s
         self.horizon_s = horizon_s
+        self.lost_after_s = lost_after_s
         self.lease = 0
         self.registered = False
         self.generation = 0
@@ -176,6 +183,14 @@
         """Return the time between renewals of the lease, in seconds."""
         return self.lease_s / RENEWALS_PER_LEASE
 
+    @property
+    def electorate_settle_s(self) -> float:
+        """Return how long a wanted electorate must stay the same before it is written."""
+        return max(
+            ELECTORATE_SETTLE_RENEWALS * self.renew_s,
+            ELECTORATE_SETTLE_SILENCES * self.lost_after_s,
+        )
+
     def is_fresh(self, now: float) -> bool:
         """Return whether the store surely still holds the session."""
         return self.registered and now < self.fresh_until
@@ -285,7 +300,7 @@
 
     def _electorate_write_due(self, now: float) -> bool:
         """Return whether an electorate is to be written: a changed one, or an unconfirmed one."""
-        settled = now - self.electorate_wanted_since >= ELECTORATE_SETTLE_RENEWALS * self.renew_s
+        settled = now - self.electorate_wanted_since >= self.electorate_settle_s
         changed = self.pending_electorate is not None or (
             settled and self.wanted_electorate != self.electorate
         )
