Tell the peers at once that an instance is ready

What was seen: an instance refuses requests bound to another region (503 peer-unreachable) up to 2.3 s after all instances there are ready (KNOWN-RED.txt, leaving.feature, whole_path.feature:16).

Cause: that an instance is ready went out with its regular heartbeats, to one instance of the zone and one of another.

Tried: telling the peers known at that moment.

--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/gateway.py
@@ -287,14 +287,15 @@
         """Begin a graceful shutdown and announce it to the peers at once."""
         self.shutdown.begin(now)
         self.members.own.leaving = True
-        self.members.own.beat += 1
-        self.gossip.send_heartbeats(self.members.alive(), now)
+        self.gossip.announce_state(now)
 
     def tick(self, now: float) -> None:
         """Run the periodic work of all controllers."""
         self.gossip.send_due_heartbeats(now)
         self.members.own.leaving = self.shutdown.leaving
-        self.members.own.ready = self.config.ready()
+        if self.config.ready() and not self.members.own.ready:
+            self.members.own.ready = True
+            self.gossip.announce_state(now)
         self.members.own.config_age = int(min(65535, max(0.0, self.config.age(now))))
         infos = self.members.alive()
         self.config.update_watcher_role(
--- a/yuccahitch/controllers/gossip.py
+++ b/yuccahitch/controllers/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from yuccahitch.controllers import configuration, membership, suspects, upstreams
@@ -27,6 +28,9 @@
     Attributes:
         unknown_hashes: Hashes of instances whose infos the next heartbeat asks for, by the id of
             the peer that mentioned them.
+        state_news_until: Until when this instance's latest change of state, to ready or to leaving,
+            is told out of turn, in monotonic seconds.
+        told_instances: Ids of the instances that were told of it.
     """
 
     __slots__ = (
@@ -36,6 +40,8 @@
         "suspects",
         "rng",
         "unknown_hashes",
+        "state_news_until",
+        "told_instances",
         "outbox",
     )
 
@@ -54,6 +60,8 @@
         self.suspects = suspects
         self.rng = rng
         self.unknown_hashes: dict[str, list[int]] = {}
+        self.state_news_until = -math.inf
+        self.told_instances: set[str] = set()
         self.outbox: list[commands.Command] = []
 
     def make_heartbeat(self, receiver: str, now: float) -> peers.Gossip:
@@ -102,12 +110,24 @@
             )
             self.outbox.append(call)
 
+    def announce_state(self, now: float) -> None:
+        """Tell the peers soon that this instance became ready, or is leaving.
+
+        Those that it gets to know in the next seconds are told too, as instances that start
+        together are ready before they know each other.
+        """
+        self.members.own.beat += 1
+        self.state_news_until = now + membership.NEW_INFO_S
+        self.told_instances.clear()
+
     def send_urgent_heartbeats(self, now: float) -> None:
         """Send heartbeats at once when there is news that can't wait.
 
-        A request that crashes upstreams is announced to all regions, an upstream that is leaving
-        to the own region.
+        A request that crashes upstreams and a change of this instance's state are announced to all
+        regions, an upstream that is leaving to the own region.
         """
+        if now < self.state_news_until:
+            self._send_state_news(now)
         if self.suspects.announcement_due:
             self.suspects.announcement_due = False
             self.send_heartbeats(self.members.alive(), now)
@@ -130,6 +150,14 @@
             for info in infos[:MAX_URGENT_RECEIVERS]
         )
 
+    def _send_state_news(self, now: float) -> None:
+        """Send heartbeats to peers not told of a change yet, ``MAX_URGENT_RECEIVERS`` in all."""
+        untold_infos = [
+            info for info in self.members.alive() if info.instance not in self.told_instances
+        ][: MAX_URGENT_RECEIVERS - len(self.told_instances)]
+        self.told_instances.update(info.instance for info in untold_infos)
+        self.send_heartbeats(untold_infos, now)
+
     def _load_reports(self, receiver: str, now: float) -> list[peers.LoadReport]:
         """Return the load reports for a receiver, of all upstreams or of a selection."""
         upstream_names = [
