Tell in the hop and in the answer which upstreams a request has crashed

What was seen: a request that crashes an upstream here and goes on in another region crashes two more there (KNOWN-RED.txt, crashing_requests.feature:17).

Hypotheses, written down before the change: (1) the instance of the other region begins to count at 0, as the hop tells nothing: yes, it has one crash on record when it retries; (2) what it answers tells the entry of no crash, as a refusal holds only the error: yes; with one upstream in the second region and three in the third, three crash too (new scenario); (3) the entry avoids whole instances: true, but no cause of a third crash, so it stays: the other instance retries itself.

Both sides count them in the table that refuses, by upstream, so that a crash also reported otherwise counts once, and number them in the order of the attempts, so that they don't pass for one with a common cause.

The users' platform shares it. There a crash in another region before the answer began reached the entry only with pulses (new scenario: a request that had crashed three upstreams there was forwarded a fourth time before; now it is refused at the entry). A request whose upstream crashed by chance is tried again as before.

The simulated fleet now encodes the failures of forwarded requests.

--- a/fakes/request_flow.py
+++ b/fakes/request_flow.py
@@ -217,6 +217,7 @@
             answer_part = answers.Failure(
                 request_id=self.request_id, attempt=self.attempt, error=error
             )
+            answer_part = codec.from_part(codec.to_part(answer_part, stamp=0))
             self._send_to_source(
                 lambda: self.fleet.resume(
                     self.source, self.request_id, answer_part, self.origin_caller
--- a/tests/features/steps/crashing_requests.py
+++ b/tests/features/steps/crashing_requests.py
@@ -9,22 +9,23 @@
 from yuccahitch import errors
 from yuccahitch.messages import answers
 
-REGIONS = ("muscat-a", "sohar-a")
+REGIONS = ("muscat-a", "sohar-a", "salalah-a")
 WORK_S = 0.05
 
 
 def start_fleet(context, counts, serve):
     """Start an instance in each region, and some upstreams of the model there."""
+    regions = REGIONS[: len(counts)]
     models = [
         builders.an_upstream(f"ice-{region}-{number}", region=region)
-        for region, count in zip(REGIONS, counts, strict=True)
+        for region, count in zip(regions, counts, strict=True)
         for number in range(count)
     ]
     context.fleet = builders.a_fleet(
         1,
-        regions=REGIONS,
+        regions=regions,
         per_region=1,
-        specs=[*builders.a_site(regions=REGIONS, replicas=0), *models],
+        specs=[*builders.a_site(regions=regions, replicas=0), *models],
         serve=serve,
     )
     context.reached = []
@@ -55,11 +56,25 @@
     "which crash on it"
 )
 def step_start_crashing(context, here, there):
+    start_crashing_fleet(context, (here, there))
+
+
+@behave.given(
+    "a fleet with {second:d} upstreams in the second region and {third:d} in the third, "
+    "which crash on it"
+)
+def step_start_crashing_elsewhere(context, second, third):
+    start_crashing_fleet(context, (0, second, third))
+
+
+def start_crashing_fleet(context, counts):
+    """Start a fleet whose upstreams all crash on the request."""
+
     def crash(fleet, instance, work, report):
         context.reached.append(work.upstream)
         report_failure(fleet, work, report, crashed=True)
 
-    start_fleet(context, (here, there), crash)
+    start_fleet(context, counts, crash)
 
 
 @behave.given(
@@ -82,9 +97,9 @@
     send(context, REGIONS[0])
 
 
-@behave.when("callers of both regions send the request again")
-def step_send_to_both(context):
-    for region in REGIONS:
+@behave.when("callers of all regions send the request again")
+def step_send_to_all(context):
+    for region in REGIONS[: len(context.fleet.alive())]:
         send(context, region)
 
 
--- a/yuccahitch/codecs/peer.py
+++ b/yuccahitch/codecs/peer.py
@@ -273,7 +273,7 @@
         attempt=work.attempt,
         parts=[pb.PromptPart(id=name, tokens=tokens) for name, tokens in request.prompt_parts],
         resume_after=request.resume_after,
-        **(hop.as_dict() | {"versions": _version_set(hop.versions)}),
+        **(hop.as_dict() | _hop_messages(hop)),
     )
 
 
@@ -287,6 +287,14 @@
     return tuple((item.name, header_text.from_bytes(item.value)) for item in messages)
 
 
+def _hop_messages(hop: requests.Hop) -> dict[str, typing.Any]:
+    """Return the fields of a hop that are messages of their own."""
+    return {
+        "versions": _version_set(hop.versions),
+        "crashes": suspects.crashes_to_protobuf(hop.crashes),
+    }
+
+
 def _version_set(versions: tuple[str, ...] | None) -> pb.VersionSet | None:
     """Return software versions as a message; None, which stands for all, has none."""
     return None if versions is None else pb.VersionSet(names=versions)
@@ -348,6 +356,7 @@
         streams=message.streams,
         leased=message.leased,
         versions=tuple(message.versions.names) if message.HasField("versions") else None,
+        crashes=suspects.crashes_from_protobuf(message.crashes),
     )
     return request, hop, message.attempt
 
@@ -398,6 +407,7 @@
         retry_after=error.retry_after or 0.0,
         crashed=part.crashed,
         usage=pb.Usage(**part.usage.as_dict()),
+        crashes=suspects.crashes_to_protobuf(error.crashes),
     )
     return pb.Part(stamp=stamp, request_id=part.request_id, attempt=part.attempt, failure=failure)
 
@@ -459,6 +469,7 @@
         detail=message.detail,
         run=errors.RunStatus(message.run) if message.run else errors.RunStatus.MAY_HAVE_RUN,
         retry_after=message.retry_after or None,
+        crashes=suspects.crashes_from_protobuf(message.crashes),
     )
     return answers.Failure(
         request_id=request_id,
--- a/yuccahitch/controllers/in_flight.py
+++ b/yuccahitch/controllers/in_flight.py
@@ -6,7 +6,7 @@
 
 from yuccahitch import errors
 from yuccahitch.controllers import request_log
-from yuccahitch.filters import chain, request_context
+from yuccahitch.filters import chain, poison, request_context
 from yuccahitch.messages import actions, commands, request_lifecycle, requests
 
 # Work that sends a request to an upstream or to another instance. Other work waits here, and its
@@ -108,10 +108,13 @@
     ) -> request_lifecycle.NextAction | None:
         """Log the decision in an action; return it as an Outcome, or None if the request waits.
 
-        A refusal says that the request may have run if any attempt may have.
+        A refusal says that the request may have run if any attempt may have, and tells the instance
+        that forwarded it which upstreams crashed here.
         """
         if type(action) is actions.Refuse and context.may_have_run:
             action.error.run = errors.RunStatus.MAY_HAVE_RUN
+        if type(action) is actions.Refuse and context.hop is not None:
+            action.error.crashes = tuple(poison.crash_reports(context, now, own_only=True))
         for log_event in request_log.decision_events(action, context, now):
             self._log(log_event, now)
         if type(action) is actions.Perform:
--- a/yuccahitch/controllers/suspects.py
+++ b/yuccahitch/controllers/suspects.py
@@ -118,12 +118,27 @@
         self.announced_at = -math.inf
         self.outbox: list[commands.Command] = []
 
-    def record_crash(self, request: suspects.SuspectRequest, upstream: str, now: float) -> None:
-        """Record that an upstream crashed while it worked on a request of this instance."""
+    def record_crash(
+        self, request: suspects.SuspectRequest, upstream: str, now: float
+    ) -> crash_evidence.Crash:
+        """Record that an upstream crashed while it worked on a request; return the crash."""
         crash = self.evidence.crash_of(upstream, now)
         if crash.add(request):
             self._report_later(crash, request, now)
             self._judge_request(request.request_trait, crash, now)
+        return crash
+
+    def record_forwarded_crash(
+        self, request: suspects.SuspectRequest, report: suspects.CrashReport, now: float
+    ) -> crash_evidence.Crash:
+        """Record a crash of an attempt at a request that another instance made; return the crash.
+
+        That instance reports it to the others itself.
+        """
+        crash = self.evidence.crash_of(report.upstream, now - report.age_ms / 1000)
+        crash.add(request)
+        self._judge_request(request.request_trait, crash, now)
+        return crash
 
     def record_answer(self, traits: typing.Iterable[int], began_at: float, now: float) -> None:
         """Record that a request with some traits was answered in full."""
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import enum
+import typing
+
+from yuccahitch.messages import suspects
 
 
 class RunStatus(enum.Enum):
@@ -143,6 +146,7 @@
         detail: One sentence for the caller or operator; never contains a secret.
         run: Whether an upstream may have run the request.
         retry_after: Time after which a retry may succeed, in seconds, or None.
+        crashes: Crashes of upstreams that worked on a forwarded request where it was refused.
     """
 
     def __init__(
@@ -154,6 +158,7 @@
         detail: str = "",
         run: RunStatus = RunStatus.NOT_RUN,
         retry_after: float | None = None,
+        crashes: typing.Iterable[suspects.CrashReport] = (),
     ) -> None:
         super().__init__(f"{code.wire} at {step} ({peer}): {detail or code.meaning}")
         self.code = code
@@ -162,3 +167,4 @@
         self.detail = detail
         self.run = run
         self.retry_after = retry_after
+        self.crashes = tuple(crashes)
--- a/yuccahitch/filters/_forwarding.py
+++ b/yuccahitch/filters/_forwarding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch.controllers import membership
-from yuccahitch.filters import request_context
+from yuccahitch.filters import poison, request_context
 from yuccahitch.messages import actions, peers, requests
 
 
@@ -38,6 +38,7 @@
         granted_tokens=0 if owned else context.output_token_limit,
         better_than_s=0.0 if owned else context.better_than_s,
         leased=context.idempotent and not owned,
+        crashes=poison.crash_reports(context, now),
     )
     return actions.Forward(
         instance=info.instance,
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -151,6 +151,7 @@
         context.last_error = reply.error
         return actions.Rewind(choices.STEP)
     context.reached_upstream = context.reached_upstream or reached_upstream
+    poison.record_forwarded_crashes(context, dispatch_filter.suspects, reply.error.crashes, now)
     if reply.crashed:
         poison.record_crash(context, dispatch_filter.suspects, reply.error.peer, now)
     elif context.upstream:
--- a/yuccahitch/filters/poison.py
+++ b/yuccahitch/filters/poison.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import typing
 
 import xxhash
 
@@ -33,6 +34,8 @@
 
     def enter(self, context: request_context.RequestContext, now: float) -> actions.Action:
         """Proceed, or refuse a request with a trait that crashed several upstreams."""
+        if context.hop is not None and not context.crashes:
+            record_forwarded_crashes(context, self.suspects, context.hop.crashes, now)
         error = refusal(context, self.suspects, now)
         return actions.Proceed() if error is None else actions.Refuse(error)
 
@@ -72,13 +75,12 @@
         upstream: The incarnation of the upstream.
         now: Monotonic seconds.
     """
-    context.crash_count += 1
     request = suspect_request(context)
-    request.crash_number = context.crash_count
+    request.crash_number = len(context.crashes) + 1
     began = context.answered_attempt == context.attempt
     if began and now - context.answer_began_at > ANSWER_BEGIN_S:
         request.part_traits = ()
-    table.record_crash(request, upstream, now)
+    context.crashes.append(table.record_crash(request, upstream, now))
     log_event = commands.LogEvent(
         events.Event.REQUEST_SUSPECTED,
         request=context.id,
@@ -91,6 +93,42 @@
     table.outbox.append(log_event)
 
 
+def record_forwarded_crashes(
+    context: request_context.RequestContext,
+    table: suspect_table.Suspects,
+    reports: typing.Iterable[suspects.CrashReport],
+    now: float,
+) -> None:
+    """Record crashes of attempts that another instance made at a request, in their order."""
+    for report in reports:
+        for request in report.requests:
+            request.crash_number = len(context.crashes) + 1
+            context.crashes.append(table.record_forwarded_crash(request, report, now))
+
+
+def crash_reports(
+    context: request_context.RequestContext, now: float, *, own_only: bool = False
+) -> list[suspects.CrashReport]:
+    """Return reports of the crashes in the attempts at a request.
+
+    Args:
+        context: The request.
+        now: Monotonic seconds.
+        own_only: Leave out those that came with the hop.
+    """
+    from_hop = len(context.hop.crashes) if own_only and context.hop is not None else 0
+    if len(context.crashes) <= from_hop:
+        return []
+    request = suspect_request(context)
+    reports = []
+    for crash in context.crashes[from_hop:]:
+        known = crash.requests.get(request.request_trait, request)
+        told = suspects.SuspectRequest(known.request_trait, known.part_traits)
+        age_ms = max(0, int((now - crash.at) * 1000))
+        reports.append(suspects.CrashReport(crash.upstream, age_ms=age_ms, requests=[told]))
+    return reports
+
+
 def record_answer(
     context: request_context.RequestContext, table: suspect_table.Suspects, now: float
 ) -> None:
--- a/yuccahitch/filters/request_context.py
+++ b/yuccahitch/filters/request_context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import placement_inputs, stream_origins
+from yuccahitch.controllers import crash_evidence, placement_inputs, stream_origins
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import account, route, service
 
@@ -47,7 +47,8 @@
         send_count: Number of attempts made by ``filters.send``.
         answered_attempt: Number of the latest attempt whose answer began, or 0.
         answer_began_at: When that answer began, in monotonic seconds.
-        crash_count: Number of its attempts whose upstream crashed.
+        crashes: Crashes of upstreams in its attempts, in their order, those that came with the hop
+            included.
         origin_version: Software version that began its stream, once that is known; the stream goes
             on only there. None on routes whose streams can't be resumed.
         stream_key: Key of its stream, or None where streams can't be resumed.
@@ -92,7 +93,7 @@
         "send_count",
         "answered_attempt",
         "answer_began_at",
-        "crash_count",
+        "crashes",
         "origin_version",
         "stream_key",
         "stream",
@@ -136,7 +137,7 @@
         self.send_count = 0
         self.answered_attempt = 0
         self.answer_began_at = 0.0
-        self.crash_count = 0
+        self.crashes: list[crash_evidence.Crash] = []
         self.origin_version: str | None = None
         self.stream_key: int | None = None
         self.stream: stream_origins.OwnStream | None = None
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -124,6 +124,7 @@
             streams=context.route.streams,
             leased=context.idempotent,
             versions=None if context.versions is None else tuple(sorted(context.versions)),
+            crashes=poison.crash_reports(context, now),
         )
         work = actions.Forward(
             instance=context.instance,
@@ -267,7 +268,8 @@
 ) -> None:
     """Record a failed attempt, so that the next one goes to another target."""
     error = reply.error
-    if reply.crashed and error.peer:
+    poison.record_forwarded_crashes(context, send_filter.suspects, error.crashes, now)
+    if reply.crashed and error.peer and not error.crashes:
         incarnation = send_filter.registry.incarnation(error.peer)
         poison.record_crash(context, send_filter.suspects, incarnation, now)
     if context.upstream and error.code is errors.Code.UPSTREAM_MOVED:
--- a/yuccahitch/messages/requests.py
+++ b/yuccahitch/messages/requests.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import typing
+
 from yuccahitch import records
+from yuccahitch.messages import suspects
 
 # Kinds of requests, described at ``Request.kind``.
 CHAT = "chat"
@@ -121,6 +124,7 @@
         streams: Whether the answers on that route are streams of events.
         leased: Whether the request may be repeated, and so runs under a lease.
         versions: Software versions whose upstreams may get the request; None means every one.
+        crashes: Crashes of upstreams in its attempts so far, in their order.
     """
 
     __slots__ = (
@@ -140,6 +144,7 @@
         "streams",
         "leased",
         "versions",
+        "crashes",
     )
 
     def __init__(
@@ -161,6 +166,7 @@
         streams: bool = False,
         leased: bool = False,
         versions: tuple[str, ...] | None = None,
+        crashes: typing.Iterable[suspects.CrashReport] = (),
     ) -> None:
         self.sender = sender
         self.account = account
@@ -178,3 +184,4 @@
         self.streams = streams
         self.leased = leased
         self.versions = versions
+        self.crashes = tuple(crashes)
