--- a/tests/features/served_versions.feature
+++ b/tests/features/served_versions.feature
@@ -108,6 +108,28 @@
     When the zone runs on for 125 seconds
     Then the record is "v2 serving"
 
+  # Guards against streams of that version being taken for the other one's when its upstreams are back too (ORDER).
+  Scenario Outline: A version at which an instance that was cut off began streams serves once others have seen it
+    Given 3 instances of a zone with upstreams of v1
+    When edge-1 can't reach the store
+    And upstreams of v2 register
+    And upstreams of v1 leave
+    And the zone runs on for 150 seconds
+    Then streams begin at v1 only at edge-1
+    When upstreams of v1 register
+    And the zone runs on for <seconds> seconds
+    And edge-1 reaches the store again
+    And the zone runs on for 0.7 seconds
+    Then the record is "v2 serving, v1 retired"
+    And edge-2 refuses to take up a stream that it doesn't know
+    When the zone runs on for 2 seconds
+    Then the record is "v2 serving, v1 serving"
+
+    Examples:
+      | seconds |
+      | 0.0     |
+      | 0.5     |
+
   # Guards against take-ups that are refused in calm as knowledge ages between two polls of the store (LOST).
   Scenario Outline: With a single version no take-up is refused in calm
     Given 4 calm instances with upstreams of v1 and bounds of <ms> ms
--- a/yuccahitch/controllers/_service_versions.py
+++ b/yuccahitch/controllers/_service_versions.py
@@ -143,11 +143,11 @@
         return min(waits_s, default=None)
 
     def unrecorded(self, now: float) -> set[str]:
-        """Return the versions that the record lacks although streams began here meanwhile."""
+        """Return the versions that the record lacks, or has as new, although streams began here."""
         return {
             version
             for version, begun_at in self.begun_at.items()
-            if version not in self.states and now - begun_at < RETENTION_S
+            if self.states.get(version, ANNOUNCED) is ANNOUNCED and now - begun_at < RETENTION_S
         }
 
     def observe_entries(self, named: set[str], now: float, *, fresh: bool) -> None:
@@ -169,18 +169,16 @@
             fresh: Whether the knowledge of the store is fresh.
             hold_s: Time for which a version stays announced, in seconds.
         """
-        states = dict.fromkeys(self.unrecorded(now), RETIRED) | self.states
+        states = self.states | dict.fromkeys(self.unrecorded(now), RETIRED)
         for version in offered:
-            if version not in states:
-                states[version] = ANNOUNCED
-            elif states[version] is RETIRED:
-                states[version] = SERVING
-        for version, state in self.states.items():
+            states.setdefault(version, ANNOUNCED)
+        unchanged = [(v, state) for v, state in self.states.items() if states[v] is state]
+        for version, state in unchanged:
             known_s = now - self.since.get(version, now)
             unnamed_s = now - self.named_at.get(version, now)
             is_recorded = self.record is not None and self.record.states.get(version) is state
-            is_due = is_recorded and fresh and known_s >= hold_s and version in offered
-            if state is ANNOUNCED and is_due:
+            is_due = is_recorded and known_s >= hold_s and version in offered
+            if is_due and (state is RETIRED or (state is ANNOUNCED and fresh)):
                 states[version] = SERVING
             # The only version stays: nothing can be mistaken for it, and it costs no write.
             if len(states) > 1 and unnamed_s >= RETIRE_AFTER_S:
