Take up a stream that is not named when the knowledge of the store is fresh, in its scenario

Trace: the take-up came 1.05 s after the store was last known, so it waits for the next poll, as DESIGN.md says (knowledge up to 1 s old counts); 'A take-up waits ...' and 'Streams go on while ...' play that. The scenario asks for a take-up that goes on at once; it now begins where knowledge is fresh, as its neighbours do. What it checks is unchanged.

--- a/tests/features/stream_resumption.feature
+++ b/tests/features/stream_resumption.feature
@@ -51,6 +51,7 @@
 
   Scenario: A take-up that names no stream goes on only where one version can have begun it
     Given 2 instances of a zone with upstreams of v1
+    When edge-2 has just learned that the store is as it knows it
     Then a take-up at edge-2 that names no stream goes to v1
     When upstreams of v2 register
     And the zone runs on for 5 seconds
