--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -154,7 +154,7 @@
     )
     async with aiohttp.ClientSession() as session:
         poller.session = session
-        return await poller._get_json(url + "/load")
+        return await poller._get_json(url + "/load", pollers.MAX_REPORT_BYTES)
 
 
 def a_store_client(url, *, dialect=platform_store, on_reply=lambda reply: None):
--- a/yuccahitch/tasks/pollers.py
+++ b/yuccahitch/tasks/pollers.py
@@ -34,8 +34,10 @@
     RecursionError,
 )
 
-# Largest report or list that is read, in bytes.
-MAX_REPORT_BYTES = 4 * 1024 * 1024
+# Largest load report that is read, in bytes: four numbers, read from many upstreams at a time.
+MAX_REPORT_BYTES = 64 * 1024
+# Largest instance list or client directory that is read, in bytes.
+MAX_LIST_BYTES = 4 * 1024 * 1024
 # Instances that may poll an upstream in place of its poller.
 MAX_BACKUPS = 1
 # Age of an upstream's report from which the first of them polls it, in seconds; each further one
@@ -223,7 +225,7 @@
 
     async def _poll_load(self, name: str, address: str) -> None:
         """Read the load report of an upstream and post it to the core."""
-        body = await self._get_json(f"{address}/load")
+        body = await self._get_json(f"{address}/load", MAX_REPORT_BYTES)
         if body is None:
             return
         try:
@@ -234,7 +236,9 @@
 
     async def _poll_instances(self) -> None:
         """Read the instance list; post gateways as seeds and leaving upstreams as load reports."""
-        body = await self._get_json(self.settings.platform.instances_url + "/instances")
+        body = await self._get_json(
+            self.settings.platform.instances_url + "/instances", MAX_LIST_BYTES
+        )
         if body is None:
             return
         try:
@@ -251,7 +255,9 @@
 
     async def _poll_directory(self) -> None:
         """Read the client directory and post its entries to the core."""
-        body = await self._get_json(self.settings.platform.directory_url + "/clients")
+        body = await self._get_json(
+            self.settings.platform.directory_url + "/clients", MAX_LIST_BYTES
+        )
         if body is None:
             return
         try:
@@ -267,13 +273,13 @@
             self.core_inbox.post(core_messages.EntriesUnreadable(source, details))
         self.unreadable[source] = details
 
-    async def _get_json(self, url: str) -> typing.Any:
-        """Return the JSON at a URL, or None if it can't be read."""
+    async def _get_json(self, url: str, max_bytes: int) -> typing.Any:
+        """Return the JSON of a limited size at a URL, or None if it can't be read."""
         try:
             async with self.session.get(url) as response:
                 if response.status != 200:
                     return None
-                return json.loads(await bounded_body.read(response, MAX_REPORT_BYTES))
+                return json.loads(await bounded_body.read(response, max_bytes))
         except READ_ERRORS:
             return None
 
