--- a/tests/features/restarted_upstreams.feature
+++ b/tests/features/restarted_upstreams.feature
@@ -66,6 +66,18 @@
     Then the answers hold events of v1 only, and are complete
     And the log says upstream-replaced once
 
+  # Guards against upstreams without streams as a notice of their former start came late (LOST).
+  Scenario: What was found of a former start doesn't count against the one whose entry is known
+    Given an instance that knows upstreams u1 of v1
+    When all upstreams start again with v2, which is heard before a notice that they started again
+    And a stream is asked for
+    Then the answer holds events of v2 only, and is complete
+
+  Scenario: An upstream that started again counts as sound, however many streams could not go there
+    Given an instance that knows upstreams u1 of v1
+    When all upstreams start again with v2, which is not heard, and 8 streams are asked for at once
+    Then all of them are refused and did not run, and u1 has not been ejected
+
   Scenario Outline: What a report doesn't tell is guessed only while a single version is known
     Given an instance that knows upstreams <upstreams>
     And the upstreams answer with <report> instead of their reports
--- a/tests/features/steps/restarted_upstreams.py
+++ b/tests/features/steps/restarted_upstreams.py
@@ -10,6 +10,7 @@
 
 from tests import forwarding_pair, restarting_upstreams
 from yuccahitch import errors, events
+from yuccahitch.messages import upstream_notices
 
 STREAM_PATH = "/plan/x"
 OTHER_PATH = "/ask/x"
@@ -146,6 +147,35 @@
     ask(context, OTHER_PATH)
 
 
+@behave.when(
+    "all upstreams start again with {version}, which is heard before a notice that they started"
+    " again"
+)
+def step_hear_before_notice(context, version):
+    site = context.restarts
+    registry = site.node.edge.decisions.registry
+    former = {name: registry.incarnation(name) for name in site.upstreams}
+    context.loop.run_until_complete(restart_all(site, version))
+    for name, incarnation in former.items():
+        site.register(name)
+        notice = upstream_notices.UpstreamNotice(name, incarnation=incarnation, replaced=True)
+        site.node.edge.decisions.on_upstream_notice(notice, site.node.edge.now)
+
+
+@behave.when(
+    "all upstreams start again with {version}, which is not heard, and {count:d} streams are asked"
+    " for at once"
+)
+def step_ask_at_once(context, version, count):
+    site = context.restarts
+
+    async def work():
+        await restart_all(site, version)
+        return await asyncio.gather(*(site.ask(STREAM_PATH) for _ in range(count)))
+
+    context.asked = context.loop.run_until_complete(work())
+
+
 @behave.when("the new entries are heard, and a stream is asked for")
 def step_hear(context):
     for name in context.restarts.upstreams:
@@ -186,6 +216,15 @@
     assert request_id not in received, received
 
 
+@behave.then("all of them are refused and did not run, and {name} has not been ejected")
+def step_check_all_refused(context, name):
+    ends = [error for _, sink in context.asked for error in sink.ends]
+    assert len(ends) == len(context.asked), ends
+    assert all(error.run is errors.RunStatus.NOT_RUN for error in ends), ends
+    replica = context.restarts.node.edge.decisions.registry.by_name[name]
+    assert replica.success_rate == 1.0 and replica.ejected_until < 0, replica.success_rate
+
+
 @behave.then("it is refused, and may have run")
 def step_check_no_promise(context):
     ((_, sink),) = context.asked
