Take the owner of a key as ended where another instance listens at its address (own interface)

What callers saw: an order with a key that an instance had given out, sent again to that instance after its restart, was told 409 "The request id belongs to another open request." for some seconds, though the id was its own; elsewhere it was told 503, that the owner has ended, which is true.

Cause: the owner's id is unique, its address is not: the instance that had started again still knew its former life by gossip and forwarded the order to that one's address, so to itself, where the id of the request was open. Nothing ran: the key names the instance, and only that one runs it.

Ruled out: to forget members at the own address in membership.find: seven callers use it, and some take what they ask for as known.

--- a/yuccahitch/filters/idempotency.py
+++ b/yuccahitch/filters/idempotency.py
@@ -155,7 +155,9 @@
     ) -> actions.Action:
         """Forward the request to the instance that minted its key."""
         owner_info = self.members.find(minted_key.instance)
-        if owner_info is None or context.hop is not None:
+        # This instance listens where the owner did, so the owner has ended.
+        is_replaced = owner_info is not None and owner_info.address == self.members.own.address
+        if owner_info is None or is_replaced or context.hop is not None:
             raise _error(
                 errors.Code.PEER_UNREACHABLE,
                 "the instance that minted the key has ended or is unreachable",
