--- a/tests/features/steps/stream_resumption.py
+++ b/tests/features/steps/stream_resumption.py
@@ -159,6 +159,15 @@
     assert settle(context, name, outcome) == code
 
 
+@behave.then(
+    "a take-up at {name:S} is refused with {code:S} and a time to come back of {seconds:g} seconds"
+)
+def step_check_time_to_come_back(context, name, code, seconds):
+    outcome = stream_simulation.take_up(context.site, name, "unknown")
+    assert settle(context, name, outcome) == code
+    assert outcome.action.error.retry_after == seconds
+
+
 @behave.then("no stream of that id is known for another client account")
 def step_check_account(context):
     origins = context.site.edges["edge-1"].decisions.origins
--- a/tests/features/stream_resumption.feature
+++ b/tests/features/stream_resumption.feature
@@ -37,6 +37,16 @@
     Then a take-up at edge-2 that names no stream is refused with origin-unknown at once
     And a take-up at edge-2 of a stream that it doesn't know is refused with origin-unknown at once
 
+  # Guards against callers that spend all their tries while the store is out of reach.
+  Scenario: A caller whose stream isn't known while the store is out of reach comes back later than others
+    Given 2 instances of a zone with upstreams of v1
+    When edge-2 can't reach the store
+    And the zone runs on for 3 seconds
+    Then a take-up at edge-2 is refused with origin-unknown and a time to come back of 2 seconds
+    When edge-2 reaches the store again
+    And the zone runs on for 2 seconds
+    Then edge-2 takes up a stream that it doesn't know at v1
+
   Scenario: A caller with little time waits no longer than that
     Given 2 instances of a zone with upstreams of v1 and v2
     When a caller with 300 ms takes up a stream at edge-2 that nobody knows
@@ -51,6 +61,7 @@
 
   Scenario: A take-up that names no stream goes on only where one version can have begun it
     Given 2 instances of a zone with upstreams of v1
+    When edge-2 has just learned that the store is as it knows it
     Then a take-up at edge-2 that names no stream goes to v1
     When upstreams of v2 register
     And the zone runs on for 5 seconds
--- a/yuccahitch/filters/resumption.py
+++ b/yuccahitch/filters/resumption.py
@@ -27,6 +27,8 @@
 WAIT_RESERVE_S = 0.1
 # Time after which a caller may try again whose stream's origin may become known, in seconds.
 RETRY_AFTER_S = 0.4
+# The same while the store is out of reach, in seconds: it may stay so for longer than a few tries.
+UNREACHED_RETRY_AFTER_S = 2.0
 # Longest id of the request that began a stream.
 MAX_ID_LENGTH = 200
 
@@ -130,7 +132,10 @@
         """Refuse to go on with a stream, with the reason in the log."""
         fields = {"code": code.wire} | ({"detail": detail} if detail else {})
         self.streams.log(events.Event.ORIGIN_MISSED, **_fields(context, now), **fields)
-        retry_after = RETRY_AFTER_S if code is errors.Code.ORIGIN_UNKNOWN else None
+        retry_after = None
+        if code is errors.Code.ORIGIN_UNKNOWN:
+            hears_news = self.streams.versions.hears_of_store(now)
+            retry_after = RETRY_AFTER_S if hears_news else UNREACHED_RETRY_AFTER_S
         error = errors.GatewayError(code, step=self.step, detail=detail, retry_after=retry_after)
         return actions.Refuse(error)
 
