--- a/yuccahitch/filters/resumption.py
+++ b/yuccahitch/filters/resumption.py
@@ -71,9 +71,6 @@
             error = errors.GatewayError(errors.Code.RESUMPTION_INVALID, step=self.step)
             return actions.Refuse(error)
         is_named = request.resumes is not None
-        if not is_named and len(routes.services_of(context.route)) > 1:
-            # The id of this request says nothing of the service that began the stream.
-            return self.refuse(context, errors.Code.ORIGIN_UNKNOWN, now)
         context.stream_key = stream_origin.stream_key(account, request.resumes or request.id)
         key = context.stream_key if is_named else None
         origin = self.streams.find(key, context.service.name, now)
