--- a/tests/features/crashing_requests.feature
+++ b/tests/features/crashing_requests.feature
@@ -29,11 +29,17 @@
     When callers of all regions send the request again
     Then 2 upstreams crashed, and the caller got poison, not-run
 
-  Scenario: A request that failed in another region is tried again
-    Given a fleet with 0 upstreams in the first region and 3 in the second, of which the first fails
+  Scenario Outline: A request that failed in another region is tried again
+    Given a fleet with <here> upstreams in the first region and <there> in the second, of which the first <fails>
     When a caller of the first region sends the request
     Then the caller got an answer
 
+    Examples:
+      | here | there | fails   |
+      | 0    | 3     | fails   |
+      | 0    | 3     | crashes |
+      | 1    | 1     | crashes |
+
   # Guards against requests that crash one upstream after the other of a region that reports late.
   Scenario: On the users' platform, a crash in another region counts at once where the request came from
     Given a platform with an instance in east, one in west, and 4 upstreams in west
--- a/tests/features/steps/crashing_requests.py
+++ b/tests/features/steps/crashing_requests.py
@@ -79,13 +79,13 @@
 
 @behave.given(
     "a fleet with {here:d} upstreams in the first region and {there:d} in the second, "
-    "of which the first fails"
+    "of which the first {fails}"
 )
-def step_start_failing(context, here, there):
+def step_start_failing(context, here, there, fails):
     def fail_first(fleet, instance, work, report):
         context.reached.append(work.upstream)
         if len(context.reached) == 1:
-            report_failure(fleet, work, report, crashed=False)
+            report_failure(fleet, work, report, crashed=fails == "crashes")
         else:
             request_flow.serve_at_once(fleet, instance, work, report)
 
