--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -443,5 +443,5 @@
 @behave.then("each electorate consists of the remaining instances")
 def step_electorates_match_remaining(context):
     remaining = tuple(sorted(i.name for i in context.fleet.alive()))
-    electorates = {i.decisions.store_session.electorate for i in context.fleet.alive()}
+    electorates = {i.decisions.store_session.electorate.members for i in context.fleet.alive()}
     assert electorates == {remaining}, electorates
--- a/tests/features/steps/membership.py
+++ b/tests/features/steps/membership.py
@@ -9,7 +9,7 @@
 from fakes import fleet as fleets
 from tests import builders
 from yuccahitch import events
-from yuccahitch.controllers import session
+from yuccahitch.controllers import electorate
 
 REGION = "muscat-a"
 SETTLE_S = 8.0
@@ -65,7 +65,7 @@
     for seed, fleet in enumerate(context.fleets):
         names = tuple(sorted(instance.name for instance in fleet.alive()))
         writes = context.electorate_writes[seed]
-        counts = [writes[session.ELECTORATE_PREFIX + name] for name in names]
-        electorates = {item.decisions.store_session.electorate for item in fleet.alive()}
+        counts = [writes[electorate.PREFIX + name] for name in names]
+        electorates = {item.decisions.store_session.electorate.members for item in fleet.alive()}
         assert counts == [1] * len(names), (seed, counts)
         assert electorates == {names}, (seed, electorates)
--- a/yuccahitch/controllers/_inputs.py
+++ b/yuccahitch/controllers/_inputs.py
@@ -8,6 +8,7 @@
 from yuccahitch import clock, events
 from yuccahitch.controllers import (
     configuration,
+    electorate,
     gossip,
     limits,
     membership,
@@ -60,7 +61,7 @@
             session.LeaseGrant,
             session.LeaseRenewal,
             session.SessionRegistration,
-            session.ElectorateWrite,
+            electorate.ElectorateWrite,
         ),
         "store_session",
     ),
--- a/yuccahitch/controllers/reclaim.py
+++ b/yuccahitch/controllers/reclaim.py
@@ -12,7 +12,7 @@
 import typing
 
 from yuccahitch import events, records
-from yuccahitch.controllers import membership, rendezvous, session, slice_record, slices
+from yuccahitch.controllers import electorate, membership, rendezvous, session, slice_record, slices
 from yuccahitch.messages import commands, peers, store
 
 CHECK_INTERVAL_S = 2.0
@@ -254,7 +254,7 @@
 
     def _read_state(self, candidate: ReclaimCandidate) -> None:
         """Read from the store whether a candidate left, its electorate and its session."""
-        for prefix in (session.LEFT_PREFIX, session.ELECTORATE_PREFIX, session.SESSION_PREFIX):
+        for prefix in (session.LEFT_PREFIX, electorate.PREFIX, session.SESSION_PREFIX):
             call = store.Range(prefix + candidate.instance)
             self.outbox.append(commands.StoreCall(call, StateRead(candidate.instance, prefix)))
 
@@ -303,7 +303,7 @@
 
     def _reclaim_if_attested(self, candidate: ReclaimCandidate, now: float) -> None:
         """Begin to take over the slices once enough members have attested in time."""
-        needed = session.attests_needed(len(candidate.electorate))
+        needed = electorate.attests_needed(len(candidate.electorate))
         in_time = (
             now - candidate.attests_requested_at <= ATTEST_ROUND_TERMS * self.store_session.term_s
         )
@@ -348,7 +348,7 @@
             conditions=[
                 store.Condition(key, record.revision),
                 store.Condition(session.SESSION_PREFIX + instance, 0),
-                store.Condition(session.ELECTORATE_PREFIX + instance, electorate_revision),
+                store.Condition(electorate.PREFIX + instance, electorate_revision),
             ],
             changes=[store.Put(key, new_record.to_bytes())],
         )
@@ -387,7 +387,7 @@
     if revision != candidate.electorate_revision:
         candidate.absent_since = None
     candidate.electorate_revision = revision
-    candidate.electorate = session.electorate_from_bytes(items[0].value) if items else ()
+    candidate.electorate = electorate.from_bytes(items[0].value) if items else ()
 
 
 def _apply_session(
@@ -404,7 +404,7 @@
 
 _STATE_HANDLERS = {
     session.LEFT_PREFIX: _apply_left_marker,
-    session.ELECTORATE_PREFIX: _apply_electorate,
+    electorate.PREFIX: _apply_electorate,
     session.SESSION_PREFIX: _apply_session,
 }
 
@@ -427,7 +427,7 @@
     if not held_records and purpose.instance in reclaimer.candidates:
         del reclaimer.candidates[purpose.instance]
         if purpose.electorate_revision:
-            electorate_key = session.ELECTORATE_PREFIX + purpose.instance
+            electorate_key = electorate.PREFIX + purpose.instance
             commit = store.Commit(
                 conditions=[
                     store.Condition(electorate_key, purpose.electorate_revision),
--- a/yuccahitch/controllers/session.py
+++ b/yuccahitch/controllers/session.py
@@ -9,16 +9,15 @@
 from __future__ import annotations
 
 import functools
-import json
 import math
 import typing
 
 from yuccahitch import records
+from yuccahitch.controllers import electorate
 from yuccahitch.messages import commands, peers, store
 
 # Prefixes of the store's keys; the instance id follows.
 SESSION_PREFIX = "sessions/"
-ELECTORATE_PREFIX = "pins/"
 LEFT_PREFIX = "left/"
 RENEWALS_PER_LEASE = 5
 # Time without contact to the store after which an instance is cut off, in renewal intervals.
@@ -58,15 +57,6 @@
         self.electorate = electorate
 
 
-class ElectorateWrite(records.Record):
-    """Purpose of the commit that writes a changed electorate."""
-
-    __slots__ = ("electorate",)
-
-    def __init__(self, electorate: tuple[str, ...]) -> None:
-        self.electorate = electorate
-
-
 class VouchRequest(records.Record):
     """Purpose of the call that asks a peer to vouch."""
 
@@ -99,13 +89,7 @@
         vouches: When the latest vouch of each instance was asked for, by instance id.
         last_vouched_at: When this instance last vouched, for itself or a peer, in monotonic
             seconds.
-        electorate: Instance ids of the electorate that the store holds.
-        wanted_electorate: Instance ids that are to form the electorate.
-        electorate_wanted_since: When ``wanted_electorate`` last changed, in monotonic seconds.
-        pending_electorate: An electorate whose write is not confirmed, or None.
-        electorate_revision: The store's revision of the electorate's key.
-        electorate_write_pending: Whether a write of the electorate waits for its reply.
-        electorate_retry_at: Earliest time of the next write after a failed one.
+        electorate: The instances that vouch for this one.
         next_lease_call_at: When the lease is next asked for, registered or renewed.
         next_vouch_request_at: When the electorate is next asked to vouch.
         lease_call_pending: Whether a call about lease or session waits for its reply.
@@ -128,12 +112,6 @@
         "vouches",
         "last_vouched_at",
         "electorate",
-        "wanted_electorate",
-        "electorate_wanted_since",
-        "pending_electorate",
-        "electorate_revision",
-        "electorate_write_pending",
-        "electorate_retry_at",
         "next_lease_call_at",
         "next_vouch_request_at",
         "lease_call_pending",
@@ -165,13 +143,7 @@
         self.vouched_until = -math.inf
         self.vouches: dict[str, float] = {}
         self.last_vouched_at = -math.inf
-        self.electorate: tuple[str, ...] = ()
-        self.wanted_electorate: tuple[str, ...] = (instance,)
-        self.electorate_wanted_since = -math.inf
-        self.pending_electorate: tuple[str, ...] | None = None
-        self.electorate_revision = 0
-        self.electorate_write_pending = False
-        self.electorate_retry_at = 0.0
+        self.electorate = electorate.Electorate(instance)
         self.next_lease_call_at = 0.0
         self.next_vouch_request_at = 0.0
         self.lease_call_pending = False
@@ -214,17 +186,14 @@
         """Record that the store answered a call, with the time at which the call was sent."""
         self.last_contact_at = max(self.last_contact_at, sent_at)
 
-    def set_wanted_electorate(self, electorate: typing.Iterable[str], now: float) -> None:
+    def set_wanted_electorate(self, names: typing.Iterable[str], now: float) -> None:
         """Set the instances that are to form the electorate, to which this one is added.
 
         The electorate takes effect once the store holds it. It is written only when it has not
         changed for a while, so that a zone that is lost or replaced causes one write and not one
         for each of its instances.
         """
-        wanted_electorate = tuple(sorted({self.instance, *electorate}))
-        if wanted_electorate != self.wanted_electorate:
-            self.wanted_electorate = wanted_electorate
-            self.electorate_wanted_since = now
+        self.electorate.set_wanted(names, now)
 
     def tick(self, now: float, addresses: dict[str, str]) -> None:
         """Renew the lease, write a changed electorate and ask for vouches when they are due.
@@ -239,8 +208,9 @@
             self.lease_call_pending = True
             self.next_lease_call_at = now + self.renew_s
             self._send_lease_call()
-        if self._electorate_write_due(now):
-            self._write_electorate()
+        settle_s = self.electorate_settle_s
+        if self.registered and self.electorate.is_write_due(now, settle_s=settle_s):
+            self.outbox.append(self.electorate.write())
         if self.registered and self.is_cut_off(now) and now >= self.next_vouch_request_at:
             self.next_vouch_request_at = now + self.term_s / VOUCH_ROUNDS_PER_TERM
             self._request_vouches(now, addresses)
@@ -284,53 +254,22 @@
 
     def _register(self) -> None:
         """Write the session key and the electorate in one commit."""
+        wanted = self.electorate.wanted
         commit = store.Commit(
-            conditions=[
-                store.Condition(ELECTORATE_PREFIX + self.instance, self.electorate_revision)
-            ],
+            conditions=[self.electorate.condition()],
             changes=[
                 store.Put(SESSION_PREFIX + self.instance, b"{}", lease=self.lease),
-                store.Put(
-                    ELECTORATE_PREFIX + self.instance, electorate_to_bytes(self.wanted_electorate)
-                ),
+                store.Put(self.electorate.key, electorate.to_bytes(wanted)),
             ],
         )
-        purpose = SessionRegistration(self.lease, self.wanted_electorate)
+        purpose = SessionRegistration(self.lease, wanted)
         self.outbox.append(commands.StoreCall(commit, purpose))
 
-    def _electorate_write_due(self, now: float) -> bool:
-        """Return whether an electorate is to be written: a changed one, or an unconfirmed one."""
-        settled = now - self.electorate_wanted_since >= self.electorate_settle_s
-        changed = self.pending_electorate is not None or (
-            settled and self.wanted_electorate != self.electorate
-        )
-        return (
-            self.registered
-            and changed
-            and not self.electorate_write_pending
-            and now >= self.electorate_retry_at
-        )
-
-    def _write_electorate(self) -> None:
-        self.pending_electorate = self.pending_electorate or self.wanted_electorate
-        self.electorate_write_pending = True
-        commit = store.Commit(
-            conditions=[
-                store.Condition(ELECTORATE_PREFIX + self.instance, self.electorate_revision)
-            ],
-            changes=[
-                store.Put(
-                    ELECTORATE_PREFIX + self.instance, electorate_to_bytes(self.pending_electorate)
-                )
-            ],
-        )
-        self.outbox.append(commands.StoreCall(commit, ElectorateWrite(self.pending_electorate)))
-
     def _request_vouches(self, now: float, addresses: dict[str, str]) -> None:
         """Vouch for itself and ask the reachable members of the electorate to vouch."""
         self.last_vouched_at = now
         self.vouches[self.instance] = now
-        others = set(self.electorate) | set(self.pending_electorate or ())
+        others = {*self.electorate.members, *(self.electorate.pending or ())}
         self.outbox.extend(
             commands.PeerCall(
                 instance=name,
@@ -351,17 +290,16 @@
         unbroken = now <= max(self.fresh_until + self.term_s, self.vouched_until)
         if not unbroken or not self.registered:
             return
-        electorates = [self.electorate] + (
-            [self.pending_electorate] if self.pending_electorate else []
-        )
+        pending = self.electorate.pending
+        electorates = [self.electorate.members] + ([pending] if pending else [])
         until = min(self._vouched_until_by(members) for members in electorates)
         if until > now:
             self.vouched_until = max(self.vouched_until, until)
 
-    def _vouched_until_by(self, electorate: tuple[str, ...]) -> float:
+    def _vouched_until_by(self, members: tuple[str, ...]) -> float:
         """Return the time until which enough members of an electorate have vouched."""
-        needed = vouches_needed(len(electorate))
-        times = sorted((self.vouches.get(name, -math.inf) for name in electorate), reverse=True)
+        needed = electorate.vouches_needed(len(members))
+        times = sorted((self.vouches.get(name, -math.inf) for name in members), reverse=True)
         return times[needed - 1] + self.term_s
 
     def _drop_session(self) -> None:
@@ -373,34 +311,6 @@
         self.next_lease_call_at = 0.0
 
 
-def attests_needed(electorate: int) -> int:
-    """Return how many others of an electorate must attest before an instance loses its slices.
-
-    Args:
-        electorate: Number of members of the electorate, the instance included.
-    """
-    return math.ceil(electorate / 2)
-
-
-def vouches_needed(electorate: int) -> int:
-    """Return how many of an electorate must vouch before an instance may spend while cut off.
-
-    The instance's own vouch counts. Any group of that many members and any group of
-    ``attests_needed`` members have a member in common.
-    """
-    return electorate - attests_needed(electorate) + 1
-
-
-def electorate_to_bytes(electorate: tuple[str, ...]) -> bytes:
-    """Encode an electorate for the store."""
-    return json.dumps({"electorate": list(electorate)}).encode()
-
-
-def electorate_from_bytes(data: bytes) -> tuple[str, ...]:
-    """Decode an electorate from the store."""
-    return tuple(json.loads(data)["electorate"])
-
-
 @functools.singledispatch
 def _on_store(
     purpose: typing.Any, session: Session, reply: store.Reply, sent_at: float, now: float
@@ -426,13 +336,12 @@
     if type(reply) is not store.CommitReply:
         return
     if not reply.applied:
-        session.electorate_revision = max((item.revision for item in reply.items), default=0)
+        revisions = (item.revision for item in reply.items)
+        session.electorate.revision = max(revisions, default=0)
         session.next_lease_call_at = 0.0
         return
     session.registered = purpose.lease == session.lease
-    session.electorate_revision = reply.revision
-    session.electorate = purpose.electorate
-    session.pending_electorate = None
+    session.electorate.confirm(purpose.electorate, reply.revision)
     session.generation += 1
     session.next_lease_call_at = 0.0
 
@@ -454,17 +363,10 @@
 
 @_on_store.register
 def _(
-    purpose: ElectorateWrite, session: Session, reply: store.Reply, sent_at: float, now: float
+    purpose: electorate.ElectorateWrite,
+    session: Session,
+    reply: store.Reply,
+    sent_at: float,
+    now: float,
 ) -> None:
-    session.electorate_write_pending = False
-    if type(reply) is not store.CommitReply:
-        session.electorate_retry_at = now + session.renew_s
-        return
-    session.pending_electorate = None
-    if reply.applied:
-        session.electorate_revision = reply.revision
-        session.electorate = purpose.electorate
-        return
-    for item in reply.items:
-        session.electorate_revision = item.revision
-        session.electorate = electorate_from_bytes(item.value)
+    session.electorate.on_write_reply(purpose.electorate, reply, now + session.renew_s)
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -12,7 +12,7 @@
 
 from yuccahitch import clock, events
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import gateway, session
+from yuccahitch.controllers import electorate, gateway, session
 from yuccahitch.messages import store
 from yuccahitch.tasks import (
     caller_server,
@@ -210,7 +210,7 @@
             conditions=[],
             changes=[
                 store.Put(session.LEFT_PREFIX + self.instance, b"graceful", lease=lease),
-                store.Delete(session.ELECTORATE_PREFIX + self.instance),
+                store.Delete(electorate.PREFIX + self.instance),
             ],
         )
         await self.store.execute_call(commit)
