--- a/yuccahitch/controllers/_inputs.py
+++ b/yuccahitch/controllers/_inputs.py
@@ -16,6 +16,7 @@
     orders,
     reclaim,
     session,
+    slice_transfer,
     slices,
 )
 from yuccahitch.messages import commands, peers, store
@@ -70,8 +71,8 @@
             slices.RecordRead,
             slices.FullRead,
             slices.Creation,
-            slices.TransferWrite,
-            slices.TransferReadBack,
+            slice_transfer.TransferWrite,
+            slice_transfer.TransferReadBack,
         ),
         "slices",
     ),
--- a/yuccahitch/controllers/slice_record.py
+++ b/yuccahitch/controllers/slice_record.py
@@ -45,6 +45,14 @@
             {"holders": self.holders, "write_id": self.write_id, "unused": self.unused}
         ).encode()
 
+    def write_commit(self) -> store.Commit:
+        """Return the commit that writes the record if the store holds the revision before it."""
+        key = PREFIX + self.account
+        return store.Commit(
+            conditions=[store.Condition(key, self.revision)],
+            changes=[store.Put(key, self.to_bytes())],
+        )
+
 
 def from_item(item: store.KeyValue) -> Record:
     """Decode a record from an item of the store."""
--- a/yuccahitch/controllers/slices.py
+++ b/yuccahitch/controllers/slices.py
@@ -12,24 +12,20 @@
 
 from yuccahitch import events, records
 from yuccahitch.controllers import (
-    _holding,
     configuration,
     limits,
     membership,
     rendezvous,
     session,
+    slice_division,
     slice_record,
+    slice_transfer,
 )
 from yuccahitch.messages import commands, peers, store
 from yuccahitch.resources import rate as rate_resource
 
 PREFIX = slice_record.PREFIX
-PARTS_PER_RATE = _holding.PARTS_PER_RATE
-MIN_KEPT_PARTS = 20_000  # parts that rebalancing leaves to a holder
 SETTLE_S = 3.0  # time after the start before missing records are created
-MAX_MOVED_FRACTION = 0.5  # of the spare parts, in one rebalancing
-MIN_MOVED_PARTS = 10_000  # fewer parts are not worth a move
-MIN_BORROWED_FRACTION = 0.1  # of the demand; less borrowing moves no parts
 MIN_REREAD_INTERVAL_S = 10.0
 
 
@@ -60,16 +56,6 @@
         self.record = record
 
 
-class Transfer(records.Record):
-    """A move of own parts to peers, by instance id; neither side uses them until it is decided."""
-
-    __slots__ = ("record", "new_parts")
-
-    def __init__(self, record: slice_record.Record, new_parts: dict[str, int]) -> None:
-        self.record = record
-        self.new_parts = new_parts
-
-
 class Slices:
     """Creates, reads and changes the slice records of the client accounts.
 
@@ -91,6 +77,7 @@
         "config",
         "new_id",
         "rebalance_s",
+        "division",
         "known_records",
         "last_read_at",
         "transfers",
@@ -122,9 +109,12 @@
         self.config = config
         self.new_id = new_id
         self.rebalance_s = rebalance_s
+        self.division = slice_division.SliceDivision(
+            members=members, config=config, rebalance_s=rebalance_s
+        )
         self.known_records: dict[str, slice_record.Record] = {}  # by account
         self.last_read_at: dict[str, float] = {}  # by account, in monotonic seconds
-        self.transfers: dict[str, Transfer] = {}  # undecided ones, by account
+        self.transfers: dict[str, slice_transfer.Transfer] = {}  # undecided ones, by account
         self.generation = 0  # of the session under which the records were requested
         self.next_rebalance_at = 0.0
         self.creating: set[str] = set()  # accounts whose first record is being written
@@ -183,7 +173,7 @@
         parts_remain = False
         for account, holding in self.rate_limiter.holdings.items():
             holding.update(now)
-            successors = self._successors(account)
+            successors = self.division.successors(account)
             if successors and holding.unlent_parts() > 0 and account not in self.transfers:
                 self._start_transfer(account, {successors[0]: holding.unlent_parts()}, now)
             parts_remain = (
@@ -201,18 +191,14 @@
             or not self.store_session.is_fresh(now)
         ):
             return
-        new_parts = self._initial_parts(account)
+        new_parts = self.division.initial_parts(account)
         if not new_parts:
             return
         self.creating.add(account)
         record = slice_record.Record(
             account=account, holders=new_parts, write_id=self.new_id(), revision=0, unused=True
         )
-        commit = store.Commit(
-            conditions=[store.Condition(PREFIX + account, 0)],
-            changes=[store.Put(PREFIX + account, record.to_bytes())],
-        )
-        self.outbox.append(commands.StoreCall(commit, Creation(record)))
+        self.outbox.append(commands.StoreCall(record.write_commit(), Creation(record)))
 
     def on_store(self, purpose: typing.Any, reply: store.Reply, sent_at: float, now: float) -> None:
         """Process the store's reply to a call of this controller."""
@@ -252,102 +238,31 @@
     def _send_read(self, account: str) -> None:
         self.outbox.append(commands.StoreCall(store.Range(PREFIX + account), RecordRead(account)))
 
-    def _initial_parts(self, account: str) -> dict[str, int]:
-        """Divide a new account's parts evenly between its first holders; return them by id."""
-        account_spec = self.config.catalog.account(account)
-        infos = self.members.serving()
-        allowed = account_spec.residency if account_spec is not None else ()
-        regions = sorted({info.region for info in infos if not allowed or info.region in allowed})
-        names = [
-            name for region in regions for name in limits.initial_holders(account, infos, region)
-        ]
-        if not names:
-            return {}
-        parts_each, rest = divmod(PARTS_PER_RATE, len(names))
-        return {name: parts_each + (rest if name == names[0] else 0) for name in names}
-
-    def _successors(self, account: str) -> list[str]:
-        """Return the instances that may inherit the own parts, the most suitable first."""
-        infos = [info for info in self.members.serving() if info.instance != self.instance]
-        same_region = [info.instance for info in infos if info.region == self.members.own.region]
-        other_regions = [info.instance for info in infos if info.region != self.members.own.region]
-        return rendezvous.ranked(account, same_region) + rendezvous.ranked(account, other_regions)
-
     def _rebalance(self, now: float) -> None:
         for account, holding in self.rate_limiter.holdings.items():
             holding.update(now)
             requested_by_peer, holding.requested_by_peer = holding.requested_by_peer, {}
-            if account in self.transfers or holding.unlent_parts() <= MIN_KEPT_PARTS:
+            if account in self.transfers or not self.division.has_spare_parts(holding):
                 continue
-            new_parts = self._parts_for_demand(
+            new_parts = self.division.parts_for_demand(
                 holding, requested_by_peer, now
-            ) or self._parts_for_regions(holding)
+            ) or self.division.parts_for_regions(holding, self.known_records.get(account))
             if new_parts:
                 self._start_transfer(account, new_parts, now)
 
-    def _parts_for_demand(
-        self, holding: _holding.Holding, requested_by_peer: dict[str, float], now: float
-    ) -> dict[str, int]:
-        """Return the parts to move to live peers, in proportion to what they asked to borrow."""
-        live_requests = {
-            name: n for name, n in requested_by_peer.items() if self.members.find(name) is not None
-        }
-        borrowed = sum(live_requests.values())
-        own_demand = holding.demand_rate(now) * self.rebalance_s
-        if borrowed <= 0 or borrowed < MIN_BORROWED_FRACTION * (borrowed + own_demand):
-            return {}
-        spare = holding.unlent_parts() - MIN_KEPT_PARTS
-        parts = int(spare * MAX_MOVED_FRACTION * borrowed / (borrowed + own_demand))
-        new_parts = {name: int(parts * tokens / borrowed) for name, tokens in live_requests.items()}
-        return {name: n for name, n in new_parts.items() if n >= MIN_MOVED_PARTS}
-
-    def _parts_for_regions(self, holding: _holding.Holding) -> dict[str, int]:
-        """Return parts for regions without a holder, which would have none if they were cut off.
-
-        Only the holder with the most parts gives some away for this.
-        """
-        record = self.known_records.get(holding.account)
-        if record is None or max(record.holders, key=_by_parts(record)) != self.instance:
-            return {}
-        account_spec = self.config.catalog.account(holding.account)
-        allowed = account_spec.residency if account_spec is not None else ()
-        infos = self.members.serving()
-        regions = {info.region for info in infos if not allowed or info.region in allowed}
-        held = {info.region for info in map(self.members.find, record.holders) if info is not None}
-        missing = sorted(regions - held)
-        parts_each = holding.unlent_parts() // (len(regions) + 1)
-        return {
-            limits.initial_holders(holding.account, infos, region)[0]: parts_each
-            for region in missing
-            if parts_each >= MIN_MOVED_PARTS
-        }
-
     def _start_transfer(self, account: str, new_parts: dict[str, int], now: float) -> None:
         current_record = self.known_records.get(account)
         holding = self.rate_limiter.holdings.get(account)
         if current_record is None or holding is None:
             return
         holding.set_own_parts(holding.own_parts - sum(new_parts.values()), now)
-        transfer = Transfer(current_record, new_parts)
-        self.transfers[account] = transfer
-        self._write_transfer(transfer)
-
-    def _write_transfer(self, transfer: Transfer) -> None:
-        holders = dict(transfer.record.holders)
-        holders[self.instance] = holders.get(self.instance, 0) - sum(transfer.new_parts.values())
-        for name, parts in transfer.new_parts.items():
-            holders[name] = holders.get(name, 0) + parts
-        record = slice_record.Record(
-            account=transfer.record.account,
-            holders={name: parts for name, parts in holders.items() if parts > 0},
-            write_id=self.new_id(),
-            revision=transfer.record.revision,
-        )
-        commit = store.Commit(
-            conditions=[store.Condition(PREFIX + record.account, record.revision)],
-            changes=[store.Put(PREFIX + record.account, record.to_bytes())],
-        )
-        self.outbox.append(commands.StoreCall(commit, TransferWrite(transfer, record)))
+        self.transfers[account] = slice_transfer.Transfer(current_record, new_parts)
+        self._write_transfer(self.transfers[account])
+
+    def _write_transfer(self, transfer: slice_transfer.Transfer) -> None:
+        record = transfer.next_record(self.instance, write_id=self.new_id())
+        purpose = slice_transfer.TransferWrite(transfer, record)
+        self.outbox.append(commands.StoreCall(record.write_commit(), purpose))
 
     def _notify(self, account: str, names: typing.Iterable[str]) -> None:
         """Tell instances that an account's record has changed."""
@@ -359,20 +274,6 @@
                 self.outbox.append(call)
 
 
-class TransferWrite(records.Record):
-    """Purpose of the commit of a transfer, with the record that it writes."""
-
-    __slots__ = ("transfer", "record")
-
-    def __init__(self, transfer: Transfer, record: slice_record.Record) -> None:
-        self.transfer = transfer
-        self.record = record
-
-
-def _by_parts(record: slice_record.Record) -> typing.Callable[[str], tuple[int, str]]:
-    return lambda name: (record.holders[name], name)
-
-
 @functools.singledispatch
 def _on_store(
     purpose: typing.Any, slices: Slices, reply: store.Reply, sent_at: float, now: float
@@ -425,7 +326,11 @@
 
 @_on_store.register
 def _(
-    purpose: TransferWrite, slices: Slices, reply: store.Reply, sent_at: float, now: float
+    purpose: slice_transfer.TransferWrite,
+    slices: Slices,
+    reply: store.Reply,
+    sent_at: float,
+    now: float,
 ) -> None:
     transfer = purpose.transfer
     account = transfer.record.account
@@ -434,7 +339,8 @@
     if type(reply) is store.CallFailed:
         # The write may still take effect, so the parts stay unused until the outcome is known.
         call = store.Range(PREFIX + account)
-        slices.outbox.append(commands.StoreCall(call, TransferReadBack(transfer, purpose.record)))
+        read_back = slice_transfer.TransferReadBack(transfer, purpose.record)
+        slices.outbox.append(commands.StoreCall(call, read_back))
         return
     if reply.applied:
         del slices.transfers[account]
@@ -450,19 +356,13 @@
         _resolve_transfer(slices, transfer, purpose.record, slice_record.from_item(item), now)
 
 
-class TransferReadBack(records.Record):
-    """Purpose of the read that finds out whether a transfer whose reply was lost was written."""
-
-    __slots__ = ("transfer", "record")
-
-    def __init__(self, transfer: Transfer, record: slice_record.Record) -> None:
-        self.transfer = transfer
-        self.record = record
-
-
 @_on_store.register
 def _(
-    purpose: TransferReadBack, slices: Slices, reply: store.Reply, sent_at: float, now: float
+    purpose: slice_transfer.TransferReadBack,
+    slices: Slices,
+    reply: store.Reply,
+    sent_at: float,
+    now: float,
 ) -> None:
     account = purpose.transfer.record.account
     if slices.transfers.get(account) is not purpose.transfer:
@@ -478,7 +378,7 @@
 
 def _resolve_transfer(
     slices: Slices,
-    transfer: Transfer,
+    transfer: slice_transfer.Transfer,
     written: slice_record.Record,
     stored: slice_record.Record,
     now: float,
