--- a/yuccahitch/controllers/_inputs.py
+++ b/yuccahitch/controllers/_inputs.py
@@ -8,6 +8,7 @@
 from yuccahitch import clock, events
 from yuccahitch.controllers import (
     configuration,
+    electorate,
     gossip,
     limits,
     membership,
@@ -15,6 +16,7 @@
     orders,
     reclaim,
     session,
+    slice_transfer,
     slices,
 )
 from yuccahitch.messages import commands, peers, store
@@ -60,7 +62,7 @@
             session.LeaseGrant,
             session.LeaseRenewal,
             session.SessionRegistration,
-            session.ElectorateWrite,
+            electorate.ElectorateWrite,
         ),
         "store_session",
     ),
@@ -69,8 +71,8 @@
             slices.RecordRead,
             slices.FullRead,
             slices.Creation,
-            slices.TransferWrite,
-            slices.TransferReadBack,
+            slice_transfer.TransferWrite,
+            slice_transfer.TransferReadBack,
         ),
         "slices",
     ),
