--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -404,7 +404,7 @@
             while poller.session is None:
                 await asyncio.sleep(0.01)
             for _ in range(2):
-                request = asyncio.ensure_future(poller._get_json(url))
+                request = asyncio.ensure_future(poller._get_json(url, pollers.MAX_REPORT_BYTES))
                 connection = await accept()
                 connection.sendall(answer)
                 assert await request == {}
