Take the ports of servers in tests from below those of clients

Suspected by reading: between free_ports() and the listen, the port could go to the client of another test, as it was one of the range that the system gives to clients (32768 to 60999); the server's task then ends unseen. It can't any more; that this was it is not shown.

--- a/tests/forwarding_pair.py
+++ b/tests/forwarding_pair.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import random
 import socket
 
 from aiohttp import web
@@ -30,7 +31,11 @@
 HOST = "127.0.0.1"
 SYSTEM_CLOCK = clock.SystemClock()
 EVENT_COUNT = 6
+# Ports below those that the system gives to clients.
+SERVER_PORTS = range(20_000, 32_000)
 _request_numbers = itertools.count(1)
+# Each is tried once a round; the start differs between runs at the same time.
+_candidates = itertools.cycle(random.sample(SERVER_PORTS, len(SERVER_PORTS)))
 
 
 class RecordingSink:
@@ -280,12 +285,17 @@
 
 
 def free_ports(count):
-    """Return ports that nothing listens on."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
-    return ports
+    """Return ports that nothing listens on, and that the system gives to no client meanwhile."""
+    return list(itertools.islice(filter(_is_free, _candidates), count))
+
+
+def _is_free(port):
+    """Return whether a server can listen on a port."""
+    try:
+        socket.create_server((HOST, port)).close()
+    except OSError:
+        return False
+    return True
 
 
 async def wait_for(condition, limit_s=10.0):
