Let a new account's first requests wait until its slices are settled

What callers saw: 429 rate-exceeded ("The client account's rate and burst are used up", Retry-After 4 s) for the first request of an account, of which nothing had been used.

Cause: a request waits gather_s (0.5 s) for tokens from peers. For a new account that time also has to cover the read of the record, its creation, the notice to the holders and their read of it, up to four trips between regions and their connections; on a busy machine or with a slow store it doesn't. The grace of 2 s for holders that don't know their slices yet only led to further rounds inside of the 0.5 s. The refusal then called the rate exceeded, whenever the instance's session was fresh.

Now the wait lasts until all holders have answered that they know the record, at most 2 s from when this instance knows it (or, without a record, from the first request), and at most until the deadline. A refusal before that says rate-unavailable. Once all holders know the record, requests are refused as soon as they have answered, as before.

AwaitTokens.wait_until was read by nobody and would be wrong now; it is gone. TokenWaiter moves to a module of its own, as limits.py is long.

--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -256,7 +256,11 @@
             "Time between rebalancings of the rate slices in the store.", "seconds", 30, 0.5, 3600
         ),
         "gather_s": _number_rule(
-            "Longest wait of a request for tokens from peers.", "seconds", 0.5, 0.05, 30
+            "Longest wait of a request for tokens from peers that know their slices.",
+            "seconds",
+            0.5,
+            0.05,
+            30,
         ),
     },
     "policy": {
--- a/yuccahitch/controllers/limits.py
+++ b/yuccahitch/controllers/limits.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 import math
 import typing
 
 from yuccahitch import errors, events, records
-from yuccahitch.controllers import _holding, membership, rendezvous, session
+from yuccahitch.controllers import _holding, membership, rendezvous, session, token_waiter
 from yuccahitch.messages import commands, peers
 from yuccahitch.resources import rate as rates
 
@@ -34,42 +35,6 @@
 MAX_RETRY_AFTER_S = 60.0
 
 
-class TokenWaiter(records.Record):
-    """A request that waits for tokens.
-
-    Attributes:
-        request_id: Id of the request.
-        tokens: Tokens that it needs.
-        waiting_since: When it began to wait, in monotonic seconds.
-        expires_at: When it is refused, in monotonic seconds.
-        pending_lenders: Instance ids of the lenders that have not answered yet.
-        lender_rounds: Lenders still to be asked; those of one list are asked at the same time.
-        next_round_at: When the lenders are chosen and asked anew, in monotonic seconds, or
-            infinity.
-    """
-
-    __slots__ = (
-        "request_id",
-        "tokens",
-        "waiting_since",
-        "expires_at",
-        "pending_lenders",
-        "lender_rounds",
-        "next_round_at",
-    )
-
-    def __init__(
-        self, request_id: str, *, tokens: int, waiting_since: float, expires_at: float
-    ) -> None:
-        self.request_id = request_id
-        self.tokens = tokens
-        self.waiting_since = waiting_since
-        self.expires_at = expires_at
-        self.pending_lenders: set[str] = set()
-        self.lender_rounds: list[list[peers.InstanceInfo]] = []
-        self.next_round_at = math.inf
-
-
 class LoanRequest(records.Record):
     """Purpose of the call that asks a peer for a loan.
 
@@ -104,6 +69,8 @@
         holdings: What this instance may use of each account's rate, by account.
         holders: Instance ids of each account's holders, by account, once they are known.
         holders_known_since: When an account's holders became known, in monotonic seconds.
+        informed_holders: Instance ids of the lenders that know an account's record, by account.
+        first_wait_at: When a request first waited for tokens of an account, in monotonic seconds.
         waiters: Requests that wait for tokens, by account and request id, oldest first.
         round_allowed_at: When the next waiter of an account may ask lenders, in monotonic seconds.
         loan_numbers: Source of numbers for loan ids.
@@ -120,6 +87,8 @@
         "holdings",
         "holders",
         "holders_known_since",
+        "informed_holders",
+        "first_wait_at",
         "waiters",
         "round_allowed_at",
         "loan_numbers",
@@ -146,7 +115,9 @@
         self.holdings: dict[str, _holding.Holding] = {}
         self.holders: dict[str, tuple[str, ...]] = {}
         self.holders_known_since: dict[str, float] = {}
-        self.waiters: dict[str, dict[str, TokenWaiter]] = {}
+        self.informed_holders: dict[str, set[str]] = collections.defaultdict(set)
+        self.first_wait_at: dict[str, float] = {}
+        self.waiters: dict[str, dict[str, token_waiter.TokenWaiter]] = {}
         self.round_allowed_at: dict[str, float] = {}
         self.loan_numbers = itertools.count(1)
         self.may_lend = True
@@ -181,7 +152,7 @@
         self.waiters.get(account, {}).pop(request_id, None)
 
     def borrow_for_request(
-        self, rate: rates.Rate, request_id: str, tokens: int, expires_at: float, now: float
+        self, rate: rates.Rate, request_id: str, tokens: int, deadline: float, now: float
     ) -> None:
         """Begin to borrow tokens for a request from the other holders.
 
@@ -192,15 +163,13 @@
             rate: Rate and burst of the client account.
             request_id: Id of the request.
             tokens: Tokens that the request needs.
-            expires_at: Deadline of the request, in monotonic seconds; ``gather_s`` may end sooner.
+            deadline: Deadline of the request, in monotonic seconds; the wait may end sooner.
             now: Monotonic seconds.
         """
-        waiter = TokenWaiter(
-            request_id,
-            tokens=tokens,
-            waiting_since=now,
-            expires_at=min(expires_at, now + self.gather_s),
+        waiter = token_waiter.TokenWaiter(
+            request_id, tokens=tokens, waiting_since=now, deadline=deadline
         )
+        self.first_wait_at.setdefault(rate.name, now)
         self.waiters.setdefault(rate.name, {})[request_id] = waiter
         waiter.next_round_at = max(now, self.round_allowed_at.get(rate.name, 0.0))
         self._check_waiter(self.holdings[rate.name], waiter, now)
@@ -303,6 +272,8 @@
                 tokens=round(loan.tokens),
             )
             self.outbox.append(log_event)
+        if loan is not None and loan.holders:
+            self.informed_holders[purpose.account].add(purpose.lender)
         if loan is not None and loan.holders and purpose.account not in self.holders:
             self.record_holders(purpose.account, loan.holders, now)
         waiter = self.waiters.get(purpose.account, {}).get(purpose.request_id)
@@ -323,9 +294,11 @@
             for waiter in list(self.waiters.get(holding.account, {}).values()):
                 self._check_waiter(holding, waiter, now)
 
-    def _check_waiter(self, holding: _holding.Holding, waiter: TokenWaiter, now: float) -> None:
+    def _check_waiter(
+        self, holding: _holding.Holding, waiter: token_waiter.TokenWaiter, now: float
+    ) -> None:
         """Deny a request whose wait has expired, or begin its next round of loan requests."""
-        if now >= waiter.expires_at:
+        if now >= self._wait_ends_at(waiter, holding.account, now):
             self._deny(holding, waiter, now)
         elif now >= waiter.next_round_at:
             waiter.next_round_at = math.inf
@@ -333,6 +306,27 @@
             self.round_allowed_at[holding.account] = now + MIN_ROUND_INTERVAL_S
             self._ask_next_lenders(holding.account, waiter, now)
 
+    def _wait_ends_at(self, waiter: token_waiter.TokenWaiter, account: str, now: float) -> float:
+        """Return when a waiting request is refused, in monotonic seconds.
+
+        Until the slices of a new account are settled, its requests wait for that.
+        """
+        ends_at = waiter.waiting_since + self.gather_s
+        if not self._are_slices_settled(account, now):
+            ends_at = max(ends_at, self._slices_settled_by(account))
+        return min(waiter.deadline, ends_at)
+
+    def _are_slices_settled(self, account: str, now: float) -> bool:
+        """Return whether all holders of an account know their slices, or are taken to."""
+        others = set(self.holders.get(account, ())) - {self.instance}
+        all_informed = account in self.holders and others <= self.informed_holders[account]
+        return all_informed or now >= self._slices_settled_by(account)
+
+    def _slices_settled_by(self, account: str) -> float:
+        """Return when all holders are taken to know their slices, in monotonic seconds."""
+        known_since = self.holders_known_since.get(account, self.first_wait_at[account])
+        return known_since + NEW_SLICES_GRACE_S
+
     def drop_own_slices(self, now: float) -> None:
         """Set all own slices to 0 parts, as the session under which they were read has ended."""
         for holding in self.holdings.values():
@@ -379,7 +373,7 @@
             for name in initial_holders(account, infos, region)
         ]
 
-    def _ask_next_lenders(self, account: str, waiter: TokenWaiter, now: float) -> None:
+    def _ask_next_lenders(self, account: str, waiter: token_waiter.TokenWaiter, now: float) -> None:
         """Ask the next round of lenders once the last one has answered.
 
         When no round is left and no other request waits for an answer, the request is denied or
@@ -398,16 +392,20 @@
             waiter.pending_lenders.add(info.instance)
             self._request_loan(holding, waiter, info, missing, now)
 
-    def _missing_tokens(self, holding: _holding.Holding, waiter: TokenWaiter, now: float) -> float:
+    def _missing_tokens(
+        self, holding: _holding.Holding, waiter: token_waiter.TokenWaiter, now: float
+    ) -> float:
         """Return the tokens that a waiting request lacks once those before it have theirs."""
         waiters = self.waiters[holding.account].values()
         before = itertools.takewhile(lambda other: other is not waiter, waiters)
         available = holding.available(own_usable=self.store_session.may_spend(now))
         return waiter.tokens - max(0.0, available - sum(other.tokens for other in before))
 
-    def _deny_or_retry(self, holding: _holding.Holding, waiter: TokenWaiter, now: float) -> None:
+    def _deny_or_retry(
+        self, holding: _holding.Holding, waiter: token_waiter.TokenWaiter, now: float
+    ) -> None:
         """Deny a request, or ask again when the holders may not know their new slices yet."""
-        if now - self.holders_known_since.get(holding.account, now) < NEW_SLICES_GRACE_S:
+        if not self._are_slices_settled(holding.account, now):
             waiter.next_round_at = now + LENDER_RETRY_S
         else:
             self._deny(holding, waiter, now)
@@ -415,7 +413,7 @@
     def _request_loan(
         self,
         holding: _holding.Holding,
-        waiter: TokenWaiter,
+        waiter: token_waiter.TokenWaiter,
         info: peers.InstanceInfo,
         tokens: float,
         now: float,
@@ -449,14 +447,13 @@
             del waiters[waiter.request_id]
             self.outbox.append(commands.WakeRequest(waiter.request_id, commands.WaitGranted()))
 
-    def _deny(self, holding: _holding.Holding, waiter: TokenWaiter, now: float) -> None:
-        """Refuse a waiting request: exceeded if any slices are known, otherwise unavailable."""
+    def _deny(
+        self, holding: _holding.Holding, waiter: token_waiter.TokenWaiter, now: float
+    ) -> None:
+        """Refuse a waiting request: exceeded if the slices are settled, otherwise unavailable."""
         del self.waiters[holding.account][waiter.request_id]
-        rate_known = (
-            self.store_session.may_spend(now)
-            or holding.incoming_loans
-            or self.holders.get(holding.account)
-        )
+        is_settled = self._are_slices_settled(holding.account, now)
+        rate_known = is_settled and holding.account in self.holders
         code = errors.Code.RATE_EXCEEDED if rate_known else errors.Code.RATE_UNAVAILABLE
         error = errors.GatewayError(
             code,
--- a/yuccahitch/filters/rate_limit.py
+++ b/yuccahitch/filters/rate_limit.py
@@ -54,10 +54,7 @@
         self.token_limits.borrow_for_request(
             rate, context.id, tokens, context.request.deadline, now
         )
-        work = actions.AwaitTokens(
-            account=rate.name, tokens=tokens, wait_until=now + self.token_limits.gather_s
-        )
-        return actions.Perform(work)
+        return actions.Perform(actions.AwaitTokens(account=rate.name, tokens=tokens))
 
     def resume(
         self, context: request_context.RequestContext, reply: typing.Any, now: float
--- a/yuccahitch/messages/actions.py
+++ b/yuccahitch/messages/actions.py
@@ -213,15 +213,13 @@
     Attributes:
         account: Client account that the tokens are charged to.
         tokens: Tokens that the request needs.
-        wait_until: Time at which the wait ends, in monotonic seconds.
     """
 
-    __slots__ = ("account", "tokens", "wait_until")
+    __slots__ = ("account", "tokens")
 
-    def __init__(self, *, account: str, tokens: int, wait_until: float) -> None:
+    def __init__(self, *, account: str, tokens: int) -> None:
         self.account = account
         self.tokens = tokens
-        self.wait_until = wait_until
 
 
 class AwaitUpstreamSlot(records.Record):
