Tell callers to retry when a rate becomes known, not when it would refill

What callers saw: a refusal rate-unavailable (the slices aren't known yet) said Retry-After 4 s for 20 tokens, up to 60 s for more: the time in which a hundredth of the rate refills. It has nothing to do with what is waited for. Now it is the 2 s in which slices become known.

--- a/tests/features/new_accounts.feature
+++ b/tests/features/new_accounts.feature
@@ -20,11 +20,13 @@
     Given 3 fleets whose store takes 0.1 s longer each way
     When a client account is created and a request with 0.4 s to its deadline arrives
     Then the first request is refused with rate-unavailable after 0.4 s in each fleet
+    And Retry-After is the 2 s in which slices become known
 
   Scenario: The first request while the store is away is not kept until its deadline
     Given 3 fleets whose store takes 0 s longer each way
     When a client account is created, the store goes away and its first request arrives
     Then the first request is refused with rate-unavailable after 2 s in each fleet
+    And Retry-After is the 2 s in which slices become known
 
   Scenario: A request over the rate of an account with settled slices is refused as before
     Given 3 fleets whose store takes 0 s longer each way
--- a/tests/features/steps/new_accounts.py
+++ b/tests/features/steps/new_accounts.py
@@ -113,3 +113,9 @@
 def step_last_refused_within(context, code, seconds):
     waits = waits_of_refused(context, code)
     assert max(waits) <= seconds + TICK_S, waits
+
+
+@behave.then("Retry-After is the {seconds:g} s in which slices become known")
+def step_retry_after(context, seconds):
+    retry_times = [result.error.retry_after for result in context.results]
+    assert set(retry_times) == {seconds}, retry_times
--- a/yuccahitch/controllers/limits.py
+++ b/yuccahitch/controllers/limits.py
@@ -453,14 +453,13 @@
         """Refuse a waiting request: exceeded if the slices are settled, otherwise unavailable."""
         del self.waiters[holding.account][waiter.request_id]
         is_settled = self._are_slices_settled(holding.account, now)
-        rate_known = is_settled and holding.account in self.holders
-        code = errors.Code.RATE_EXCEEDED if rate_known else errors.Code.RATE_UNAVAILABLE
-        error = errors.GatewayError(
-            code,
-            step=STEP,
-            peer=self.instance,
-            retry_after=self.retry_after(holding.rate, waiter.tokens, now),
-        )
+        if is_settled and holding.account in self.holders:
+            code = errors.Code.RATE_EXCEEDED
+            retry_after = self.retry_after(holding.rate, waiter.tokens, now)
+        else:
+            code = errors.Code.RATE_UNAVAILABLE
+            retry_after = NEW_SLICES_GRACE_S
+        error = errors.GatewayError(code, step=STEP, peer=self.instance, retry_after=retry_after)
         self.outbox.append(commands.WakeRequest(waiter.request_id, commands.WaitDenied(error)))
 
     def _return_due_loans(self, holding: _holding.Holding, now: float) -> None:
