Apply a new or changed rate also to slices that no request uses

Cause: a holding took over a changed rate only when a request of the account came to that instance; a holder without requests lent at the old rate and burst. A record read before its rate made no holding, and nothing tried again.

Now each tick applies the rates that changed. tests/features/changed_rates.feature, virtual time: all three scenarios fail on (excess 266 to 306 tokens in 4 of 4 fleets; 4 of 4 refused; 0 tokens can be spent), and pass now. The platform's front end reads the rate at each use (RateShares.spend gets it as an argument).

--- a/yuccahitch/controllers/slices.py
+++ b/yuccahitch/controllers/slices.py
@@ -86,6 +86,7 @@
         "creating",
         "filled_accounts",
         "new_rates",
+        "unapplied_rates",
         "started_at",
         "leaving",
         "outbox",
@@ -120,6 +121,7 @@
         self.creating: set[str] = set()  # accounts whose first record is being written
         self.filled_accounts: set[str] = set()  # must not begin full a second time
         self.new_rates: set[str] = set()  # accounts whose record may have to be created
+        self.unapplied_rates: set[str] = set()  # accounts whose new rate holdings don't know yet
         self.started_at = math.inf  # time of the first tick
         self.leaving = False  # whether the instance shuts down
         self.outbox: list[commands.Command] = []
@@ -134,6 +136,7 @@
     def on_rate_changed(self, account: str) -> None:
         """Record that an account's rate is new or changed: its record may have to be created."""
         self.new_rates.add(account)
+        self.unapplied_rates.add(account)
 
     def request_record(self, account: str, now: float) -> None:
         """Read an account's record unless it was read within ``MIN_REREAD_INTERVAL_S``."""
@@ -149,7 +152,8 @@
             self._send_read(account)
 
     def tick(self, now: float) -> None:
-        """Read all records in a new session, create missing ones and rebalance when due."""
+        """Apply changed rates and new sessions, create missing records and rebalance when due."""
+        self._apply_rates(now)
         if self.generation != self.store_session.generation:
             self.generation = self.store_session.generation
             self.rate_limiter.drop_own_slices(now)
@@ -227,6 +231,16 @@
             self.filled_accounts.add(account)
         self.rate_limiter.current_holding(rate, now).set_own_parts(parts, now, fill=fill)
 
+    def _apply_rates(self, now: float) -> None:
+        """Apply new and changed rates to what is held, also where no request uses them."""
+        accounts, self.unapplied_rates = self.unapplied_rates, set()
+        for account in sorted(accounts):
+            rate = self.config.catalog.rate(account)
+            if rate is not None and account in self.rate_limiter.holdings:
+                self.rate_limiter.current_holding(rate, now)
+            elif account in self.known_records:
+                self._apply_own_parts(account, now)
+
     def _request_missing(self, now: float) -> None:
         names = [info.instance for info in self.members.serving()]
         accounts, self.new_rates = self.new_rates, set()
