Don't call a rate exceeded while the own slice can't be spent

Cause: when the store is back, vouches end before the own lease is renewed, or a new session begins whose records aren't read yet. The own slice counts for nothing then, the peers are in the same state, and a round of loans that brings nothing ends the wait at once.

Now a request of an account of which this instance holds a slice waits until that can be spent again, up to 2 s if the store answers, as before if it doesn't; a refusal says rate-unavailable.

--- a/tests/features/new_accounts.feature
+++ b/tests/features/new_accounts.feature
@@ -32,3 +32,8 @@
     Given 3 fleets whose store takes 0 s longer each way
     When a client account uses its whole burst and sends one more request after 5 s
     Then the last request is refused with rate-exceeded within 0.5 s in each fleet
+
+  Scenario: Requests within the rate are served while the store is away and once it is back
+    Given 4 fleets whose store takes 0 s longer each way
+    When the store is away for 12 s while small requests come everywhere
+    Then none of the small requests is refused
--- a/tests/features/steps/new_accounts.py
+++ b/tests/features/steps/new_accounts.py
@@ -119,3 +119,25 @@
 def step_retry_after(context, seconds):
     retry_times = [result.error.retry_after for result in context.results]
     assert set(retry_times) == {seconds}, retry_times
+
+
+@behave.when("the store is away for {seconds:g} s while small requests come everywhere")
+def step_play_outage(context, seconds):
+    context.results = []
+    for fleet in context.fleets:
+        back_at, end_at = fleet.now + seconds, fleet.now + seconds + 8.0
+        fleet.net.store_down = True
+        while fleet.now < end_at:
+            fleet.net.store_down = fleet.now < back_at
+            instance = fleet.rng.choice(fleet.alive())
+            deadline = instance.local_time(fleet.now) + 10.0
+            request = builders.a_request(prompt_tokens=1, max_tokens=1, deadline=deadline)
+            context.results.append(fleet.request(instance, request))
+            fleet.run(0.1)
+        fleet.run(3.0)
+
+
+@behave.then("none of the small requests is refused")
+def step_none_refused(context):
+    errors = [str(result.error) for result in context.results if result.error is not None]
+    assert not errors, (len(errors), errors[0])
--- a/yuccahitch/controllers/limits.py
+++ b/yuccahitch/controllers/limits.py
@@ -7,13 +7,19 @@
 
 from __future__ import annotations
 
-import collections
 import itertools
 import math
 import typing
 
 from yuccahitch import errors, events, records
-from yuccahitch.controllers import _holding, membership, rendezvous, session, token_waiter
+from yuccahitch.controllers import (
+    _holding,
+    membership,
+    rendezvous,
+    session,
+    slice_knowledge,
+    token_waiter,
+)
 from yuccahitch.messages import commands, peers
 from yuccahitch.resources import rate as rates
 
@@ -24,8 +30,6 @@
 LOAN_RETURN_FRACTION = 0.6
 # Time that a new waiter of an account waits after another began to ask lenders, in seconds.
 MIN_ROUND_INTERVAL_S = 0.2
-# Time after which all holders of a new record are taken to know their slices, in seconds.
-NEW_SLICES_GRACE_S = 2.0
 # Pause before the holders of a new record are asked again, in seconds.
 LENDER_RETRY_S = 0.1
 MAX_LENDERS_PER_ROUND = 8
@@ -67,10 +71,7 @@
 
     Attributes:
         holdings: What this instance may use of each account's rate, by account.
-        holders: Instance ids of each account's holders, by account, once they are known.
-        holders_known_since: When an account's holders became known, in monotonic seconds.
-        informed_holders: Instance ids of the lenders that know an account's record, by account.
-        first_wait_at: When a request first waited for tokens of an account, in monotonic seconds.
+        knowledge: What is known of the holders of slices.
         waiters: Requests that wait for tokens, by account and request id, oldest first.
         round_allowed_at: When the next waiter of an account may ask lenders, in monotonic seconds.
         loan_numbers: Source of numbers for loan ids.
@@ -85,10 +86,7 @@
         "drift_s",
         "gather_s",
         "holdings",
-        "holders",
-        "holders_known_since",
-        "informed_holders",
-        "first_wait_at",
+        "knowledge",
         "waiters",
         "round_allowed_at",
         "loan_numbers",
@@ -113,10 +111,7 @@
         self.drift_s = drift_s
         self.gather_s = gather_s
         self.holdings: dict[str, _holding.Holding] = {}
-        self.holders: dict[str, tuple[str, ...]] = {}
-        self.holders_known_since: dict[str, float] = {}
-        self.informed_holders: dict[str, set[str]] = collections.defaultdict(set)
-        self.first_wait_at: dict[str, float] = {}
+        self.knowledge = slice_knowledge.SliceKnowledge(instance, store_session)
         self.waiters: dict[str, dict[str, token_waiter.TokenWaiter]] = {}
         self.round_allowed_at: dict[str, float] = {}
         self.loan_numbers = itertools.count(1)
@@ -169,18 +164,15 @@
         waiter = token_waiter.TokenWaiter(
             request_id, tokens=tokens, waiting_since=now, deadline=deadline
         )
-        self.first_wait_at.setdefault(rate.name, now)
+        self.knowledge.record_wait(rate.name, now)
         self.waiters.setdefault(rate.name, {})[request_id] = waiter
         waiter.next_round_at = max(now, self.round_allowed_at.get(rate.name, 0.0))
         self._check_waiter(self.holdings[rate.name], waiter, now)
 
     def record_holders(self, account: str, holders: tuple[str, ...], now: float) -> None:
         """Record the holders of an account; when they become known, waiting requests ask them."""
-        first_time = account not in self.holders
-        self.holders[account] = holders
-        if not first_time:
+        if not self.knowledge.record_holders(account, holders, now):
             return
-        self.holders_known_since[account] = now
         for waiter in list(self.waiters.get(account, {}).values()):
             waiter.lender_rounds = self._plan_lender_rounds(account)
             self._ask_next_lenders(account, waiter, now)
@@ -188,7 +180,7 @@
     def lend(self, request: peers.LoanRequest, now: float) -> peers.Loan:
         """Lend tokens to a peer that asks for them; return the loan, of 0 parts if refused."""
         holding = self.holdings.get(request.account)
-        holders = self.holders.get(request.account, ())
+        holders = self.knowledge.holders.get(request.account, ())
         no_loan = peers.Loan(loan_id=request.loan_id, parts=0, tokens=0.0, holders=holders)
         may_spend_own = self.may_lend and self.store_session.may_spend(now)
         if holding is None or not may_spend_own or request.loan_id in holding.outgoing_loans:
@@ -273,8 +265,8 @@
             )
             self.outbox.append(log_event)
         if loan is not None and loan.holders:
-            self.informed_holders[purpose.account].add(purpose.lender)
-        if loan is not None and loan.holders and purpose.account not in self.holders:
+            self.knowledge.record_informed(purpose.account, purpose.lender)
+        if loan is not None and loan.holders and purpose.account not in self.knowledge.holders:
             self.record_holders(purpose.account, loan.holders, now)
         waiter = self.waiters.get(purpose.account, {}).get(purpose.request_id)
         if waiter is not None:
@@ -307,25 +299,10 @@
             self._ask_next_lenders(holding.account, waiter, now)
 
     def _wait_ends_at(self, waiter: token_waiter.TokenWaiter, account: str, now: float) -> float:
-        """Return when a waiting request is refused, in monotonic seconds.
-
-        Until the slices of a new account are settled, its requests wait for that.
-        """
-        ends_at = waiter.waiting_since + self.gather_s
-        if not self._are_slices_settled(account, now):
-            ends_at = max(ends_at, self._slices_settled_by(account))
-        return min(waiter.deadline, ends_at)
-
-    def _are_slices_settled(self, account: str, now: float) -> bool:
-        """Return whether all holders of an account know their slices, or are taken to."""
-        others = set(self.holders.get(account, ())) - {self.instance}
-        all_informed = account in self.holders and others <= self.informed_holders[account]
-        return all_informed or now >= self._slices_settled_by(account)
-
-    def _slices_settled_by(self, account: str) -> float:
-        """Return when all holders are taken to know their slices, in monotonic seconds."""
-        known_since = self.holders_known_since.get(account, self.first_wait_at[account])
-        return known_since + NEW_SLICES_GRACE_S
+        """Return when a waiting request is refused, in monotonic seconds."""
+        since = waiter.waiting_since
+        earliest = self.knowledge.earliest_refusal_at(account, since, now)
+        return min(waiter.deadline, max(since + self.gather_s, earliest))
 
     def drop_own_slices(self, now: float) -> None:
         """Set all own slices to 0 parts, as the session under which they were read has ended."""
@@ -333,6 +310,11 @@
             holding.update(now)
             holding.set_own_parts(0, now)
             holding.own_bucket.clamp(0.0)
+        self.knowledge.own_slices_read = False
+
+    def mark_own_slices_read(self) -> None:
+        """Record that the records of all slices were read under the present session."""
+        self.knowledge.own_slices_read = True
 
     def return_all_loans(self, now: float) -> None:
         """Return all loans and stop lending when the instance shuts down."""
@@ -354,7 +336,7 @@
 
     def _plan_lender_rounds(self, account: str) -> list[list[peers.InstanceInfo]]:
         """Return the holders to ask for a loan: first those of the own region, then the others."""
-        holders = self.holders.get(account) or self._initial_holders(account)
+        holders = self.knowledge.holders.get(account) or self._initial_holders(account)
         infos = [
             info
             for info in map(self.members.find, holders)
@@ -384,7 +366,7 @@
         holding = self.holdings[account]
         if not waiter.lender_rounds:
             others_wait = any(other.pending_lenders for other in self.waiters[account].values())
-            if not others_wait and account in self.holders:
+            if not others_wait and account in self.knowledge.holders:
                 self._deny_or_retry(holding, waiter, now)
             return
         missing = self._missing_tokens(holding, waiter, now)
@@ -405,7 +387,7 @@
         self, holding: _holding.Holding, waiter: token_waiter.TokenWaiter, now: float
     ) -> None:
         """Deny a request, or ask again when the holders may not know their new slices yet."""
-        if not self._are_slices_settled(holding.account, now):
+        if not self.knowledge.are_settled(holding.account, now):
             waiter.next_round_at = now + LENDER_RETRY_S
         else:
             self._deny(holding, waiter, now)
@@ -452,13 +434,13 @@
     ) -> None:
         """Refuse a waiting request: exceeded if the slices are settled, otherwise unavailable."""
         del self.waiters[holding.account][waiter.request_id]
-        is_settled = self._are_slices_settled(holding.account, now)
-        if is_settled and holding.account in self.holders:
+        is_settled = self.knowledge.are_settled(holding.account, now)
+        if is_settled and holding.account in self.knowledge.holders:
             code = errors.Code.RATE_EXCEEDED
             retry_after = self.retry_after(holding.rate, waiter.tokens, now)
         else:
             code = errors.Code.RATE_UNAVAILABLE
-            retry_after = NEW_SLICES_GRACE_S
+            retry_after = slice_knowledge.NEW_SLICES_GRACE_S
         error = errors.GatewayError(code, step=STEP, peer=self.instance, retry_after=retry_after)
         self.outbox.append(commands.WakeRequest(waiter.request_id, commands.WaitDenied(error)))
 
--- a/yuccahitch/controllers/slices.py
+++ b/yuccahitch/controllers/slices.py
@@ -316,6 +316,7 @@
     slices.known_records.clear()
     for item in reply.items:
         slices.apply_record(slice_record.from_item(item), now)
+    slices.rate_limiter.mark_own_slices_read()
 
 
 @_on_store.register
