Let answers that nobody reads hold up no other one on a connection between instances

Cause: gRPC's connection has a window of 4 MiB for all its answers together. Four unread ones fill it; then the head of another answer and the replies to Renew wait until the unread ones are given up, as their leases lapse. The scenario passed only because they had lapsed before its request came; beside load they lapse later.

Ruled out by the trace: processor time (35 to 40 ms) and a late event loop (4 ms at most).

Now each answer has a window of 256 KiB (2.3 MB/s over 110 ms) and the connection as good as none; memory for an unread answer is bounded by its own window. The new scenario "Callers who read nothing hold up no other answer while their own leases still hold" fails before and passes with the fix; the old one stands as it was.

--- a/tests/features/forwarded_runs.feature
+++ b/tests/features/forwarded_runs.feature
@@ -48,6 +48,14 @@
     When another caller asks for a stream of 6 events that takes 3 seconds
     Then it gets the first within 0.5 seconds, and all 6 from a single upstream
 
+  # Guards against renewals that wait for answers that nobody reads, and an answer that waits until
+  # their leases lapse (LOST).
+  Scenario: Callers who read nothing hold up no other answer while their own leases still hold
+    Given an instance in east that forwards to west, and 4 callers who read nothing of endless answers for 0.6 seconds
+    When another caller asks for a stream of 6 events that takes 3 seconds
+    Then it gets the first within 0.5 seconds, and all 6 from a single upstream
+    And the 4 runs for those who read nothing still went on then
+
   # Guards against a run that outlasts its end and its lease because another request had its id (TWICE).
   Scenario Outline: A run whose id another request had too still ends when it must
     Given a run under a lease, and a second request with its id that is refused at once
--- a/tests/features/steps/forwarded_runs.py
+++ b/tests/features/steps/forwarded_runs.py
@@ -161,6 +161,19 @@
     " answers"
 )
 def step_start_unread(context, count):
+    start_unread(context, count, FILL_S)
+
+
+@behave.given(
+    "an instance in east that forwards to west, and {count:d} callers who read nothing of endless"
+    " answers for {seconds:g} seconds"
+)
+def step_start_unread_for(context, count, seconds):
+    start_unread(context, count, seconds)
+
+
+def start_unread(context, count, fill_s):
+    """Let callers who read nothing ask for endless answers, and wait for so many seconds."""
     context.pair = forwarding_pair.ForwardingPair()
 
     async def work():
@@ -170,7 +183,7 @@
         pair.upstreams["plain"].faults.values["endless_signed"] = count
         for _ in range(count):
             pair.send("/status/x", sink=UnreadSink(), deadline_s=30.0)
-        await asyncio.sleep(FILL_S)
+        await asyncio.sleep(fill_s)
 
     context.closers = [lambda: context.pair.close()]
     context.loop.run_until_complete(work())
@@ -185,6 +198,7 @@
         context.request_id, context.sink, task = pair.send("/plan/x")
         await forwarding_pair.wait_for(lambda: context.sink.event_ids())
         context.waited_s = time.monotonic() - began_at
+        context.unread_runs = pair.upstreams["plain"].running
         await asyncio.wait_for(task, 10)
 
     context.loop.run_until_complete(work())
@@ -195,3 +209,8 @@
     assert context.sink.event_ids() == list(range(1, 7)), context.sink.event_ids()
     assert context.waited_s <= limit_s, context.waited_s
     assert len(context.pair.runs(context.request_id)) == 1
+
+
+@behave.then("the {count:d} runs for those who read nothing still went on then")
+def step_check_unread(context, count):
+    assert context.unread_runs == count, context.unread_runs
--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -8,6 +8,7 @@
 import typing
 
 from grpclib import client, protocol
+from grpclib import config as grpc_config
 
 from yuccahitch import clock, errors, events, records
 from yuccahitch.codecs import peer as codec
@@ -26,6 +27,10 @@
 # Time after which unacknowledged data closes a connection to a peer. TCP sends again ever more
 # rarely during a partition, so an old connection delivers requests long after it has ended.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
+# Bytes that a peer may send of one answer, and on one connection, before they are read. The second
+# is so large that answers that nobody reads hold up neither others nor the renewals of leases.
+STREAM_WINDOW_BYTES = 262_144
+CONNECTION_WINDOW_BYTES = 2**31 - 1
 # Peers to which a connection is kept; the least recently used idle one is closed first.
 MAX_CHANNELS = 64
 
@@ -229,7 +234,11 @@
 def _open_channel(address: str) -> PeerChannel:
     """Return a channel to an address, ``IP:PORT``; it connects with its first call."""
     host, _, port = address.rpartition(":")
-    return PeerChannel(host.strip("[]"), int(port))
+    windows = grpc_config.Configuration(
+        http2_connection_window_size=CONNECTION_WINDOW_BYTES,
+        http2_stream_window_size=STREAM_WINDOW_BYTES,
+    )
+    return PeerChannel(host.strip("[]"), int(port), config=windows)
 
 
 @functools.singledispatch
