Put the controllers into packages by the state that they own

Cause: controllers/ held 55 modules side by side, so that a reader who asked who may wait or who is refused found no place to begin. Change: moves and imports only. Tests are unchanged but for imports.

--- a/benchmarks/origin_slopes.py
+++ b/benchmarks/origin_slopes.py
@@ -16,7 +16,7 @@
 from benchmarks import slopes
 from tests import stream_builders
 from yuccahitch.codecs import stream_batches as codec
-from yuccahitch.controllers import stream_origin, stream_origins, stream_records
+from yuccahitch.controllers.versions import stream_origin, stream_origins, stream_records
 from yuccahitch.messages import store
 
 RESULTS = pathlib.Path(__file__).parent / "results" / "origin_slopes.json"
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -24,7 +24,7 @@
 from tests import builders
 from yuccahitch import records
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import rules as policy_rules
+from yuccahitch.controllers.placement import rules as policy_rules
 
 BENCHMARKS_DIRECTORY = pathlib.Path(__file__).parent
 WARM_UP_S = 30.0
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -23,8 +23,8 @@
 from fakes import instances
 from yuccahitch import records
 from yuccahitch.codecs import peer as codec
-from yuccahitch.controllers import gateway
-from yuccahitch.controllers import slices as slice_controller
+from yuccahitch.controllers.instance import gateway
+from yuccahitch.controllers.rates import slices as slice_controller
 from yuccahitch.messages import peers
 from yuccahitch.resources import account, entry, key, rate, upstream
 
--- a/benchmarks/suspect_slopes.py
+++ b/benchmarks/suspect_slopes.py
@@ -13,7 +13,7 @@
 from benchmarks import slopes
 from tests import builders
 from yuccahitch.codecs import suspects as codec
-from yuccahitch.controllers import suspects
+from yuccahitch.controllers.runs import suspects
 
 RESULTS = pathlib.Path(__file__).parent / "results" / "suspect_slopes.json"
 REQUESTS_PER_CRASH = [8, 16, 32, 64]
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -14,8 +14,8 @@
 from yuccahitch.codecs import peer as codec
 from yuccahitch.codecs import resources
 from yuccahitch.codecs.generated import peer_pb2
-from yuccahitch.controllers import gateway
-from yuccahitch.controllers import rules as policy
+from yuccahitch.controllers.instance import gateway
+from yuccahitch.controllers.placement import rules as policy
 from yuccahitch.messages import actions, answers, commands, request_lifecycle, requests, store
 from yuccahitch.resources import entry
 
--- a/fakes/instances.py
+++ b/fakes/instances.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from yuccahitch.controllers import gateway
+from yuccahitch.controllers.instance import gateway
 
 
 class Instance:
--- a/tests/features/steps/changed_rates.py
+++ b/tests/features/steps/changed_rates.py
@@ -7,7 +7,7 @@
 import behave
 
 from tests import builders, history_checks
-from yuccahitch.controllers import _bucket, slice_record
+from yuccahitch.controllers.rates import _bucket, slice_record
 from yuccahitch.messages import store
 from yuccahitch.resources import key
 
--- a/tests/features/steps/configuration.py
+++ b/tests/features/steps/configuration.py
@@ -13,7 +13,7 @@
 from tests import builders
 from yuccahitch import errors, events
 from yuccahitch.codecs import resources
-from yuccahitch.controllers import configuration
+from yuccahitch.controllers.config import configuration
 from yuccahitch.messages import store
 from yuccahitch.resources import catalog, entry
 
--- a/tests/features/steps/crashing_parts.py
+++ b/tests/features/steps/crashing_parts.py
@@ -6,7 +6,8 @@
 
 from tests import builders, crash_simulation, edge_simulation, platform_builders
 from yuccahitch import errors
-from yuccahitch.controllers import fleet, suspects
+from yuccahitch.controllers.members import fleet
+from yuccahitch.controllers.runs import suspects
 from yuccahitch.messages import suspects as suspect_messages
 
 # First parts of prompts; requests with a crashing part have one of them too.
--- a/tests/features/steps/explain.py
+++ b/tests/features/steps/explain.py
@@ -12,7 +12,7 @@
 from tests import platform_builders, platform_calls
 from yuccahitch import cli
 from yuccahitch.cli import show
-from yuccahitch.controllers import fleet
+from yuccahitch.controllers.members import fleet
 from yuccahitch.messages import peers
 
 
--- a/tests/features/steps/late_claims.py
+++ b/tests/features/steps/late_claims.py
@@ -11,7 +11,7 @@
 from standins import extra_answers, keyvalue
 from tests import attempt_clients
 from yuccahitch.codecs import etcd
-from yuccahitch.controllers import claims, operations
+from yuccahitch.controllers.runs import claims, operations
 from yuccahitch.messages import commands
 
 WALL_S = 1_800_000_000.0
--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -8,7 +8,7 @@
 
 from fakes import network
 from tests import builders, histories, history_checks, limited_fleets
-from yuccahitch.controllers import _bucket, _holding, reclaim, slice_record
+from yuccahitch.controllers.rates import _bucket, _holding, reclaim, slice_record
 from yuccahitch.messages import commands, peers, store
 
 # Seed of the random cases. Without it hypothesis derives them from the source of the test, so any
--- a/tests/features/steps/membership.py
+++ b/tests/features/steps/membership.py
@@ -9,7 +9,7 @@
 from fakes import fleet as fleets
 from tests import builders
 from yuccahitch import events
-from yuccahitch.controllers import electorate
+from yuccahitch.controllers.rates import electorate
 
 REGION = "muscat-a"
 SETTLE_S = 8.0
--- a/tests/features/steps/orders.py
+++ b/tests/features/steps/orders.py
@@ -9,7 +9,7 @@
 from fakes import network, services
 from tests import builders, history_checks
 from yuccahitch import errors
-from yuccahitch.controllers import orders
+from yuccahitch.controllers.runs import orders
 
 ORDER_NUMBERS = itertools.count(1)
 ORDER_TIMEOUT_S = 60.0  # an order that was not sent by then is refused
--- a/tests/features/steps/relay.py
+++ b/tests/features/steps/relay.py
@@ -8,7 +8,7 @@
 
 from tests import platform_builders, zone_simulation
 from yuccahitch.codecs import datagrams
-from yuccahitch.controllers import clock_differences
+from yuccahitch.controllers.members import clock_differences
 from yuccahitch.messages import feeds, store
 
 SETTLE_S = 5.0
--- a/tests/features/steps/served_versions.py
+++ b/tests/features/steps/served_versions.py
@@ -9,7 +9,8 @@
 
 from tests import platform_builders, stream_builders, stream_simulation, zone_simulation
 from yuccahitch import clock
-from yuccahitch.controllers import rendezvous, served_versions
+from yuccahitch.controllers.members import rendezvous
+from yuccahitch.controllers.versions import served_versions
 from yuccahitch.messages import commands
 
 UNKNOWN_STREAM = "nobody-knows-it"
--- a/tests/features/steps/single_runs.py
+++ b/tests/features/steps/single_runs.py
@@ -13,7 +13,7 @@
 from tests import attempt_clients, forwarding_pair, platform_builders
 from yuccahitch import errors
 from yuccahitch.cli import operate
-from yuccahitch.controllers import orders
+from yuccahitch.controllers.runs import orders
 from yuccahitch.messages import actions, answers, commands, store
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.tasks import answer_stream
--- a/tests/features/steps/store_freshness.py
+++ b/tests/features/steps/store_freshness.py
@@ -9,7 +9,7 @@
 from tests import reader_troubles, zone_simulation
 from yuccahitch.codecs import datagrams
 from yuccahitch.codecs.generated import peer_pb2 as pb
-from yuccahitch.controllers import freshness
+from yuccahitch.controllers.store_view import freshness
 from yuccahitch.messages import store
 
 WATCH_S = 2.0
--- a/tests/features/steps/store_restored.py
+++ b/tests/features/steps/store_restored.py
@@ -5,7 +5,7 @@
 import behave
 
 from tests import platform_builders
-from yuccahitch.controllers import fleet
+from yuccahitch.controllers.members import fleet
 
 UPSTREAM_KEY = "servers/u1"
 EVACUATION_KEY = "op/evacuate/"
--- a/tests/features/steps/stream_records.py
+++ b/tests/features/steps/stream_records.py
@@ -8,7 +8,7 @@
 
 from tests import stream_builders, stream_simulation
 from yuccahitch.codecs import stream_batches
-from yuccahitch.controllers import stream_records
+from yuccahitch.controllers.versions import stream_records
 
 
 def begin_at(context, names, count, version):
--- a/tests/features/steps/stream_resumption.py
+++ b/tests/features/steps/stream_resumption.py
@@ -6,7 +6,7 @@
 
 from tests import platform_builders, stream_builders, stream_simulation
 from yuccahitch import errors
-from yuccahitch.controllers import stream_origin
+from yuccahitch.controllers.versions import stream_origin
 from yuccahitch.messages import actions
 
 SHARED_PATH = "/shared/x"
--- a/tests/lease_simulation.py
+++ b/tests/lease_simulation.py
@@ -4,7 +4,7 @@
 
 import random
 
-from yuccahitch.controllers import run_leases
+from yuccahitch.controllers.runs import run_leases
 
 MAX_DRIFT = 0.01
 SENDER = "edge-1~1"
--- a/tests/limited_fleets.py
+++ b/tests/limited_fleets.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from tests import builders, histories, history_checks
-from yuccahitch.controllers import _bucket
+from yuccahitch.controllers.rates import _bucket
 from yuccahitch.resources import rate as rates
 
 RATE = 100.0  # tokens a second
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -13,7 +13,7 @@
 from yuccahitch import errors
 from yuccahitch import settings as settings_module
 from yuccahitch.codecs import datagrams
-from yuccahitch.controllers import edge
+from yuccahitch.controllers.instance import edge
 from yuccahitch.messages import actions, answers, request_lifecycle, store
 from yuccahitch.platform import names, publication, upstreams
 from yuccahitch.platform import requests as platform_requests
--- a/tests/stream_builders.py
+++ b/tests/stream_builders.py
@@ -7,7 +7,7 @@
 from tests import builders, platform_builders
 from yuccahitch import errors
 from yuccahitch.codecs import peer
-from yuccahitch.controllers import stream_origin
+from yuccahitch.controllers.versions import stream_origin
 from yuccahitch.messages import actions, answers, request_lifecycle
 
 STREAM_PATH = "/plan/x"
--- a/tests/stream_simulation.py
+++ b/tests/stream_simulation.py
@@ -4,7 +4,7 @@
 
 from tests import platform_builders, stream_builders, zone_simulation
 from yuccahitch.codecs import version_records
-from yuccahitch.controllers import served_versions, stream_records
+from yuccahitch.controllers.versions import served_versions, stream_records
 from yuccahitch.messages import actions
 from yuccahitch.resources import version_record
 
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -20,7 +20,7 @@
     zone_simulation,
 )
 from yuccahitch.codecs import datagrams
-from yuccahitch.controllers import freshness
+from yuccahitch.controllers.store_view import freshness
 from yuccahitch.messages import commands, pulses, request_lifecycle, store
 
 START = 1000.0
--- a/tests/zone_simulation.py
+++ b/tests/zone_simulation.py
@@ -10,7 +10,8 @@
 
 from tests import platform_builders
 from yuccahitch.codecs import datagrams
-from yuccahitch.controllers import fleet, freshness
+from yuccahitch.controllers.members import fleet
+from yuccahitch.controllers.store_view import freshness
 from yuccahitch.messages import commands, pulses, request_lifecycle, store
 
 STEP_S = 0.05
--- a/yuccahitch/controllers/configuration.py
+++ b/yuccahitch/controllers/config/configuration.py
@@ -14,7 +14,7 @@
 
 from yuccahitch import errors, events, records
 from yuccahitch.codecs import resources as codec
-from yuccahitch.controllers import references, watcher_role
+from yuccahitch.controllers.config import references, watcher_role
 from yuccahitch.messages import commands, peers, store
 from yuccahitch.resources import catalog, entry
 
--- a/yuccahitch/controllers/watcher_role.py
+++ b/yuccahitch/controllers/config/watcher_role.py
@@ -9,7 +9,7 @@
 
 import math
 
-from yuccahitch.controllers import rendezvous
+from yuccahitch.controllers.members import rendezvous
 from yuccahitch.messages import peers
 
 # Age of the configuration, as far as others tell, from which an instance watches the store too, in
--- a/yuccahitch/controllers/_edge_chains.py
+++ b/yuccahitch/controllers/instance/_edge_chains.py
@@ -5,19 +5,13 @@
 import typing
 
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import (
-    allowance,
-    balance,
-    drain,
-    fleet,
-    published,
-    replicas,
-    served_versions,
-    shares,
-    stream_origins,
-    suspects,
-    take_ups,
-)
+from yuccahitch.controllers.config import published
+from yuccahitch.controllers.members import drain, fleet
+from yuccahitch.controllers.placement import balance
+from yuccahitch.controllers.rates import shares
+from yuccahitch.controllers.runs import allowance, suspects
+from yuccahitch.controllers.upstream_state import replicas
+from yuccahitch.controllers.versions import served_versions, stream_origins, take_ups
 from yuccahitch.filters import (
     admit,
     allowed_regions,
--- a/yuccahitch/controllers/_edge_inputs.py
+++ b/yuccahitch/controllers/instance/_edge_inputs.py
@@ -6,15 +6,11 @@
 import typing
 
 from yuccahitch import events
-from yuccahitch.controllers import (
-    feed,
-    fleet,
-    relay,
-    replicas,
-    served_versions,
-    stream_origins,
-    suspects,
-)
+from yuccahitch.controllers.members import fleet
+from yuccahitch.controllers.runs import suspects
+from yuccahitch.controllers.store_view import feed, relay
+from yuccahitch.controllers.upstream_state import replicas
+from yuccahitch.controllers.versions import served_versions, stream_origins
 from yuccahitch.messages import commands, feeds, pulses, store
 
 
--- a/yuccahitch/controllers/_inputs.py
+++ b/yuccahitch/controllers/instance/_inputs.py
@@ -6,19 +6,17 @@
 import typing
 
 from yuccahitch import clock, events
-from yuccahitch.controllers import (
-    configuration,
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.members import gossip, membership
+from yuccahitch.controllers.rates import (
     electorate,
-    gossip,
     limits,
-    membership,
-    operations,
-    orders,
     reclaim,
     session,
     slice_transfer,
     slices,
 )
+from yuccahitch.controllers.runs import operations, orders
 from yuccahitch.messages import commands, peers, store
 
 
--- a/yuccahitch/controllers/edge.py
+++ b/yuccahitch/controllers/instance/edge.py
@@ -14,24 +14,18 @@
 
 from yuccahitch import errors
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import (
-    _edge_chains,
-    _edge_inputs,
-    allowance,
-    balance,
-    drain,
-    feed,
-    fleet,
-    freshness,
-    in_flight,
-    published,
-    relay,
-    replicas,
+from yuccahitch.controllers.config import published
+from yuccahitch.controllers.instance import _edge_chains, _edge_inputs, in_flight
+from yuccahitch.controllers.members import drain, fleet
+from yuccahitch.controllers.placement import balance
+from yuccahitch.controllers.rates import shares
+from yuccahitch.controllers.runs import allowance, suspects
+from yuccahitch.controllers.store_view import feed, freshness, relay
+from yuccahitch.controllers.upstream_state import replicas
+from yuccahitch.controllers.versions import (
     served_versions,
-    shares,
     stream_origins,
     stream_records,
-    suspects,
     take_ups,
 )
 from yuccahitch.filters import request_context
--- a/yuccahitch/controllers/gateway.py
+++ b/yuccahitch/controllers/instance/gateway.py
@@ -11,29 +11,14 @@
 
 from yuccahitch import clock, errors
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import (
-    _inputs,
-    configuration,
-    directions,
-    drain,
-    gossip,
-    in_flight,
-    limits,
-    membership,
-    operations,
-    orders,
-    placement,
-    queue,
-    reclaim,
-    retries,
-    session,
-    slices,
-    suspects,
-    upstreams,
-)
-from yuccahitch.controllers import (
-    rules as policy,
-)
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.instance import _inputs, in_flight
+from yuccahitch.controllers.members import directions, drain, gossip, membership
+from yuccahitch.controllers.placement import placement, queue
+from yuccahitch.controllers.placement import rules as policy
+from yuccahitch.controllers.rates import limits, reclaim, session, slices
+from yuccahitch.controllers.runs import operations, orders, retries, suspects
+from yuccahitch.controllers.upstream_state import upstreams
 from yuccahitch.filters import (
     admit,
     authenticate,
--- a/yuccahitch/controllers/in_flight.py
+++ b/yuccahitch/controllers/instance/in_flight.py
@@ -5,7 +5,7 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import request_log
+from yuccahitch.controllers.instance import request_log
 from yuccahitch.filters import chain, poison, request_context
 from yuccahitch.messages import actions, commands, request_lifecycle, requests
 
--- a/yuccahitch/controllers/directions.py
+++ b/yuccahitch/controllers/members/directions.py
@@ -10,7 +10,8 @@
 import math
 
 from yuccahitch import records
-from yuccahitch.controllers import configuration, membership, rendezvous
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.members import membership, rendezvous
 from yuccahitch.messages import peers
 
 MIN_INSTANCES_PER_REGION = 2
--- a/yuccahitch/controllers/fleet.py
+++ b/yuccahitch/controllers/members/fleet.py
@@ -13,7 +13,7 @@
 import random
 
 from yuccahitch import events, records
-from yuccahitch.controllers import fleet_member
+from yuccahitch.controllers.members import fleet_member
 from yuccahitch.messages import commands, peers, pulses, store
 
 PREFIX = "yuccahitch/instances/"
--- a/yuccahitch/controllers/gossip.py
+++ b/yuccahitch/controllers/members/gossip.py
@@ -5,7 +5,10 @@
 import math
 import random
 
-from yuccahitch.controllers import configuration, membership, suspects, upstreams
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.members import membership
+from yuccahitch.controllers.runs import suspects
+from yuccahitch.controllers.upstream_state import upstreams
 from yuccahitch.messages import commands, peers
 from yuccahitch.messages import suspects as suspect_messages
 
--- a/yuccahitch/controllers/balance.py
+++ b/yuccahitch/controllers/placement/balance.py
@@ -11,17 +11,15 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import (
+from yuccahitch.controllers.members import fleet, rendezvous
+from yuccahitch.controllers.placement import (
     assignments,
     choices,
     estimates,
-    fleet,
     placement_inputs,
     remote_regions,
-    rendezvous,
-    replica_state,
-    replicas,
 )
+from yuccahitch.controllers.upstream_state import replica_state, replicas
 from yuccahitch.messages import peers, pulses
 from yuccahitch.resources import service as services
 
--- a/yuccahitch/controllers/choices.py
+++ b/yuccahitch/controllers/placement/choices.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import errors, records
-from yuccahitch.controllers import placement_inputs
+from yuccahitch.controllers.placement import placement_inputs
 from yuccahitch.messages import peers
 from yuccahitch.resources import upstream
 
--- a/yuccahitch/controllers/estimates.py
+++ b/yuccahitch/controllers/placement/estimates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from yuccahitch.controllers import replica_state
+from yuccahitch.controllers.upstream_state import replica_state
 from yuccahitch.resources import service as services
 
 # Rate at which a model upstream reads prompts.
--- a/yuccahitch/controllers/placement.py
+++ b/yuccahitch/controllers/placement/placement.py
@@ -3,16 +3,11 @@
 from __future__ import annotations
 
 from yuccahitch import errors, records
-from yuccahitch.controllers import (
-    choices,
-    configuration,
-    membership,
-    placement_inputs,
-    queue,
-    rendezvous,
-    upstreams,
-)
-from yuccahitch.controllers import rules as policy
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.members import membership, rendezvous
+from yuccahitch.controllers.placement import choices, placement_inputs, queue
+from yuccahitch.controllers.placement import rules as policy
+from yuccahitch.controllers.upstream_state import upstreams
 from yuccahitch.messages import commands, peers
 from yuccahitch.resources import upstream
 
--- a/yuccahitch/controllers/queue.py
+++ b/yuccahitch/controllers/placement/queue.py
@@ -11,7 +11,7 @@
 import typing
 
 from yuccahitch import records
-from yuccahitch.controllers import rules as policy
+from yuccahitch.controllers.placement import rules as policy
 
 # An account with both kinds of requests gets one long request through after four short ones.
 SHORT_REQUESTS_PER_LONG = 4
--- a/yuccahitch/controllers/remote_regions.py
+++ b/yuccahitch/controllers/placement/remote_regions.py
@@ -5,7 +5,9 @@
 import math
 import random
 
-from yuccahitch.controllers import assignments, estimates, fleet, replicas
+from yuccahitch.controllers.members import fleet
+from yuccahitch.controllers.placement import assignments, estimates
+from yuccahitch.controllers.upstream_state import replicas
 from yuccahitch.messages import peers
 
 # Assumed wait in a region that has reported no room for the service, in seconds.
--- a/yuccahitch/controllers/_holding.py
+++ b/yuccahitch/controllers/rates/_holding.py
@@ -5,7 +5,7 @@
 import math
 
 from yuccahitch import records
-from yuccahitch.controllers import _bucket
+from yuccahitch.controllers.rates import _bucket
 from yuccahitch.resources import rate as rates
 
 # Time constant of the exponential decay of the recent demand, in seconds.
--- a/yuccahitch/controllers/limits.py
+++ b/yuccahitch/controllers/rates/limits.py
@@ -12,14 +12,8 @@
 import typing
 
 from yuccahitch import errors, events, records
-from yuccahitch.controllers import (
-    _holding,
-    membership,
-    rendezvous,
-    session,
-    slice_knowledge,
-    token_waiter,
-)
+from yuccahitch.controllers.members import membership, rendezvous
+from yuccahitch.controllers.rates import _holding, session, slice_knowledge, token_waiter
 from yuccahitch.messages import commands, peers
 from yuccahitch.resources import rate as rates
 
--- a/yuccahitch/controllers/reclaim.py
+++ b/yuccahitch/controllers/rates/reclaim.py
@@ -12,7 +12,8 @@
 import typing
 
 from yuccahitch import events, records
-from yuccahitch.controllers import electorate, membership, rendezvous, session, slice_record, slices
+from yuccahitch.controllers.members import membership, rendezvous
+from yuccahitch.controllers.rates import electorate, session, slice_record, slices
 from yuccahitch.messages import commands, peers, store
 
 CHECK_INTERVAL_S = 2.0
--- a/yuccahitch/controllers/session.py
+++ b/yuccahitch/controllers/rates/session.py
@@ -13,7 +13,7 @@
 import typing
 
 from yuccahitch import records
-from yuccahitch.controllers import electorate
+from yuccahitch.controllers.rates import electorate
 from yuccahitch.messages import commands, peers, store
 
 # Prefixes of the store's keys; the instance id follows.
--- a/yuccahitch/controllers/shares.py
+++ b/yuccahitch/controllers/rates/shares.py
@@ -13,7 +13,7 @@
 import math
 
 from yuccahitch import events, records
-from yuccahitch.controllers import fleet
+from yuccahitch.controllers.members import fleet
 from yuccahitch.messages import commands, pulses
 from yuccahitch.resources import rate
 
--- a/yuccahitch/controllers/slice_division.py
+++ b/yuccahitch/controllers/rates/slice_division.py
@@ -4,14 +4,9 @@
 
 import typing
 
-from yuccahitch.controllers import (
-    _holding,
-    configuration,
-    limits,
-    membership,
-    rendezvous,
-    slice_record,
-)
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.members import membership, rendezvous
+from yuccahitch.controllers.rates import _holding, limits, slice_record
 
 PARTS_PER_RATE = _holding.PARTS_PER_RATE
 MIN_KEPT_PARTS = 20_000  # parts that rebalancing leaves to a holder
--- a/yuccahitch/controllers/slice_knowledge.py
+++ b/yuccahitch/controllers/rates/slice_knowledge.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from yuccahitch.controllers import session
+from yuccahitch.controllers.rates import session
 
 # Time after which all holders of a new record are taken to know their slices, in seconds.
 NEW_SLICES_GRACE_S = 2.0
--- a/yuccahitch/controllers/slice_transfer.py
+++ b/yuccahitch/controllers/rates/slice_transfer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import records
-from yuccahitch.controllers import slice_record
+from yuccahitch.controllers.rates import slice_record
 
 
 class Transfer(records.Record):
--- a/yuccahitch/controllers/slices.py
+++ b/yuccahitch/controllers/rates/slices.py
@@ -11,11 +11,10 @@
 import typing
 
 from yuccahitch import events, records
-from yuccahitch.controllers import (
-    configuration,
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.members import membership, rendezvous
+from yuccahitch.controllers.rates import (
     limits,
-    membership,
-    rendezvous,
     session,
     slice_division,
     slice_record,
--- a/yuccahitch/controllers/allowance.py
+++ b/yuccahitch/controllers/runs/allowance.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from yuccahitch.controllers import fleet
+from yuccahitch.controllers.members import fleet
 
 # Fraction of the computed budget that retries may use.
 USABLE_FRACTION = 0.75
--- a/yuccahitch/controllers/operations.py
+++ b/yuccahitch/controllers/runs/operations.py
@@ -14,7 +14,7 @@
 import uuid
 
 from yuccahitch import errors, events, records
-from yuccahitch.controllers import claims
+from yuccahitch.controllers.runs import claims
 from yuccahitch.messages import answers, commands, store
 
 STEP = "idempotency"
--- a/yuccahitch/controllers/orders.py
+++ b/yuccahitch/controllers/runs/orders.py
@@ -14,7 +14,8 @@
 import typing
 
 from yuccahitch import errors, events, records
-from yuccahitch.controllers import configuration, session
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.rates import session
 from yuccahitch.messages import commands, store
 
 STEP = "order"
--- a/yuccahitch/controllers/retries.py
+++ b/yuccahitch/controllers/runs/retries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from yuccahitch.controllers import rules as policy
+from yuccahitch.controllers.placement import rules as policy
 
 MAX_BALANCE = 20.0
 INITIAL_BALANCE = 10.0
--- a/yuccahitch/controllers/suspects.py
+++ b/yuccahitch/controllers/runs/suspects.py
@@ -7,7 +7,7 @@
 import typing
 
 from yuccahitch import events
-from yuccahitch.controllers import crash_evidence
+from yuccahitch.controllers.runs import crash_evidence
 from yuccahitch.messages import commands, suspects
 
 # Time after a crash within which the other instances tell which of their requests it ended; the
--- a/yuccahitch/controllers/relay.py
+++ b/yuccahitch/controllers/store_view/relay.py
@@ -13,14 +13,8 @@
 import math
 
 from yuccahitch import clock, events
-from yuccahitch.controllers import (
-    clock_differences,
-    feed,
-    fleet,
-    fleet_member,
-    freshness,
-    rendezvous,
-)
+from yuccahitch.controllers.members import clock_differences, fleet, fleet_member, rendezvous
+from yuccahitch.controllers.store_view import feed, freshness
 from yuccahitch.messages import commands, feeds, pulses, store
 
 # Two, so that the zone goes on being told of changes when one is killed or cut off.
--- a/yuccahitch/controllers/replicas.py
+++ b/yuccahitch/controllers/upstream_state/replicas.py
@@ -7,13 +7,10 @@
 import typing
 
 from yuccahitch import clock, events
-from yuccahitch.controllers import (
-    freshness,
-    published,
-    rendezvous,
-    replica_state,
-    upstream_limits,
-)
+from yuccahitch.controllers.config import published
+from yuccahitch.controllers.members import rendezvous
+from yuccahitch.controllers.store_view import freshness
+from yuccahitch.controllers.upstream_state import replica_state, upstream_limits
 from yuccahitch.messages import commands, pulses, store, upstream_notices
 from yuccahitch.resources import service as services
 from yuccahitch.resources import upstream
--- a/yuccahitch/controllers/upstream_limits.py
+++ b/yuccahitch/controllers/upstream_state/upstream_limits.py
@@ -13,7 +13,7 @@
 import typing
 
 from yuccahitch import events
-from yuccahitch.controllers import rendezvous
+from yuccahitch.controllers.members import rendezvous
 from yuccahitch.messages import commands, pulses, upstream_notices
 
 # Least share of a rate that an instance gets, in requests a second.
--- a/yuccahitch/controllers/upstreams.py
+++ b/yuccahitch/controllers/upstream_state/upstreams.py
@@ -6,7 +6,7 @@
 import typing
 
 from yuccahitch import events, records
-from yuccahitch.controllers import rules as policy
+from yuccahitch.controllers.placement import rules as policy
 from yuccahitch.messages import commands, peers, upstream_notices
 from yuccahitch.resources import upstream
 
--- a/yuccahitch/controllers/served_versions.py
+++ b/yuccahitch/controllers/versions/served_versions.py
@@ -18,15 +18,11 @@
 
 from yuccahitch import clock, events, records
 from yuccahitch.codecs import version_records
-from yuccahitch.controllers import (
-    _service_versions,
-    feed,
-    fleet,
-    freshness,
-    published,
-    rendezvous,
-    replicas,
-)
+from yuccahitch.controllers.config import published
+from yuccahitch.controllers.members import fleet, rendezvous
+from yuccahitch.controllers.store_view import feed, freshness
+from yuccahitch.controllers.upstream_state import replicas
+from yuccahitch.controllers.versions import _service_versions
 from yuccahitch.messages import commands, store
 from yuccahitch.resources import route as routes
 from yuccahitch.resources import version_record
--- a/yuccahitch/controllers/stream_origins.py
+++ b/yuccahitch/controllers/versions/stream_origins.py
@@ -14,7 +14,8 @@
 
 from yuccahitch import events, records
 from yuccahitch.codecs import stream_batches as codec
-from yuccahitch.controllers import fleet, served_versions, stream_origin, stream_records
+from yuccahitch.controllers.members import fleet
+from yuccahitch.controllers.versions import served_versions, stream_origin, stream_records
 from yuccahitch.messages import commands, store, stream_batches
 
 # Time for which a stream that did not end in full is remembered, in seconds.
--- a/yuccahitch/controllers/stream_records.py
+++ b/yuccahitch/controllers/versions/stream_records.py
@@ -7,7 +7,7 @@
 
 from yuccahitch import events
 from yuccahitch.codecs import stream_batches as codec
-from yuccahitch.controllers import stream_origin
+from yuccahitch.controllers.versions import stream_origin
 from yuccahitch.messages import commands, store, stream_batches
 
 PREFIX = "yuccahitch/streams/"
--- a/yuccahitch/controllers/take_ups.py
+++ b/yuccahitch/controllers/versions/take_ups.py
@@ -9,7 +9,7 @@
 import typing
 
 from yuccahitch import events, records
-from yuccahitch.controllers import (
+from yuccahitch.controllers.versions import (
     served_versions,
     stream_origin,
     stream_origins,
--- a/yuccahitch/filters/_forwarding.py
+++ b/yuccahitch/filters/_forwarding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from yuccahitch.controllers import membership
+from yuccahitch.controllers.members import membership
 from yuccahitch.filters import poison, request_context
 from yuccahitch.messages import actions, peers, requests
 
--- a/yuccahitch/filters/admit.py
+++ b/yuccahitch/filters/admit.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import configuration, drain
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.members import drain
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions
 
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import assignments, balance, choices, served_versions
+from yuccahitch.controllers.placement import assignments, balance, choices
+from yuccahitch.controllers.versions import served_versions
 from yuccahitch.filters import chain, place, request_context
 from yuccahitch.messages import actions
 from yuccahitch.resources import route as routes
--- a/yuccahitch/filters/authenticate.py
+++ b/yuccahitch/filters/authenticate.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import configuration
+from yuccahitch.controllers.config import configuration
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions
 
--- a/yuccahitch/filters/credentials.py
+++ b/yuccahitch/filters/credentials.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import published
+from yuccahitch.controllers.config import published
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions
 from yuccahitch.resources import account
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -6,14 +6,11 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import (
-    choices,
-    configuration,
-    membership,
-    retries,
-    suspects,
-    upstreams,
-)
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.members import membership
+from yuccahitch.controllers.placement import choices
+from yuccahitch.controllers.runs import retries, suspects
+from yuccahitch.controllers.upstream_state import upstreams
 from yuccahitch.filters import _forwarding, chain, poison, request_context, residency
 from yuccahitch.messages import actions, answers
 
--- a/yuccahitch/filters/idempotency.py
+++ b/yuccahitch/filters/idempotency.py
@@ -10,7 +10,8 @@
 import typing
 
 from yuccahitch import clock, errors
-from yuccahitch.controllers import claims, membership, operations
+from yuccahitch.controllers.members import membership
+from yuccahitch.controllers.runs import claims, operations
 from yuccahitch.filters import _forwarding, chain, request_context
 from yuccahitch.messages import actions, answers, commands
 
--- a/yuccahitch/filters/match.py
+++ b/yuccahitch/filters/match.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import configuration
+from yuccahitch.controllers.config import configuration
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions, requests
 from yuccahitch.resources import route as routes
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -5,7 +5,7 @@
 import functools
 import typing
 
-from yuccahitch.controllers import choices, placement
+from yuccahitch.controllers.placement import choices, placement
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions, commands
 
--- a/yuccahitch/filters/poison.py
+++ b/yuccahitch/filters/poison.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from yuccahitch import errors, events
-from yuccahitch.controllers import suspects as suspect_table
+from yuccahitch.controllers.runs import suspects as suspect_table
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions, commands, suspects
 
--- a/yuccahitch/filters/quota.py
+++ b/yuccahitch/filters/quota.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import published, shares
+from yuccahitch.controllers.config import published
+from yuccahitch.controllers.rates import shares
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions
 
--- a/yuccahitch/filters/rate_limit.py
+++ b/yuccahitch/filters/rate_limit.py
@@ -6,7 +6,8 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import configuration, limits, slices
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.rates import limits, slices
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions, commands
 from yuccahitch.resources import service as services
--- a/yuccahitch/filters/request_context.py
+++ b/yuccahitch/filters/request_context.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import crash_evidence, placement_inputs, stream_origins
+from yuccahitch.controllers.placement import placement_inputs
+from yuccahitch.controllers.runs import crash_evidence
+from yuccahitch.controllers.versions import stream_origins
 from yuccahitch.messages import answers, requests
 from yuccahitch.resources import account, route, service
 
--- a/yuccahitch/filters/restore_forwarded.py
+++ b/yuccahitch/filters/restore_forwarded.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import errors
-from yuccahitch.controllers import published
+from yuccahitch.controllers.config import published
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions
 from yuccahitch.resources import account, route
--- a/yuccahitch/filters/resumption.py
+++ b/yuccahitch/filters/resumption.py
@@ -10,13 +10,9 @@
 import typing
 
 from yuccahitch import errors, events
-from yuccahitch.controllers import (
-    published,
-    replicas,
-    stream_origin,
-    stream_origins,
-    take_ups,
-)
+from yuccahitch.controllers.config import published
+from yuccahitch.controllers.upstream_state import replicas
+from yuccahitch.controllers.versions import stream_origin, stream_origins, take_ups
 from yuccahitch.filters import chain, request_context
 from yuccahitch.messages import actions, answers
 from yuccahitch.resources import route as routes
--- a/yuccahitch/filters/send.py
+++ b/yuccahitch/filters/send.py
@@ -6,15 +6,11 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import (
-    allowance,
-    balance,
-    fleet,
-    fleet_member,
-    replicas,
-    stream_origins,
-    suspects,
-)
+from yuccahitch.controllers.members import fleet, fleet_member
+from yuccahitch.controllers.placement import balance
+from yuccahitch.controllers.runs import allowance, suspects
+from yuccahitch.controllers.upstream_state import replicas
+from yuccahitch.controllers.versions import stream_origins
 from yuccahitch.filters import chain, poison, request_context, resumption
 from yuccahitch.messages import actions, answers, requests
 from yuccahitch.resources import route as routes
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -8,7 +8,9 @@
 import typing
 
 from yuccahitch import clock, events
-from yuccahitch.controllers import configuration, gateway, orders, request_log
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.instance import gateway, request_log
+from yuccahitch.controllers.runs import orders
 from yuccahitch.filters import request_context
 from yuccahitch.messages import (
     commands,
--- a/yuccahitch/tasks/core_messages.py
+++ b/yuccahitch/tasks/core_messages.py
@@ -5,7 +5,7 @@
 import typing
 
 from yuccahitch import records
-from yuccahitch.controllers import gateway
+from yuccahitch.controllers.instance import gateway
 from yuccahitch.messages import feeds, peers, pulses
 
 
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -14,7 +14,7 @@
 
 from yuccahitch import clock, events
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import edge
+from yuccahitch.controllers.instance import edge
 from yuccahitch.platform import names, publication, upstreams
 from yuccahitch.platform import store as store_dialect
 from yuccahitch.tasks import (
--- a/yuccahitch/tasks/forward_attempt.py
+++ b/yuccahitch/tasks/forward_attempt.py
@@ -10,7 +10,7 @@
 
 from yuccahitch import clock, errors, events
 from yuccahitch.codecs import peer as codec
-from yuccahitch.controllers import run_leases
+from yuccahitch.controllers.runs import run_leases
 from yuccahitch.messages import actions, answers
 from yuccahitch.tasks import answer_stream, lease_keeper
 
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -13,7 +13,7 @@
 
 from yuccahitch import clock, errors
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import edge
+from yuccahitch.controllers.instance import edge
 from yuccahitch.messages import answers, requests
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.resources import publication
--- a/yuccahitch/tasks/lease_keeper.py
+++ b/yuccahitch/tasks/lease_keeper.py
@@ -9,7 +9,7 @@
 from grpclib import exceptions
 
 from yuccahitch import clock, events
-from yuccahitch.controllers import run_leases
+from yuccahitch.controllers.runs import run_leases
 from yuccahitch.tasks import mailbox
 
 # Silence after which a lease has lapsed at the other instance, in seconds.
--- a/yuccahitch/tasks/leased_runs.py
+++ b/yuccahitch/tasks/leased_runs.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from yuccahitch import clock, events
-from yuccahitch.controllers import run_leases
+from yuccahitch.controllers.runs import run_leases
 from yuccahitch.messages import requests
 from yuccahitch.tasks import runner
 
--- a/yuccahitch/tasks/operator_server.py
+++ b/yuccahitch/tasks/operator_server.py
@@ -18,7 +18,8 @@
 from yuccahitch import errors
 from yuccahitch import settings as config_file
 from yuccahitch.codecs import resources as codec
-from yuccahitch.controllers import configuration, orders
+from yuccahitch.controllers.config import configuration
+from yuccahitch.controllers.runs import orders
 from yuccahitch.resources import entry
 from yuccahitch.tasks import _http_errors, core_messages, mailbox
 
--- a/yuccahitch/tasks/pollers.py
+++ b/yuccahitch/tasks/pollers.py
@@ -18,7 +18,8 @@
 from yuccahitch import records
 from yuccahitch import settings as config_file
 from yuccahitch.codecs import platform, upstreams
-from yuccahitch.controllers import gateway, rendezvous
+from yuccahitch.controllers.instance import gateway
+from yuccahitch.controllers.members import rendezvous
 from yuccahitch.messages import peers
 from yuccahitch.tasks import bounded_body, core_messages, mailbox
 
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -12,7 +12,8 @@
 
 from yuccahitch import clock, events
 from yuccahitch import settings as config_file
-from yuccahitch.controllers import electorate, gateway, session
+from yuccahitch.controllers.instance import gateway
+from yuccahitch.controllers.rates import electorate, session
 from yuccahitch.messages import store
 from yuccahitch.tasks import (
     caller_server,
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -7,7 +7,7 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers import operations
+from yuccahitch.controllers.runs import operations
 from yuccahitch.messages import actions, answers, request_lifecycle, requests
 from yuccahitch.tasks import answer_stream, mailbox, peer_client, upstream_client
 
--- a/yuccahitch/tasks/store_client.py
+++ b/yuccahitch/tasks/store_client.py
@@ -14,7 +14,7 @@
 
 from yuccahitch import clock, events
 from yuccahitch.codecs import etcd
-from yuccahitch.controllers import freshness
+from yuccahitch.controllers.store_view import freshness
 from yuccahitch.messages import commands, store
 from yuccahitch.tasks import bounded_body, mailbox
 
