--- a/yuccahitch/codecs/pulses.py
+++ b/yuccahitch/codecs/pulses.py
@@ -28,6 +28,7 @@
                 upstream=usage.upstream,
                 running=min(usage.running, MAX_COUNT),
                 prompt_tokens=min(usage.prompt_tokens, MAX_COUNT),
+                held_tokens=min(usage.held_tokens, MAX_COUNT),
             )
             for usage in pulse.uses
         ],
@@ -60,6 +61,15 @@
         departures=pulse.departures,
         version=pulse.version,
         wide=pulse.wide,
+        urgencies=[
+            pb.UrgencyDemand(
+                service=demand.service,
+                priority=demand.priority,
+                requests_per_s=demand.requests_per_s,
+                work_per_s=demand.work_per_s,
+            )
+            for demand in pulse.urgencies
+        ],
     )
 
 
@@ -77,7 +87,10 @@
         ready=message.ready,
         uses=[
             pulses.UpstreamUsage(
-                usage.upstream, running=usage.running, prompt_tokens=usage.prompt_tokens
+                usage.upstream,
+                running=usage.running,
+                prompt_tokens=usage.prompt_tokens,
+                held_tokens=usage.held_tokens,
             )
             for usage in message.uses
         ],
@@ -112,4 +125,13 @@
         departures=list(message.departures),
         version=message.version,
         wide=message.wide,
+        urgencies=[
+            pulses.UrgencyDemand(
+                demand.service,
+                priority=demand.priority,
+                requests_per_s=demand.requests_per_s,
+                work_per_s=demand.work_per_s,
+            )
+            for demand in message.urgencies
+        ],
     )
--- a/yuccahitch/controllers/placement/balance.py
+++ b/yuccahitch/controllers/placement/balance.py
@@ -11,12 +11,13 @@
 import typing
 
 from yuccahitch import errors
-from yuccahitch.controllers.members import fleet, rendezvous
+from yuccahitch.controllers.members import fleet
 from yuccahitch.controllers.placement import (
     assignments,
     choices,
     estimates,
     placement_inputs,
+    prompt_parts,
     remote_regions,
 )
 from yuccahitch.controllers.upstream_state import replica_state, replicas
@@ -60,6 +61,7 @@
         short_until: Until when a service counts as without room here, by its name, in monotonic
             seconds; set when a request is refused as its upstreams take no more.
         remote: Estimates of the other regions.
+        prompt_parts: Decides which upstreams hold shared prompt parts.
     """
 
     __slots__ = (
@@ -71,6 +73,7 @@
         "estimates",
         "short_until",
         "remote",
+        "prompt_parts",
     )
 
     def __init__(
@@ -98,6 +101,7 @@
             link_bytes_per_s=link_bytes_per_s,
             link_delay_s=link_delay_s,
         )
+        self.prompt_parts = prompt_parts.PromptParts(registry)
 
     @property
     def region(self) -> str:
@@ -310,11 +314,10 @@
         if not candidates:
             return 0.0, 0.0, None
         uses = self.members.near_uses(now)
-        holder = self._part_holder(request, now)
-        second_holder = rendezvous.owner(
-            _shared_part(request), [r.upstream.name for r in candidates]
+        holders = (
+            self.prompt_parts.holder(request, now),
+            self.prompt_parts.second_holder(request, candidates),
         )
-        holders = (holder, second_holder)
         rated = []
         for replica in self._considered(candidates, holders, now):
             first_token_s = self._estimate_first_token(replica, request, uses, holders)
@@ -344,25 +347,6 @@
             if replica.upstream.name in holders and replica not in sample
         ]
 
-    def _part_holder(self, request: assignments.PlacementRequest, now: float) -> str:
-        """Return the upstream, of any region, to which all instances send a shared prompt part.
-
-        Rendezvous hashing picks it among the usable ones; no text means that there is none, or no
-        shared part.
-        """
-        shared = _shared_part(request)
-        if not shared:
-            return ""
-        regions = {replica.upstream.region for replica in self.registry.by_name.values()}
-        usable_names = [
-            replica.upstream.name
-            for region in (regions if request.regions is None else regions & request.regions)
-            for replica in self.registry.usable(
-                request.service.name, now, region=region, versions=request.versions
-            )
-        ]
-        return rendezvous.owner(shared, usable_names)
-
     def _estimate_first_token(
         self,
         replica: replica_state.Replica,
@@ -380,7 +364,7 @@
                 that is preferred after it.
         """
         holder, second_holder = part_holders
-        unread = _unread_tokens(replica, request.parts, holder)
+        unread = prompt_parts.unread_tokens(replica, request.parts, holder)
         prefill_s = unread / estimates.PREFILL_TOKENS_PER_S
         if holder and unread > request.parts[-1][1]:
             prefill_s += remote_regions.REREAD_PENALTY_S
@@ -425,14 +409,14 @@
         self, request: assignments.PlacementRequest, now: float, *, lingering: bool
     ) -> RemoteChoice | None:
         """Return the best other region's estimated time to first token, and an instance there."""
-        holder = self._part_holder(request, now)
+        holder = self.prompt_parts.holder(request, now)
         return self.remote.choose(request, holder, now, lingering=lingering)
 
     def _assign(
         self, replica: replica_state.Replica, request: assignments.PlacementRequest, now: float
     ) -> None:
         """Count a request as running at an upstream."""
-        tokens = _unread_tokens(replica, request.parts, "")
+        tokens = prompt_parts.unread_tokens(replica, request.parts, "")
         name = replica.upstream.name
         replica.record_parts(part for part, _ in request.parts)
         self.assignments[request.request_id] = assignments.Assignment(
@@ -441,26 +425,6 @@
         self.registry.record_dispatch(name, prompt_tokens=tokens, now=now)
 
 
-def _shared_part(request: assignments.PlacementRequest) -> str:
-    """Return the id of the prompt part shared with other requests: the first of several, if any."""
-    return request.parts[0][0] if len(request.parts) > 1 else ""
-
-
-def _unread_tokens(
-    replica: replica_state.Replica, parts: tuple[tuple[str, int], ...], holder: str
-) -> int:
-    """Return the number of prompt tokens that an upstream probably does not have in its cache.
-
-    The holder of the shared part is taken to lack only the last part.
-    """
-    if replica.upstream.name == holder:
-        return sum(tokens for _, tokens in parts[-1:])
-    for index, (part, _) in enumerate(parts):
-        if part not in replica.cached_parts:
-            return sum(tokens for _, tokens in parts[index:])
-    return 0
-
-
 def _refuse(
     code: errors.Code,
     detail: str,
--- a/yuccahitch/messages/pulses.py
+++ b/yuccahitch/messages/pulses.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 from yuccahitch import records
 from yuccahitch.messages import feeds
 from yuccahitch.messages import suspects as suspect_messages
@@ -14,14 +16,41 @@
         upstream: Name of the upstream.
         running: Number of running requests.
         prompt_tokens: Prompt tokens of the requests whose answer has not begun.
+        held_tokens: Tokens that the requests may take of the upstream's memory until they end.
     """
 
-    __slots__ = ("upstream", "running", "prompt_tokens")
+    __slots__ = ("upstream", "running", "prompt_tokens", "held_tokens")
 
-    def __init__(self, upstream: str, *, running: int, prompt_tokens: int) -> None:
+    def __init__(
+        self, upstream: str, *, running: int, prompt_tokens: int, held_tokens: int = 0
+    ) -> None:
         self.upstream = upstream
         self.running = running
         self.prompt_tokens = prompt_tokens
+        self.held_tokens = held_tokens
+
+
+class UrgencyDemand(records.Record):
+    """Requests of one priority that callers sent to an instance for a service.
+
+    Refused ones count, so that a refusal doesn't look like less demand.
+
+    Attributes:
+        service: Name of the service.
+        priority: Priority of the requests; 0 is the most urgent.
+        requests_per_s: Rate of the requests, per second.
+        work_per_s: Time that they take at upstreams, in seconds a second.
+    """
+
+    __slots__ = ("service", "priority", "requests_per_s", "work_per_s")
+
+    def __init__(
+        self, service: str, *, priority: int, requests_per_s: float, work_per_s: float
+    ) -> None:
+        self.service = service
+        self.priority = priority
+        self.requests_per_s = requests_per_s
+        self.work_per_s = work_per_s
 
 
 class AccountDemand(records.Record):
@@ -99,6 +128,7 @@
             leaving; empty for receivers in other regions.
         version: Version of the configuration in force at the sender.
         wide: Whether the demands are totals of the sender's region, not of the sender alone.
+        urgencies: Demand by service and priority; empty for receivers in other regions.
     """
 
     __slots__ = (
@@ -116,6 +146,7 @@
         "departures",
         "version",
         "wide",
+        "urgencies",
     )
 
     def __init__(
@@ -135,6 +166,7 @@
         departures: list[str],
         version: int = 0,
         wide: bool = False,
+        urgencies: typing.Iterable[UrgencyDemand] = (),
     ) -> None:
         self.instance = instance
         self.region = region
@@ -150,6 +182,7 @@
         self.departures = departures
         self.version = version
         self.wide = wide
+        self.urgencies = list(urgencies)
 
 
 class SendDatagram(records.Record):
