--- a/tests/event_coverage.py
+++ b/tests/event_coverage.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
+import itertools
 import json
+import os
 import pathlib
 import typing
 
 from yuccahitch import events
 from yuccahitch.messages import commands
 
+ROOT = pathlib.Path(__file__).parent.parent
 EVENTS_FILE = "events.json"
+# Environment variable with the folder that a run of features writes to.
+RUN_DIR_VARIABLE = "YUCCAHITCH_TEST_RUN_DIR"
+
+
+def run_dir() -> pathlib.Path:
+    """Return the folder that the run of features in this process writes to."""
+    return pathlib.Path(os.environ.get(RUN_DIR_VARIABLE, ROOT / ".run"))
 
 
 def events_in_logs(folder: pathlib.Path) -> set[str]:
@@ -42,9 +52,12 @@
     return labels
 
 
-def uncaused_events(folder: pathlib.Path) -> list[str]:
-    """Return the events of the catalogue that the last run did not log."""
-    caused = set(json.loads((folder / EVENTS_FILE).read_text()))
+def uncaused_events(folders: list[pathlib.Path]) -> list[str]:
+    """Return the events of the catalogue that no part of the last run logged."""
+    files = [folder / EVENTS_FILE for folder in folders]
+    caused = set(
+        itertools.chain.from_iterable(json.loads(f.read_text()) for f in files if f.exists())
+    )
     return sorted(event.label for event in events.Event if event.label not in caused)
 
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -19,7 +19,7 @@
 
 EXAMPLE_DEPLOYMENTS = ("ice-works", "doors")
 SETTLE_S = 1.0
-RUN_DIR = ROOT / ".run"
+RUN_DIR = event_coverage.run_dir()
 # Names of the events that scenarios in virtual time logged.
 CAUSED_EVENTS: set[str] = set()
 # At module level, because behave drops attributes of a scenario's context when it ends.
@@ -28,7 +28,7 @@
 
 def before_all(context) -> None:
     """Create the event loop of all scenarios, and delete the logs of earlier runs."""
-    RUN_DIR.mkdir(exist_ok=True)
+    RUN_DIR.mkdir(parents=True, exist_ok=True)
     for log in RUN_DIR.rglob("*.log"):
         log.unlink()
     os.environ[builders.SECRET_VARIABLE] = builders.SECRET
@@ -60,7 +60,7 @@
 
 async def start_site() -> platform_site.Site:
     """Start the platform's stand-ins and all instances, and wait until they are ready."""
-    site = platform_site.Site(ROOT / ".run" / "test-platform")
+    site = platform_site.Site(RUN_DIR / "test-platform")
     forget_logs(site.run_dir)
     try:
         await site.start_standins()
@@ -126,7 +126,7 @@
 
 async def start_example(name: str) -> deployment.Deployment:
     """Start an example deployment, apply its resources, and wait until all instances have them."""
-    example = deployment.Deployment(ROOT / "examples" / name, ROOT / ".run" / f"test-{name}")
+    example = deployment.Deployment(ROOT / "examples" / name, RUN_DIR / f"test-{name}")
     forget_logs(example.run_dir)
     try:
         await example.start_standins()
--- a/tests/features/steps/endless_reports.py
+++ b/tests/features/steps/endless_reports.py
@@ -8,10 +8,9 @@
 
 import behave
 
-from standins import deployment
-from tests import platform_calls, polling_instance
+from tests import event_coverage, platform_calls, polling_instance
 
-RUN_DIR = deployment.ROOT / ".run" / "polling"
+RUN_DIR = event_coverage.run_dir() / "polling"
 PERIOD_S = 0.05
 # Share of the polls that an instance sends in the time, one a second to each upstream.
 POLLED_SHARE = 0.5
--- a/tests/features/steps/restarted_keepers.py
+++ b/tests/features/steps/restarted_keepers.py
@@ -8,9 +8,9 @@
 import aiohttp
 import behave
 
-from tests import builders, moved_example
+from tests import builders, event_coverage, moved_example
 
-RUN_DIR = moved_example.ROOT / ".run" / "test-keepers"
+RUN_DIR = event_coverage.run_dir() / "test-keepers"
 INSTANCES = ("cen-a-1", "cen-a-2", "nte-a-1")
 REPEAT_PERIOD_S = 0.4
 _order_numbers = itertools.count(1)
