--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -20,9 +20,13 @@
 
 ROOT = deployment.ROOT
 SETTINGS_TEMPLATE = ROOT / "deploy" / "settings.ini"
+# Environment variable with the first two octets of the loopback addresses, for a second site beside
+# this one.
+NETWORK_VARIABLE = "YUCCAHITCH_SITE_NETWORK"
+NETWORK = os.environ.get(NETWORK_VARIABLE, "127.30")
 # The store listens on an address per region, so that it can refuse the instances of one region.
-STORE_ADDRESS = "127.30.0.1:7100"
-STORE_ADDRESSES = {"east": STORE_ADDRESS, "west": "127.30.0.2:7100"}
+STORE_ADDRESS = f"{NETWORK}.0.1:7100"
+STORE_ADDRESSES = {"east": STORE_ADDRESS, "west": f"{NETWORK}.0.2:7100"}
 ZONE_REGIONS = {"east-a": "east", "west-a": "west"}
 # Third octet of the loopback addresses of each zone.
 ZONE_NUMBERS = {"east-a": 1, "west-a": 2}
@@ -239,13 +243,13 @@
 
 def instance_host(name: str) -> str:
     """Return the IP address of an instance."""
-    return f"127.30.{ZONE_NUMBERS[INSTANCE_ZONES[name]]}.{name.rpartition('-')[2]}"
+    return f"{NETWORK}.{ZONE_NUMBERS[INSTANCE_ZONES[name]]}.{name.rpartition('-')[2]}"
 
 
 def upstream_address(name: str) -> str:
     """Return the address of an upstream, ``IP:PORT``."""
     host_number = [*UPSTREAMS, *versioned_upstreams.UPSTREAMS].index(name) + 101
-    return f"127.30.{ZONE_NUMBERS[_upstream_zone(name)]}.{host_number}:{UPSTREAM_PORT}"
+    return f"{NETWORK}.{ZONE_NUMBERS[_upstream_zone(name)]}.{host_number}:{UPSTREAM_PORT}"
 
 
 def upstream_entry(name: str, **fields: typing.Any) -> dict[str, typing.Any]:
--- a/tests/features/restarted_keepers.feature
+++ b/tests/features/restarted_keepers.feature
@@ -1,3 +1,4 @@
+@moved_example
 Feature: An order with a key runs once although the keeper of its key starts again
   Three instances in two regions as processes, with their stand-ins, as in examples/doors.
 
--- a/tests/features/stream_take_ups.feature
+++ b/tests/features/stream_take_ups.feature
@@ -1,4 +1,4 @@
-@platform_site
+@platform_site @second_site
 Feature: A stream goes on only at the software version that began it
   Two upstreams of each software version in east; west has none but where a scenario says so. A new service each
   scenario. Each event names the version that made it.
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,8 +1,9 @@
 """Runs all features and ends with a line ``N passed, N failed``.
 
 The features run in several parts at the same time, each a process of its own. Parts share no
-address: those of the platform's site, those of the example deployments, and all others, which
-listen on free ports or run in virtual time. Features tagged @alone run after them, by themselves.
+address: those of the platform's site, which runs twice, those of the example deployments, and all
+others, which listen on free ports or run in virtual time. Features tagged @alone run after them, by
+themselves.
 
 Scenarios listed in KNOWN-RED.txt run too; their failures are printed and do not fail the run.
 A listed scenario that passes fails the run, so that the list stays up to date.
@@ -13,6 +14,7 @@
 import asyncio
 import collections
 import io
+import itertools
 import json
 import os
 import pathlib
@@ -20,6 +22,7 @@
 
 from behave import __main__ as behave_main
 
+from standins import platform_site
 from tests import event_coverage
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -33,10 +36,14 @@
 # Name of each part, and the tags of its features; features without any of them are another part.
 PART_TAGS = {
     ALONE_PART: ("@alone",),
+    "streams": ("@second_site",),
     "platform": ("@platform_site",),
-    "examples": ("@deployment", "@own_site"),
+    "examples": ("@deployment", "@own_site", "@moved_example"),
 }
-OTHER_PART = "others"
+# Features of these parts take turns.
+OTHER_PARTS = ("others-1", "others-2")
+# Network of the platform's site that a part runs, where it isn't the usual one.
+SITE_NETWORKS = {"streams": "127.31"}
 KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
 MAX_REASON_CHARACTERS = 1500
 SCENARIO_PREFIX = "test: "
@@ -78,12 +85,13 @@
 def feature_parts() -> dict[str, list[str]]:
     """Return the paths of the features of each part."""
     parts = collections.defaultdict(list)
+    other_parts = itertools.cycle(OTHER_PARTS)
     for path in sorted(FEATURES.glob("*.feature")):
         feature_tags = path.read_text().splitlines()[0].split()
-        name = next(
-            (part for part, tags in PART_TAGS.items() if not set(tags).isdisjoint(feature_tags)),
-            OTHER_PART,
+        tagged_parts = (
+            part for part, tags in PART_TAGS.items() if not set(tags).isdisjoint(feature_tags)
         )
+        name = next(tagged_parts, None) or next(other_parts)
         parts[name].append(str(path))
     return parts
 
@@ -104,13 +112,17 @@
     return behave_main.main([*options, *features])
 
 
-async def run_part(run_dir: pathlib.Path, features: list[str]) -> int:
+async def run_part(name: str, features: list[str]) -> int:
     """Run a part of the features in a process of its own, and return its exit code."""
+    run_dir = RUN_DIR / name
     run_dir.mkdir(parents=True, exist_ok=True)
+    environment = dict(os.environ)
+    if name in SITE_NETWORKS:
+        environment[platform_site.NETWORK_VARIABLE] = SITE_NETWORKS[name]
     with (run_dir / OUTPUT_FILE).open("wb") as output:
         arguments = ("-m", "tests.run", PART_OPTION, str(run_dir), *features)
         part = await asyncio.create_subprocess_exec(
-            sys.executable, *arguments, stdout=output, stderr=output, cwd=ROOT
+            sys.executable, *arguments, stdout=output, stderr=output, cwd=ROOT, env=environment
         )
         exit_code = await part.wait()
     print((run_dir / OUTPUT_FILE).read_text(errors="replace"))
@@ -120,10 +132,10 @@
 async def run_parts(parts: dict[str, list[str]]) -> list[int]:
     """Run all parts at the same time, then those that run alone, and return their exit codes."""
     together = [name for name in parts if name != ALONE_PART]
-    runs = [run_part(RUN_DIR / name, parts[name]) for name in together]
+    runs = [run_part(name, parts[name]) for name in together]
     exit_codes = await asyncio.gather(*runs)
     if ALONE_PART in parts:
-        exit_codes.append(await run_part(RUN_DIR / ALONE_PART, parts[ALONE_PART]))
+        exit_codes.append(await run_part(ALONE_PART, parts[ALONE_PART]))
     return exit_codes
 
 
