--- /dev/null
+++ b/yuccahitch/controllers/admission/gate.py
@@ -0,0 +1,54 @@
+"""Lets the admitted share of a service's requests pass, spread evenly."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from yuccahitch.controllers.admission import levels
+
+
+class Gate:
+    """Picks the requests of the priority that is admitted in part.
+
+    Each client account has a running sum of its chances for new and for returning requests; a
+    request passes when the sum reaches 1. So no random number delays a request by more than its
+    share calls for.
+
+    Args:
+        rng: Seeded source of random numbers, for the sums at the start.
+
+    Attributes:
+        level: The level in force.
+        chances: Chances of new and of returning requests, by client account.
+        sums: Running sums by client account and whether requests return.
+    """
+
+    __slots__ = ("rng", "level", "chances", "sums")
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.level = levels.EVERYTHING
+        self.chances: dict[str, tuple[float, float]] = {}
+        self.sums: dict[tuple[str, bool], float] = {}
+
+    def set_level(
+        self, level: levels.AdmissionLevel, chances: typing.Mapping[str, tuple[float, float]]
+    ) -> None:
+        """Put a level in force, with the chances of the accounts that use its priority."""
+        if level.priority != self.level.priority:
+            self.sums.clear()
+        self.level = level
+        self.chances = dict(chances)
+        self.sums = {key: value for key, value in self.sums.items() if key[0] in self.chances}
+
+    def passes(self, priority: int, account: str, *, returned: bool) -> bool:
+        """Return whether a request is admitted."""
+        if priority != self.level.priority:
+            return self.level.share_of(priority) > 0
+        share = self.level.share
+        chance = self.chances.get(account, (share, min(1.0, share * levels.RETURN_PREFERENCE)))
+        key = (account, returned)
+        reached = self.sums.get(key, self.rng.random()) + chance[returned]
+        self.sums[key] = reached - 1.0 if reached >= 1.0 else reached
+        return reached >= 1.0
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -133,6 +133,11 @@
         "An upstream has started again; until its new entry is known, it gets no streams that "
         "depend on its software version.",
     )
+    ADMISSION_CHANGED = (
+        316,
+        "admission-changed",
+        "Another priority of a service is admitted in part, or everything is again.",
+    )
     CONFIG_APPLIED = (400, "config-applied", "Newer resources were applied.")
     CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
     CONFIG_UNREADABLE = (
