Admit requests by priority at the entry while a service is short of places

Change: a filter between poison and quota refuses what is not admitted with not-admitted (503, not run, Retry-After); pulses tell the region's demand by priority of services that are nearly full; [policy] urgency switches it, on by default and only for services with more than one priority.

--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -161,6 +161,7 @@
         bounds: dict[str, str] | None = None,
         first_start: bool = True,
         incarnation: int | None = None,
+        policy: dict[str, str] | None = None,
     ) -> None:
         zones = "east-a=east, east-b=east, west-a=west"
         raw = {
@@ -179,6 +180,7 @@
             },
             "bounds": {"retry_extra": "60", "rate_window_s": "8", "rate_overage": "0.1"}
             | (bounds or {}),
+            "policy": policy or {},
         }
         self.now = now
         self.sent: list[typing.Any] = []
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -417,6 +417,14 @@
         "spill_gain_s": _number_rule(
             "Gain in time to first token that justifies another region.", "seconds", 0.1, 0, 60
         ),
+        "urgency": _option_rule(
+            "Whether a service that is short of places admits its more urgent requests first, if "
+            "its routes or accounts hold more than one priority.",
+            "on or off",
+            default="on",
+            type="string",
+            allowed=["on", "off"],
+        ),
     },
     "log": SCHEMA["log"],
 }
--- a/yuccahitch/controllers/instance/_edge_chains.py
+++ b/yuccahitch/controllers/instance/_edge_chains.py
@@ -5,6 +5,7 @@
 import typing
 
 from yuccahitch import settings as config_file
+from yuccahitch.controllers.admission import urgency as urgency_admission
 from yuccahitch.controllers.config import published
 from yuccahitch.controllers.members import drain, fleet
 from yuccahitch.controllers.placement import balance
@@ -24,6 +25,7 @@
     resumption,
     routing,
     send,
+    urgency,
 )
 
 
@@ -40,6 +42,7 @@
     take_ups: take_ups.TakeUps
     rate_shares: shares.RateShares
     balancer: balance.Balancer
+    admission: urgency_admission.UrgencyAdmission
     suspects: suspects.Suspects
     budget: allowance.RetryAllowance
     shutdown: drain.Drain
@@ -48,8 +51,8 @@
 def make_chains(controllers: Controllers) -> dict[str, chain.Chain]:
     """Return the filter chains for callers' requests and for forwarded ones.
 
-    A forwarded request skips the quota: the sender has charged the client account. The sender also
-    knows which software versions it may go to.
+    A forwarded request skips urgency and quota: the sender has admitted it and charged the client
+    account. The sender also knows which software versions it may go to.
     """
     config = controllers.config
     admission = admit.Admit(config, controllers.shutdown, instance=controllers.instance)
@@ -76,6 +79,7 @@
             origins=controllers.origins,
         ),
         poison_filter,
+        urgency.Urgency(controllers.admission, region=controllers.settings.instance.region),
         quota.Quota(config, controllers.rate_shares),
     ]
     restore_filter = restore_forwarded.RestoreForwarded(
--- a/yuccahitch/controllers/instance/_edge_inputs.py
+++ b/yuccahitch/controllers/instance/_edge_inputs.py
@@ -6,6 +6,7 @@
 import typing
 
 from yuccahitch import events
+from yuccahitch.controllers.admission import urgency
 from yuccahitch.controllers.members import fleet
 from yuccahitch.controllers.runs import suspects
 from yuccahitch.controllers.store_view import feed, relay
@@ -23,6 +24,7 @@
     registry: replicas.ReplicaRegistry
     versions: served_versions.ServedVersions
     origins: stream_origins.StreamOrigins
+    admission: urgency.UrgencyAdmission
     suspects: suspects.Suspects
     outbox: list[typing.Any]
 
@@ -119,6 +121,7 @@
 @on_report.register
 def _(report: pulses.Pulse, controllers: Controllers, now: float) -> None:
     controllers.members.record_report(report, now)
+    controllers.admission.record_report(report, now)
     controllers.registry.limits.merge(report.limits, now)
     for incarnation in report.departures:
         controllers.registry.mark_leaving(incarnation, f"{report.instance} was told so", now)
--- a/yuccahitch/controllers/instance/edge.py
+++ b/yuccahitch/controllers/instance/edge.py
@@ -14,6 +14,7 @@
 
 from yuccahitch import errors
 from yuccahitch import settings as config_file
+from yuccahitch.controllers.admission import urgency
 from yuccahitch.controllers.config import published
 from yuccahitch.controllers.instance import _edge_chains, _edge_inputs, in_flight
 from yuccahitch.controllers.members import drain, fleet
@@ -91,6 +92,7 @@
         relay: Decides who watches the store, and passes its changes on in the zone.
         rate_shares: This instance's shares of the client accounts' rates.
         balancer: Places requests on upstreams and regions.
+        admission: Admits requests by priority while a service is short of places.
         suspects: Requests that crashed upstreams.
         budget: Limits the retries of requests.
         shutdown: Phase of a graceful shutdown.
@@ -114,6 +116,7 @@
         "relay",
         "rate_shares",
         "balancer",
+        "admission",
         "suspects",
         "budget",
         "shutdown",
@@ -227,6 +230,12 @@
             link_delay_s=options.link_delay_s,
             spill_gain_s=options.spill_gain_s,
         )
+        self.admission = urgency.UrgencyAdmission(
+            config=self.config,
+            balancer=self.balancer,
+            rng=self.rng,
+            enabled=options.urgency == "on",
+        )
         self.budget = allowance.RetryAllowance(
             self.members,
             ratio=bounds.retry_ratio,
@@ -304,6 +313,7 @@
         self.versions.tick(now)
         self.recorded.expire(now)
         self.origins.tick(now)
+        self.admission.tick(now)
         self._wake_take_ups(now)
         near_addresses, far_addresses = self.members.due_addresses(now)
         self.send_pulse(near_addresses, now)
@@ -353,6 +363,7 @@
             self.feed,
             self.relay,
             self.rate_shares,
+            self.admission,
             self.suspects,
         )
         batch = list(itertools.chain.from_iterable(source.outbox for source in sources))
@@ -435,6 +446,7 @@
             departures=[] if wide else self.registry.departures(),
             version=self.config.current.version if self.config.ready() else 0,
             wide=wide,
+            urgencies=[] if wide else self.admission.report(now),
         )
         self.outbox.append(pulses.SendDatagram(addresses, pulse))
 
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -55,6 +55,11 @@
         503,
         "The upstreams of the service take no further requests at present.",
     )
+    NOT_ADMITTED = (
+        "not-admitted",
+        503,
+        "The service is short of places in this region and admits more urgent requests first.",
+    )
     UPSTREAM_MOVED = ("upstream-moved", 503, "Another upstream answers at this upstream's address.")
     UPSTREAM_REPLACED = (
         "upstream-replaced",
