--- a/yuccahitch/controllers/admission/urgency.py
+++ b/yuccahitch/controllers/admission/urgency.py
@@ -288,8 +288,8 @@
         level = state.gate.level
         wait_s = self._return_s(arrival, state)
         self.returns.record_refusal(arrival.key, now + wait_s)
-        part = f"{level.share:.2f} of priority {level.priority}"
-        detail = f"the region is short of places and admits {part} and what is more urgent"
+        admitted = f"{level.share:.2f} of priority {level.priority} and what is more urgent"
+        detail = f"priority {arrival.priority}; the region is short of places and admits {admitted}"
         return arrivals.Refusal(level, retry_after_s=wait_s, detail=detail)
 
     def _return_s(
