Type the chances of new and returning requests, and test them

Cause: a pair of numbers stood for them, and a bound could never bind. Change: levels.Chances; scenarios for find_chances; a named constant for the shortest return.

--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -126,6 +126,18 @@
       | 4     | 4      | 4     | 0    | 0        | 0     |
       | 4     | 0      | 4     | 6    | 7        | 0.5   |
 
+  Scenario Outline: New and returning requests together fill the share
+    Given a share of <share> of the new work, and returning work of <returned> of it
+    Then the chance of a new request is <new> and of a returning one <returning>
+
+    Examples:
+      | share | returned | new   | returning |
+      | 0.2   | 0        | 0.2   | 0.6       |
+      | 0.5   | 1        | 0.125 | 0.375     |
+      | 0.8   | 0.2      | 0.6   | 1         |
+      | 1     | 0        | 1     | 1         |
+      | 0     | 2        | 0     | 0         |
+
   Scenario Outline: Room is divided by weight, and what an account leaves goes to the others
     Given accounts that ask for <work> with weights of <weights>
     Then with room for <room> they get <granted>
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -331,6 +331,17 @@
     assert level == levels.AdmissionLevel(wanted, share), level
 
 
+@behave.given("a share of {share:g} of the new work, and returning work of {returned:g} of it")
+def step_given_share(context, share, returned):
+    context.chances = levels.find_chances(share, returned_part=returned)
+
+
+@behave.then("the chance of a new request is {new:g} and of a returning one {returning:g}")
+def step_check_chances(context, new, returning):
+    got = round(context.chances.new, 6), round(context.chances.returning, 6)
+    assert got == (new, returning), got
+
+
 @behave.given("accounts that ask for {work} with weights of {weights}")
 def step_given_accounts(context, work, weights):
     context.work = dict(enumerate(map(float, work.split(","))))
--- a/yuccahitch/controllers/admission/gate.py
+++ b/yuccahitch/controllers/admission/gate.py
@@ -12,8 +12,7 @@
     """Picks the requests of the priority that is admitted in part.
 
     Each client account has a running sum of its chances for new and for returning requests; a
-    request passes when the sum reaches 1. So no random number delays a request by more than its
-    share calls for.
+    request passes when the sum reaches 1. So admitted requests are spread evenly.
 
     Args:
         rng: Seeded source of random numbers, for the sums at the start.
@@ -29,11 +28,11 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.level = levels.EVERYTHING
-        self.chances: dict[str, tuple[float, float]] = {}
+        self.chances: dict[str, levels.Chances] = {}
         self.sums: dict[tuple[str, bool], float] = {}
 
     def set_level(
-        self, level: levels.AdmissionLevel, chances: typing.Mapping[str, tuple[float, float]]
+        self, level: levels.AdmissionLevel, chances: typing.Mapping[str, levels.Chances]
     ) -> None:
         """Put a level in force, with the chances of the accounts that use its priority."""
         if level.priority != self.level.priority:
@@ -46,9 +45,11 @@
         """Return whether a request is admitted."""
         if priority != self.level.priority:
             return self.level.share_of(priority) > 0
-        share = self.level.share
-        chance = self.chances.get(account, (share, min(1.0, share * levels.RETURN_PREFERENCE)))
+        chances = self.chances.get(account)
+        if chances is None:
+            chances = levels.find_chances(self.level.share, returned_part=0.0)
         key = (account, returned)
-        reached = self.sums.get(key, self.rng.random()) + chance[returned]
+        chance = chances.returning if returned else chances.new
+        reached = self.sums.get(key, self.rng.random()) + chance
         self.sums[key] = reached - 1.0 if reached >= 1.0 else reached
         return reached >= 1.0
--- a/yuccahitch/controllers/admission/levels.py
+++ b/yuccahitch/controllers/admission/levels.py
@@ -33,6 +33,21 @@
         return self.share if priority == self.priority else 0.0
 
 
+class Chances(records.Record):
+    """How likely requests of the priority that is admitted in part are admitted.
+
+    Attributes:
+        new: Chance of a request that was not refused before.
+        returning: Chance of one that returns after a refusal.
+    """
+
+    __slots__ = ("new", "returning")
+
+    def __init__(self, *, new: float, returning: float) -> None:
+        self.new = new
+        self.returning = returning
+
+
 EVERYTHING = AdmissionLevel()
 
 
@@ -52,8 +67,8 @@
     return EVERYTHING
 
 
-def find_chances(share: float, *, returned_part: float) -> tuple[float, float]:
-    """Return the chances of new and of returning requests, which admit a share of the new work.
+def find_chances(share: float, *, returned_part: float) -> Chances:
+    """Return the chances with which requests are admitted, so that a share of the new work fits.
 
     Returning requests are RETURN_PREFERENCE times as likely to be admitted, up to certainty.
 
@@ -61,8 +76,7 @@
         share: Work to admit, as a part of the work of new requests.
         returned_part: Work of returning requests, as a part of the work of new ones.
     """
-    new_chance = share / (1.0 + RETURN_PREFERENCE * returned_part)
-    if new_chance * RETURN_PREFERENCE > 1.0:
-        new_chance = max(share - returned_part, 1.0 / RETURN_PREFERENCE)
-    new_chance = min(1.0, new_chance)
-    return new_chance, min(1.0, new_chance * RETURN_PREFERENCE)
+    new = share / (1.0 + RETURN_PREFERENCE * returned_part)
+    if new * RETURN_PREFERENCE > 1.0:
+        return Chances(new=min(1.0, share - returned_part), returning=1.0)
+    return Chances(new=new, returning=new * RETURN_PREFERENCE)
--- a/yuccahitch/controllers/admission/urgency.py
+++ b/yuccahitch/controllers/admission/urgency.py
@@ -39,6 +39,8 @@
 # seconds.
 MIN_RETURN_S = 0.4
 MAX_RETURN_S = 4.0
+# Shortest time after which a caller with little time left may return, in seconds.
+LEAST_RETURN_S = 0.05
 # Part of the time that a request has left by which its caller may return at the latest.
 MAX_RETURN_PART = 1 / 3
 
@@ -267,7 +269,7 @@
 
     def _chances(
         self, service: str, level: levels.AdmissionLevel, now: float
-    ) -> dict[str, tuple[float, float]]:
+    ) -> dict[str, levels.Chances]:
         """Return the chances of new and of returning requests of each client account."""
         meters = self.demand.accounts(service, level.priority)
         work = {name: meter.work.at(now) for name, meter in meters.items()}
@@ -306,4 +308,4 @@
         load = sum(work for _, work in ahead) / max(state.room_per_s, 1e-9)
         spread_s = MIN_RETURN_S * max(1.0, load)
         wait_s = MIN_RETURN_S + self.rng.random() * spread_s
-        return max(0.05, min(wait_s, MAX_RETURN_S, arrival.left_s * MAX_RETURN_PART))
+        return max(LEAST_RETURN_S, min(wait_s, MAX_RETURN_S, arrival.left_s * MAX_RETURN_PART))
