Test admission with a second region, free to help or not

Cause: the room of other regions was counted without a test. Change: two scenarios; the builder starts another region.

--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -19,13 +19,20 @@
 # Route prefixes by priority; the last one belongs to a service with a single priority.
 PREFIXES = {0: "/urgent/", 2: "/normal/", 5: "/later/"}
 SINGLE_PREFIX = "/single/"
+# Where a forwarded request goes.
+FAR = "far"
 
 
-def a_ranked_publication(accounts=(), rate_per_s=0):
+def a_ranked_publication(accounts=(), rate_per_s=0, homes=()):
     """Return a configuration with a service of three priorities and one with a single priority."""
     routes = [
         platform_builders.a_published_route(
-            f"rank-{priority}", prefix, kind="safe", maxAttempts=2, priority=priority
+            f"rank-{priority}",
+            prefix,
+            kind="safe",
+            maxAttempts=2,
+            priority=priority,
+            homeRegions=list(homes),
         )
         for priority, prefix in PREFIXES.items()
     ]
@@ -68,11 +75,20 @@
         tries: Time, prefix, account, number of the try, and error code or None of each try.
         delays: Prefix, number of the try and time that each refusal told.
         parted: Whether pulses are lost.
+        far: An instance of another region, or None.
         logged: The log events.
     """
 
     def __init__(
-        self, instances, *, upstreams=4, slots=10, urgency="on", accounts=(), rate_per_s=0
+        self,
+        instances,
+        *,
+        upstreams=4,
+        slots=10,
+        urgency="on",
+        accounts=(),
+        rate_per_s=0,
+        homes=(),
     ):
         self.rng = random.Random(5)
         self.numbers = itertools.count(1)
@@ -87,8 +103,9 @@
         self.rates, self.credit = {}, collections.Counter()
         self.pulse_at = 0.0
         self.parted = False
+        self.far = None
         for edge in self.edges:
-            edge.publish(a_ranked_publication(accounts, rate_per_s))
+            edge.publish(a_ranked_publication(accounts, rate_per_s, homes))
             edge.mark_store_read()
         for number in range(upstreams):
             self.register(f"desk-{number}", "desk")
@@ -106,6 +123,16 @@
         for edge in self.edges:
             edge.register_upstream(name, service=service, capacity=self.slots)
 
+    def start_far_region(self, upstreams):
+        """Start another region with an instance and idle upstreams."""
+        self.far = platform_builders.EdgeUnderTest("far-edge", region="west", now=self.now)
+        self.far.publish(a_ranked_publication())
+        self.far.mark_store_read()
+        for edge, number in itertools.product((*self.edges, self.far), range(upstreams)):
+            zone = {"zone": "west-a", "capacity": self.slots}
+            edge.register_upstream(f"far-{number}", **zone)
+        edge_simulation.discover_all([*self.edges, self.far])
+
     def remove(self, name):
         """Remove the entry of an upstream, which turns away what still comes."""
         del self.upstreams[name]
@@ -149,6 +176,9 @@
                     self.logged.append((edge.now, edge.decisions.instance, command))
         for edge, other in itertools.permutations(() if self.parted else self.live, 2):
             edge.receive_pulse_from(other)
+        for edge in self.live if self.far is not None else ():
+            self.far.now = edge.now
+            edge.receive_pulse_from(self.far)
 
     def _try(self, caller):
         """Let a caller send its request to any instance."""
@@ -164,8 +194,8 @@
         if type(action) is actions.Refuse:
             self._refused(caller, edge, request_id, action.error)
             return
-        name = action.work.upstream
-        if self.upstreams.get(name, self.slots) >= self.slots:
+        name = getattr(action.work, "upstream", FAR)
+        if name != FAR and self.upstreams.get(name, self.slots) >= self.slots:
             failure = answers.Failure(
                 request_id=request_id,
                 attempt=action.work.attempt,
@@ -173,7 +203,8 @@
             )
             self._carry_out(caller, edge, edge.resume_request(request_id, failure))
             return
-        self.upstreams[name] += 1
+        if name in self.upstreams:
+            self.upstreams[name] += 1
         self._record(caller, None)
         edge.resume_request(request_id, builders.a_head(request_id))
         self.at(WORK_S * self.rng.uniform(0.7, 1.3), self._end, name, edge, request_id)
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -64,6 +64,24 @@
     start_site(context, count, upstreams=upstreams, slots=slots, rate_per_s=100_000)
 
 
+@behave.given(
+    "{count:d} instances before {upstreams:d} upstreams with {slots:d} slots each, and another "
+    "region with {idle:d} idle ones"
+)
+def step_start_two_regions(context, count, upstreams, slots, idle):
+    start_site(context, count, upstreams=upstreams, slots=slots)
+    context.site.start_far_region(idle)
+
+
+@behave.given(
+    "{count:d} instances before {upstreams:d} upstreams with {slots:d} slots each, and another "
+    "region that may serve none"
+)
+def step_start_homed(context, count, upstreams, slots):
+    start_site(context, count, upstreams=upstreams, slots=slots, homes=("east",))
+    context.site.start_far_region(upstreams)
+
+
 @behave.when("callers send {rate:d} requests a second of each priority for {seconds:d} second")
 @behave.when("callers send {rate:d} requests a second of each priority for {seconds:d} seconds")
 def step_send_evenly(context, rate, seconds):
