Place requests only where an engine's memory holds them

Cause: room was counted in slots alone. An engine whose requests exceed its memory refuses, preempts or crashes, and callers learn it late.

Change: each start of an engine counts the tokens that requests of this instance hold there (upstream_state/engine_memory.py), shared prompt parts once; pulses tell held_tokens, and placement/engine_room.py adds what reachable instances told. The size of the memory comes from the report that is read on new connections anyway; until it is known nothing changes. Free memory is divided among the instances of a region until they have heard of each other's requests, by even parts and by rank. Where no engine and no other region has room, the request is refused at once as upstreams-full (503, not run); the time to return grows with what was refused and what engines free. Log fields memory_needed, memory_free and without_memory, event upstream-memory. Loads, refusals and phases moved out of balance.py and replicas.py into modules of their own.

Not yet: nobody passes the notice on that incarnation_check.check now returns; replica_client needs one line for it.

--- a/yuccahitch/controllers/placement/assignments.py
+++ b/yuccahitch/controllers/placement/assignments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import records
+from yuccahitch.controllers.upstream_state import engine_memory
 from yuccahitch.resources import service as services
 
 
@@ -20,6 +21,7 @@
         local_only: Whether another instance forwarded the request, so that it may not be
             forwarded again.
         versions: Software versions whose upstreams may get the request; None means every one.
+        memory_demand: What the request takes of an engine's memory.
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         "avoid",
         "local_only",
         "versions",
+        "memory_demand",
     )
 
     def __init__(
@@ -46,6 +49,7 @@
         avoid: tuple[str, ...],
         local_only: bool,
         versions: frozenset[str] | None = None,
+        tokens: int = 0,
     ) -> None:
         self.request_id = request_id
         self.service = service
@@ -56,6 +60,7 @@
         self.avoid = avoid
         self.local_only = local_only
         self.versions = versions
+        self.memory_demand = _memory_demand(parts, tokens)
 
 
 class Assignment(records.Record):
@@ -67,15 +72,43 @@
         prompt_read: Whether the upstream has read them, as its answer has begun.
         placed_at: When the request was placed, in monotonic seconds.
         service: Name of the service.
+        memory: Memory of the upstream's start that the request is placed on.
+        memory_demand: What the request takes of it.
     """
 
-    __slots__ = ("upstream", "prompt_tokens", "prompt_read", "placed_at", "service")
+    __slots__ = (
+        "upstream",
+        "prompt_tokens",
+        "prompt_read",
+        "placed_at",
+        "service",
+        "memory",
+        "memory_demand",
+    )
 
     def __init__(
-        self, upstream: str, *, prompt_tokens: int, placed_at: float, service: str
+        self,
+        upstream: str,
+        *,
+        prompt_tokens: int,
+        placed_at: float,
+        service: str,
+        memory: engine_memory.EngineMemory,
+        memory_demand: engine_memory.MemoryDemand,
     ) -> None:
         self.upstream = upstream
         self.prompt_tokens = prompt_tokens
         self.prompt_read = False
         self.placed_at = placed_at
         self.service = service
+        self.memory = memory
+        self.memory_demand = memory_demand
+
+
+def _memory_demand(parts: tuple[tuple[str, int], ...], tokens: int) -> engine_memory.MemoryDemand:
+    """Return what a request takes of an engine's memory; all its parts but the last are shared."""
+    shared_tokens = sum(part_tokens for _, part_tokens in parts[:-1])
+    last_tokens = sum(part_tokens for _, part_tokens in parts[-1:])
+    return engine_memory.MemoryDemand(
+        max(tokens - shared_tokens, last_tokens), shared_parts=dict(parts[:-1])
+    )
--- a/yuccahitch/controllers/placement/balance.py
+++ b/yuccahitch/controllers/placement/balance.py
@@ -6,31 +6,27 @@
 
 from __future__ import annotations
 
-import math
 import random
 import typing
 
-from yuccahitch import errors
+from yuccahitch import errors, records
 from yuccahitch.controllers.members import fleet
 from yuccahitch.controllers.placement import (
     assignments,
     choices,
+    engine_room,
     estimates,
     placement_inputs,
     prompt_parts,
+    refusals,
     remote_regions,
+    upstream_loads,
 )
 from yuccahitch.controllers.upstream_state import replica_state, replicas
 from yuccahitch.messages import peers, pulses
 from yuccahitch.resources import service as services
 
 STEP = choices.STEP
-# Retry-After of a refusal, in seconds.
-RETRY_AFTER_S = 0.4
-# Longest Retry-After, in seconds.
-MAX_RETRY_AFTER_S = 2.0
-# Time for which this region reports no room for a service after a refusal, in seconds.
-SHORTAGE_S = 0.5
 # Scales the time to read a shared part at the upstream that all instances prefer after its holder,
 # so that they agree on one as far as loads allow.
 SECOND_HOLDER_FACTOR = 0.9
@@ -44,6 +40,32 @@
 RemoteChoice = tuple[float, peers.InstanceInfo]
 
 
+class Options(records.Record):
+    """The upstreams and regions that can take a request.
+
+    Attributes:
+        fitting: Upstreams of this region that can take it.
+        full: Those that could but for their memory.
+        local: The best one of this region.
+        remote: The best other region, or None.
+    """
+
+    __slots__ = ("fitting", "full", "local", "remote")
+
+    def __init__(
+        self,
+        *,
+        fitting: list[replica_state.Replica],
+        full: list[replica_state.Replica],
+        local: LocalChoice,
+        remote: RemoteChoice | None,
+    ) -> None:
+        self.fitting = fitting
+        self.full = full
+        self.local = local
+        self.remote = remote
+
+
 class Balancer:
     """Places each request where its first token and the slowdown of others cost the least time.
 
@@ -58,8 +80,9 @@
     Attributes:
         assignments: Placed requests by request id, until they are released.
         estimates: Estimates the time that requests take.
-        short_until: Until when a service counts as without room here, by its name, in monotonic
-            seconds; set when a request is refused as its upstreams take no more.
+        loads: Estimates the load of single upstreams.
+        room: Knows the free memory of the engines.
+        refusals: Refuses requests that no upstream can take.
         remote: Estimates of the other regions.
         prompt_parts: Decides which upstreams hold shared prompt parts.
     """
@@ -71,7 +94,9 @@
         "spill_gain_s",
         "assignments",
         "estimates",
-        "short_until",
+        "loads",
+        "room",
+        "refusals",
         "remote",
         "prompt_parts",
     )
@@ -92,7 +117,15 @@
         self.spill_gain_s = spill_gain_s
         self.assignments: dict[str, assignments.Assignment] = {}
         self.estimates = estimates.WorkEstimates()
-        self.short_until: dict[str, float] = {}
+        self.loads = upstream_loads.UpstreamLoads(registry, self.estimates)
+        self.room = engine_room.EngineRoom(members)
+        self.refusals = refusals.Refusals(
+            members=members,
+            registry=registry,
+            room=self.room,
+            work=self.estimates,
+            rng=rng,
+        )
         self.remote = remote_regions.RemoteRegions(
             members=members,
             registry=registry,
@@ -115,16 +148,17 @@
 
         The request then counts as running at the upstream that it is placed on.
         """
-        local_candidates, local_choice, remote_choice = self._options(request, now)
-        if not local_candidates and remote_choice is None and request.versions is not None:
+        found = self._options(request, now)
+        full = found.full
+        if not found.fitting and found.remote is None and request.versions is not None:
             # Only upstreams of some versions will do, and the last of them may be leaving.
-            local_candidates, local_choice, remote_choice = self._options(
-                request, now, lingering=True
-            )
-        local_s, first_token_s, best = local_choice
-        inputs = self._placement_inputs(
-            request, local_candidates, first_token_s, best, remote_choice, now
-        )
+            found = self._options(request, now, lingering=True)
+            full = full + found.full
+        local_s, first_token_s, best = found.local
+        remote_choice = found.remote
+        self.room.record_demand(request.service.name, request.memory_demand)
+        inputs = self._placement_inputs(request, found, now)
+        inputs.without_memory = len(full) or None
         if remote_choice is not None and (
             best is None or remote_choice[0] + self.spill_gain_s < local_s
         ):
@@ -135,9 +169,10 @@
                     info, better_than_s=local_s if best else 0.0, placement_inputs=inputs
                 )
         if best is None:
-            return self._refuse_without_candidate(request, inputs, now)
+            usable = self._usable(request, now)
+            return self.refusals.without_candidate(request, usable, full, inputs, now)
         if first_token_s > request.left_s:
-            return _refuse(
+            return refusals.refuse(
                 errors.Code.OVERLOADED,
                 f"estimated wait of {first_token_s:.2f} s is longer than the time left",
                 inputs,
@@ -162,6 +197,7 @@
         self.record_prompt_read(request_id)
         del self.assignments[request_id]
         self.registry.record_end(assignment.upstream)
+        assignment.memory.record_end(assignment.memory_demand, now)
 
     def record_work_time(self, request_id: str, now: float) -> None:
         """Update the average time of a service with a request that just succeeded."""
@@ -186,79 +222,58 @@
             warm = [replica for replica in usable if not self.registry.is_cold(replica, now)]
             if not warm:
                 continue
-            is_short = now < self.short_until.get(service.name, -math.inf)
+            is_short = self.refusals.is_short(service.name, now)
             # What is held back now by a named rate or a pause is no room for other regions.
             open_now = [
                 replica
                 for replica in warm
                 if not is_short and self.registry.send_wait_s(replica, now, sharers) <= 0
             ]
-            costs_s = [self._estimate_cost(r, service, uses) for r in open_now or warm]
+            costs_s = [self.loads.cost(r, service, uses) for r in open_now or warm]
             room = pulses.ServiceCapacity(
                 service.name,
-                places=sum(self._count_places(replica, service) for replica in open_now),
-                taken=sum(self._count_running(replica, uses) for replica in open_now),
+                places=sum(
+                    min(
+                        self.loads.places(replica, service),
+                        self.loads.running(replica, uses)
+                        + self.room.count_further(replica, service.name, now),
+                    )
+                    for replica in open_now
+                ),
+                taken=sum(self.loads.running(replica, uses) for replica in open_now),
                 wait_s=min(costs_s),
             )
             rooms.append(room)
         return rooms
 
-    def _refuse_without_candidate(
-        self,
-        request: assignments.PlacementRequest,
-        inputs: placement_inputs.PlacementInputs,
-        now: float,
-    ) -> choices.Refused:
-        """Return the refusal of a request that no upstream and no other region can take now.
-
-        If upstreams only hold it back by the rates that they named, callers return spread over the
-        time after the next one may be sent.
-        """
-        sharers = self.members.rate_sharers(now)
-        waits_s = [
-            self.registry.send_wait_s(replica, now, sharers)
-            for replica in self._usable(request, now)
-        ]
-        if not any(waits_s):
-            detail = "no usable upstream for the service"
-            return _refuse(errors.Code.NO_UPSTREAM, detail, inputs)
-        self.short_until[request.service.name] = now + SHORTAGE_S
-        retry_after_s = min(waits_s) + self.rng.random() * RETRY_AFTER_S
-        return _refuse(
-            errors.Code.UPSTREAMS_LIMITED,
-            "all of them named a rate or asked for a pause",
-            inputs,
-            retry_after_s=min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S / 2, retry_after_s)),
-        )
-
     def _placement_inputs(
         self,
         request: assignments.PlacementRequest,
-        local_candidates: list[replica_state.Replica],
-        first_token_s: float,
-        best: replica_state.Replica | None,
-        remote_choice: RemoteChoice | None,
+        found: Options,
         now: float,
     ) -> placement_inputs.PlacementInputs:
         """Return the inputs of a placement decision, for the log."""
+        _, first_token_s, best = found.local
         inputs = placement_inputs.PlacementInputs(
             known=self.registry.count_known(request.service.name),
-            usable=len(local_candidates),
+            usable=len(found.fitting) + len(found.full),
+            memory_needed=request.memory_demand.tokens or None,
             told_s=round(self.members.oldest_pulse_age(now), 3),
         )
         if best is not None:
             inputs.wait_s = round(first_token_s, 3)
-            inputs.running = self._count_running(best, self.members.near_uses(now))
+            inputs.running = self.loads.running(best, self.members.near_uses(now))
             inputs.slots = best.upstream.slots
-        if remote_choice is not None:
-            inputs.elsewhere_s = round(remote_choice[0], 3)
-            inputs.elsewhere = remote_choice[1].region
+            inputs.memory_free = self.room.known_free(best, now)
+        if found.remote is not None:
+            inputs.elsewhere_s = round(found.remote[0], 3)
+            inputs.elsewhere = found.remote[1].region
         return inputs
 
     def _options(
         self, request: assignments.PlacementRequest, now: float, *, lingering: bool = False
-    ) -> tuple[list[replica_state.Replica], LocalChoice, RemoteChoice | None]:
-        """Return the upstreams of this region that can take a request, and the choices.
+    ) -> Options:
+        """Return the upstreams and regions that can take a request.
 
         Args:
             request: The request.
@@ -266,16 +281,22 @@
             lingering: Whether to choose among the upstreams that are leaving.
         """
         candidates = self._local_candidates(request, now, lingering=lingering)
-        local_choice = self._choose_local(candidates, request, now)
-        remote_choice = (
-            None if request.local_only else self._choose_remote(request, now, lingering=lingering)
+        fitting, full = self.room.split(candidates, request.memory_demand, now)
+        return Options(
+            fitting=fitting,
+            full=full,
+            local=self._choose_local(fitting, request, now),
+            remote=(
+                None
+                if request.local_only
+                else self._choose_remote(request, now, lingering=lingering)
+            ),
         )
-        return candidates, local_choice, remote_choice
 
     def _local_candidates(
         self, request: assignments.PlacementRequest, now: float, *, lingering: bool
     ) -> list[replica_state.Replica]:
-        """Return the upstreams of this region that can take a request."""
+        """Return the upstreams of this region that can take a request, but for their memory."""
         if request.regions is not None and self.region not in request.regions:
             return []
         usable = self._usable(request, now, lingering=lingering)
@@ -321,7 +342,7 @@
         rated = []
         for replica in self._considered(candidates, holders, now):
             first_token_s = self._estimate_first_token(replica, request, uses, holders)
-            running = self._count_running(replica, uses)
+            running = self.loads.running(replica, uses)
             slowdown_s = self.estimates.slowdown(replica, request.service, running=running)
             cost_s = first_token_s + slowdown_s
             rated.append((cost_s, self.rng.random(), first_token_s, replica))
@@ -369,41 +390,7 @@
         if holder and unread > request.parts[-1][1]:
             prefill_s += remote_regions.REREAD_PENALTY_S
             prefill_s *= SECOND_HOLDER_FACTOR if replica.upstream.name == second_holder else 1.0
-        return self._estimate_wait(replica, request.service, uses) + prefill_s
-
-    def _estimate_wait(
-        self,
-        replica: replica_state.Replica,
-        service: services.Service,
-        uses: dict[str, tuple[int, int]],
-    ) -> float:
-        """Return the estimated time to first token of a request without a prompt, in seconds."""
-        tokens = replica.prompt_tokens + uses.get(replica.upstream.name, (0, 0))[1]
-        running = self._count_running(replica, uses)
-        return self.estimates.wait(replica, service, running=running, prompt_tokens=tokens)
-
-    def _estimate_cost(
-        self,
-        replica: replica_state.Replica,
-        service: services.Service,
-        uses: dict[str, tuple[int, int]],
-    ) -> float:
-        """Return the estimated wait at an upstream and the slowdown of its requests, in seconds."""
-        running = self._count_running(replica, uses)
-        slowdown_s = self.estimates.slowdown(replica, service, running=running)
-        return self._estimate_wait(replica, service, uses) + slowdown_s
-
-    def _count_running(
-        self, replica: replica_state.Replica, uses: dict[str, tuple[int, int]]
-    ) -> int:
-        """Return the requests of this and the other near instances that an upstream runs."""
-        return replica.running + uses.get(replica.upstream.name, (0, 0))[0]
-
-    def _count_places(self, replica: replica_state.Replica, service: services.Service) -> int:
-        """Return how many requests an upstream runs at the same time, at the rate that it takes."""
-        slots = replica.upstream.slots
-        rate_per_s = self.registry.limits.rate(replica.incarnation)
-        return max(1, int(min(slots, rate_per_s * self.estimates.work_time(service))))
+        return self.loads.wait(replica, request.service, uses) + prefill_s
 
     def _choose_remote(
         self, request: assignments.PlacementRequest, now: float, *, lingering: bool
@@ -419,19 +406,14 @@
         tokens = prompt_parts.unread_tokens(replica, request.parts, "")
         name = replica.upstream.name
         replica.record_parts(part for part, _ in request.parts)
+        demand = request.memory_demand
+        replica.memory.record_dispatch(demand, now)
         self.assignments[request.request_id] = assignments.Assignment(
-            name, prompt_tokens=tokens, placed_at=now, service=request.service.name
+            name,
+            prompt_tokens=tokens,
+            placed_at=now,
+            service=request.service.name,
+            memory=replica.memory,
+            memory_demand=demand,
         )
         self.registry.record_dispatch(name, prompt_tokens=tokens, now=now)
-
-
-def _refuse(
-    code: errors.Code,
-    detail: str,
-    inputs: placement_inputs.PlacementInputs,
-    *,
-    retry_after_s: float = RETRY_AFTER_S,
-) -> choices.Refused:
-    """Return the refusal of a request, with a time after which the caller may try again."""
-    error = errors.GatewayError(code, step=STEP, detail=detail, retry_after=retry_after_s)
-    return choices.Refused(error, inputs)
--- a/yuccahitch/controllers/placement/placement_inputs.py
+++ b/yuccahitch/controllers/placement/placement_inputs.py
@@ -20,6 +20,11 @@
         elsewhere: Name of the best other region, or empty.
         elsewhere_s: Estimated time to the first token in that region, in seconds; None if there is
             none.
+        without_memory: Number of usable upstreams whose memory doesn't hold the request; None if
+            all do.
+        memory_needed: Tokens that the request takes where none of its prompt parts is held; None
+            if that is not known.
+        memory_free: Tokens that are free at the best local upstream; None if that is not known.
         told_s: Longest time since a reachable instance of this region was last seen, in seconds; 0
             if that is not measured.
     """
@@ -32,6 +37,9 @@
         "wait_s",
         "elsewhere",
         "elsewhere_s",
+        "without_memory",
+        "memory_needed",
+        "memory_free",
         "told_s",
     )
 
@@ -45,6 +53,9 @@
         wait_s: float | None = None,
         elsewhere: str = "",
         elsewhere_s: float | None = None,
+        without_memory: int | None = None,
+        memory_needed: int | None = None,
+        memory_free: int | None = None,
         told_s: float = 0.0,
     ) -> None:
         self.known = known
@@ -54,6 +65,9 @@
         self.wait_s = wait_s
         self.elsewhere = elsewhere
         self.elsewhere_s = elsewhere_s
+        self.without_memory = without_memory
+        self.memory_needed = memory_needed
+        self.memory_free = memory_free
         self.told_s = told_s
 
     def log_fields(self) -> dict[str, typing.Any]:
--- a/yuccahitch/controllers/upstream_state/replica_state.py
+++ b/yuccahitch/controllers/upstream_state/replica_state.py
@@ -5,6 +5,7 @@
 import math
 import typing
 
+from yuccahitch.controllers.upstream_state import engine_memory
 from yuccahitch.resources import upstream
 
 # Prompt parts that are remembered for an upstream; the oldest one is dropped for a new one.
@@ -39,6 +40,7 @@
             seconds.
         cached_parts: Ids of the prompt parts that the upstream read for this instance, oldest
             first.
+        memory: Counts the tokens that the upstream holds in its memory.
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         "sent_unreadable",
         "paused_until",
         "cached_parts",
+        "memory",
     )
 
     def __init__(self, entry: upstream.Upstream, *, revision: int) -> None:
@@ -81,6 +84,7 @@
         self.sent_unreadable = False
         self.paused_until = -math.inf
         self.cached_parts: dict[str, None] = {}
+        self.memory = engine_memory.EngineMemory()
 
     @property
     def incarnation(self) -> str:
--- a/yuccahitch/controllers/upstream_state/replicas.py
+++ b/yuccahitch/controllers/upstream_state/replicas.py
@@ -10,7 +10,7 @@
 from yuccahitch.controllers.config import published
 from yuccahitch.controllers.members import rendezvous
 from yuccahitch.controllers.store_view import freshness
-from yuccahitch.controllers.upstream_state import replica_state, upstream_limits
+from yuccahitch.controllers.upstream_state import replica_state, upstream_limits, upstream_phases
 from yuccahitch.messages import commands, pulses, store, upstream_notices
 from yuccahitch.resources import service as services
 from yuccahitch.resources import upstream
@@ -25,8 +25,6 @@
 COLD_OWNERS = 3
 # Upstreams that are gone and remembered for a restored store; the oldest one is dropped.
 MAX_DEPARTED = 4096
-# States that count_by_state counts; each is a label of a metric.
-STATES = ("ready", "cold", "ejected", "evacuated", "leaving", "missing")
 
 
 class ReplicaRegistry:
@@ -222,16 +220,30 @@
     def usages(self) -> list[pulses.UpstreamUsage]:
         """Return the work of this instance at each upstream that runs requests of it."""
         return [
-            pulses.UpstreamUsage(name, running=replica.running, prompt_tokens=replica.prompt_tokens)
+            pulses.UpstreamUsage(
+                name,
+                running=replica.running,
+                prompt_tokens=replica.prompt_tokens,
+                held_tokens=replica.memory.own_tokens,
+            )
             for name, replica in self.by_name.items()
             if replica.running
         ]
 
     def count_by_state(self, now: float) -> dict[str, float]:
-        """Return the number of upstreams of this region in each of STATES."""
+        """Return the number of upstreams of this region in each of PHASES."""
         own_replicas = [r for r in self.by_name.values() if r.upstream.region == self.region]
-        counts = collections.Counter(self._state(replica, now) for replica in own_replicas)
-        return {name: float(counts[name]) for name in STATES}
+        states = [
+            upstream_phases.phase(
+                replica,
+                now,
+                evacuated=replica.upstream.zone in self.config.evacuated,
+                cold=self.is_cold(replica, now),
+            )
+            for replica in own_replicas
+        ]
+        counts = collections.Counter(states)
+        return {name: float(counts[name]) for name in upstream_phases.PHASES}
 
     def healthy(
         self, candidates: list[replica_state.Replica], now: float
@@ -338,6 +350,9 @@
         if notice.replaced and not replica.replaced:
             replica.replaced = True
             self._log(events.Event.UPSTREAM_REPLACED, notice.upstream)
+        if notice.memory is not None and replica.memory.record_report(notice.memory, now):
+            total_tokens = replica.memory.total_tokens
+            self._log(events.Event.UPSTREAM_MEMORY, notice.upstream, total_tokens=total_tokens)
         if notice.pause_s > 0:
             self._pause(replica, notice.pause_s, now)
         if notice.unreadable and not replica.sent_unreadable:
@@ -395,18 +410,6 @@
             return entry.born_ms > known.born_ms
         return (entry.born_ms, entry.sequence) > (known.born_ms, known.sequence)
 
-    def _state(self, replica: replica_state.Replica, now: float) -> str:
-        """Return the state of an upstream, one of STATES."""
-        if replica.removal_at < math.inf:
-            return "missing"
-        if replica.leaving or replica.misdirected:
-            return "leaving"
-        if replica.upstream.zone in self.config.evacuated:
-            return "evacuated"
-        if now < replica.ejected_until:
-            return "ejected"
-        return "cold" if self.is_cold(replica, now) else "ready"
-
     def _is_usable(self, replica: replica_state.Replica, now: float) -> bool:
         """Return whether an upstream may get new work; ejections are not considered."""
         return not replica.leaving and self._is_reachable(replica, now)
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -55,6 +55,11 @@
         503,
         "The upstreams of the service take no further requests at present.",
     )
+    UPSTREAMS_FULL = (
+        "upstreams-full",
+        503,
+        "No upstream of the service has the memory for the request at present.",
+    )
     UPSTREAM_MOVED = ("upstream-moved", 503, "Another upstream answers at this upstream's address.")
     UPSTREAM_REPLACED = (
         "upstream-replaced",
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -133,6 +133,11 @@
         "An upstream has started again; until its new entry is known, it gets no streams that "
         "depend on its software version.",
     )
+    UPSTREAM_MEMORY = (
+        316,
+        "upstream-memory",
+        "An upstream reported the size of its memory; it gets no requests that don't fit in.",
+    )
     CONFIG_APPLIED = (400, "config-applied", "Newer resources were applied.")
     CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
     CONFIG_UNREADABLE = (
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -92,4 +92,5 @@
         + (context.hop.avoid if context.hop is not None else ()),
         local_only=context.hop is not None,
         versions=context.versions,
+        tokens=request.prompt_tokens + request.max_tokens,
     )
--- a/yuccahitch/messages/upstream_notices.py
+++ b/yuccahitch/messages/upstream_notices.py
@@ -9,6 +9,21 @@
 UNLIMITED = math.inf
 
 
+class MemoryReport(records.Record):
+    """What the report of an engine says of its memory.
+
+    Attributes:
+        total_tokens: Size of the memory, in tokens.
+        used_tokens: Tokens of it that running requests hold.
+    """
+
+    __slots__ = ("total_tokens", "used_tokens")
+
+    def __init__(self, *, total_tokens: int, used_tokens: int) -> None:
+        self.total_tokens = total_tokens
+        self.used_tokens = used_tokens
+
+
 class UpstreamNotice(records.Record):
     """Statements of an upstream in the head of one answer, or in its report.
 
@@ -21,6 +36,7 @@
         pause_s: Time for which it wants no requests of this instance, in seconds.
         replaced: Whether another start of it was found at its address.
         unreadable: Header of such a statement that can't be read, with its value; or empty.
+        memory: What it says of its memory, or None.
     """
 
     __slots__ = (
@@ -31,6 +47,7 @@
         "pause_s",
         "replaced",
         "unreadable",
+        "memory",
     )
 
     def __init__(
@@ -43,6 +60,7 @@
         pause_s: float = 0.0,
         replaced: bool = False,
         unreadable: str = "",
+        memory: MemoryReport | None = None,
     ) -> None:
         self.upstream = upstream
         self.incarnation = incarnation
@@ -51,3 +69,4 @@
         self.pause_s = pause_s
         self.replaced = replaced
         self.unreadable = unreadable
+        self.memory = memory
--- a/yuccahitch/platform/upstreams.py
+++ b/yuccahitch/platform/upstreams.py
@@ -6,6 +6,7 @@
 import json
 import typing
 
+from yuccahitch.messages import upstream_notices
 from yuccahitch.platform import names
 from yuccahitch.resources import upstream
 
@@ -87,6 +88,25 @@
         return 0
 
 
+def decode_memory(status: int, body: bytes) -> upstream_notices.MemoryReport | None:
+    """Return what the report of an upstream says of its memory, or None if it says nothing usable.
+
+    Args:
+        status: HTTP status of the report.
+        body: Body of the report, which should be JSON.
+    """
+    if not is_report(status):
+        return None
+    try:
+        data = json.loads(body)
+        return upstream_notices.MemoryReport(
+            total_tokens=_check_whole_number(data["kvTotal"], minimum=1),
+            used_tokens=_check_whole_number(data["kvUsed"]),
+        )
+    except READ_ERRORS:
+        return None
+
+
 def _check_name(name: str) -> str:
     """Return a name that can stand in a header unchanged; raise ValueError for any other one."""
     if not name or not name.isascii() or not name.isprintable() or " " in name:
--- a/yuccahitch/tasks/incarnation_check.py
+++ b/yuccahitch/tasks/incarnation_check.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from yuccahitch.messages import actions
+from yuccahitch.messages import actions, upstream_notices
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.platform import upstreams
 from yuccahitch.tasks import replica_connection
@@ -39,13 +39,18 @@
         self.is_other = is_other
 
 
-async def check(connection: replica_connection.Connection, action: actions.Dispatch) -> None:
+async def check(
+    connection: replica_connection.Connection, action: actions.Dispatch
+) -> upstream_notices.UpstreamNotice:
     """Ask for the start at the other end of a connection, and keep it with the connection.
 
     Args:
         connection: A connection on which no answer is due.
         action: A request with the start that it is bound to.
 
+    Returns:
+        What the report says of the upstream.
+
     Raises:
         OSError: When the connection breaks before the end of the report, or the answer on a reused
             connection may be to another request.
@@ -67,6 +72,11 @@
         raise StartError("the upstream doesn't tell when it started", is_other=False)
     if not upstreams.is_report(head.status):
         connection.record_unnamed()
+    return upstream_notices.UpstreamNotice(
+        action.upstream,
+        incarnation=action.incarnation,
+        memory=upstreams.decode_memory(head.status, body),
+    )
 
 
 async def _read_report(
