Join room: engines' memory beside their slots

Cause: room was counted in slots; long prompts fill an engine's memory first. The event upstream-memory is number 317.

--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -60,6 +60,11 @@
         503,
         "The service is short of places in this region and admits more urgent requests first.",
     )
+    UPSTREAMS_FULL = (
+        "upstreams-full",
+        503,
+        "No upstream of the service has the memory for the request at present.",
+    )
     UPSTREAM_MOVED = ("upstream-moved", 503, "Another upstream answers at this upstream's address.")
     UPSTREAM_REPLACED = (
         "upstream-replaced",
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -138,6 +138,11 @@
         "admission-changed",
         "Another priority of a service is admitted in part, or everything is again.",
     )
+    UPSTREAM_MEMORY = (
+        317,
+        "upstream-memory",
+        "An upstream reported the size of its memory; it gets no requests that don't fit in.",
+    )
     CONFIG_APPLIED = (400, "config-applied", "Newer resources were applied.")
     CONFIG_STALE = (401, "config-stale", "Older resources were ignored.")
     CONFIG_UNREADABLE = (
