Let few upstreams hold each shared prompt part, by rank, demand and load

Cause: a part had one holder over all regions by a hash of the first part. Where the holder was loaded, a request went to any upstream, which read the part again.

Change: with [policy] part_holders (0, the default, is as before) the last shared part is the key; as many upstreams hold it as its demand needs, in the order of rendezvous hashing; one that is fuller than 1.25 times the average is passed over for the next by rank. A region that often asks for a part has a holder of its own. Demand is inferred by each instance; no messages.

--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -417,6 +417,15 @@
         "spill_gain_s": _number_rule(
             "Gain in time to first token that justifies another region.", "seconds", 0.1, 0, 60
         ),
+        "part_holders": _number_rule(
+            "Most upstreams of a region that hold the same prompt part; 0 for one in all regions "
+            "that others stand in for without order.",
+            "upstreams",
+            0,
+            0,
+            64,
+            int,
+        ),
     },
     "log": SCHEMA["log"],
 }
