Compare the next upstream with a holder that is much fuller

Change: the next upstream by rank is offered too while it is emptier by half its slots than every holder; the balancer's cost of reading, wait and slowdown decides.

--- a/tests/features/prompt_parts.feature
+++ b/tests/features/prompt_parts.feature
@@ -75,6 +75,17 @@
       | 8    | a shared part of 2000 tokens  | 1     |
       | 0    | a shared part of 2000 tokens  | 8     |
 
+  Scenario Outline: The next upstream is compared with a holder that is much fuller
+    Given 1 instances with 8 upstreams that keep prompt parts
+    When the holder of a part runs <running> requests on its 8 slots
+    Then a request with that part may go to <count> upstreams
+
+    Examples:
+      | running | count |
+      | 0       | 1     |
+      | 3       | 1     |
+      | 5       | 2     |
+
   Scenario: The memory of the demand for parts is bounded
     Given 1 instances with 2 upstreams that keep prompt parts
     When callers ask for 10000 different parts
--- a/tests/features/steps/prompt_parts.py
+++ b/tests/features/steps/prompt_parts.py
@@ -173,6 +173,18 @@
     assert len(context.narrowed) == count, context.narrowed
 
 
+@behave.when("the holder of a part runs {running:d} requests on its 8 slots")
+def step_load_part_holder(context, running):
+    context.prompt = part_simulation.a_prompt("part")
+    (holder,) = context.site.holders(context.prompt)
+    context.site.fill_engine(holder, seconds=5.0, requests=running)
+
+
+@behave.then("a request with that part may go to {count:d} upstreams")
+def step_check_spare(context, count):
+    assert len(context.site.narrowed(context.prompt)) == count
+
+
 @behave.when("callers ask for {count:d} different parts")
 def step_ask_for_many(context, count):
     for number in range(count):
--- a/tests/part_simulation.py
+++ b/tests/part_simulation.py
@@ -128,10 +128,10 @@
                 name, service="model", capacity=SLOTS, state="draining", born=born
             )
 
-    def fill_engine(self, name: str, *, seconds: float) -> None:
-        """Let the first instance run twice as many requests at an upstream as it has slots."""
+    def fill_engine(self, name: str, *, seconds: float, requests: int = 2 * SLOTS) -> None:
+        """Let the first instance run requests at an upstream, by default more than it has slots."""
         edge = self.edges[0]
-        for _ in range(2 * SLOTS):
+        for _ in range(requests):
             edge.decisions.registry.record_dispatch(name, prompt_tokens=0, now=edge.now)
             self.engines[name].runs.append((self.now + seconds, edge))
 
--- a/yuccahitch/controllers/placement/prompt_parts.py
+++ b/yuccahitch/controllers/placement/prompt_parts.py
@@ -81,8 +81,9 @@
         """Return the candidates among which a request with a shared part is placed.
 
         These are the holders of its last shared part. The next ones by rank stand in for those that
-        are much fuller than the average, so that also under load few upstreams read the part. A
-        prompt whose shared parts are quickly read may go to any candidate.
+        are much fuller than the average, so that also under load few upstreams read the part. The
+        next one is returned too while it is much emptier, as reading there may take less time than
+        waiting. A prompt whose shared parts are quickly read may go to any candidate.
 
         Args:
             request: The request.
@@ -94,8 +95,8 @@
         is_negligible = shared_tokens < NEGLIGIBLE_READ_S * estimates.PREFILL_TOKENS_PER_S
         if not self.max_holders or is_negligible or not candidates:
             return candidates
-        ranked = part_holders.ranked_with_room(last_shared_part(request), candidates, fill_of)
-        return ranked[: self._count_holders(request, candidates, now)]
+        count = self._count_holders(request, candidates, now)
+        return part_holders.choose(last_shared_part(request), count, candidates, fill_of)
 
     def _demanded_holder(self, request: assignments.PlacementRequest, now: float) -> str:
         """Return the holder of a request's last shared part, in this region if it is in demand."""
