--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -425,6 +425,22 @@
             type="string",
             allowed=["on", "off"],
         ),
+        "link_share": _number_rule(
+            "Fraction of a link to another region that forwards may take; 0 for no bound.",
+            "parts",
+            0,
+            0,
+            1,
+        ),
+        "part_holders": _number_rule(
+            "Most upstreams of a region that hold the same prompt part; 0 for one in all regions "
+            "that others stand in for without order.",
+            "upstreams",
+            0,
+            0,
+            64,
+            int,
+        ),
     },
     "log": SCHEMA["log"],
 }
