Learn the speed of each upstream and let queues follow it

Cause: all upstreams of a service were taken to be alike; some work at 0.7 and others at 1.7 of the usual speed, and stop for half a second.

Change: upstream_state/slowness.py follows a factor for each start and kind of work (reading prompts, making tokens, whole plain requests), clipped, bounded in time, forgotten when unused; placement/speeds.py compares with the service's average. Times in queues and of prompts follow the factor, the delay by running requests its square root. Log field work_factor. Times of answers are taken at the end of the request, as record_prompt_read is called without a time.

--- a/tests/room_builders.py
+++ b/tests/room_builders.py
@@ -52,6 +52,13 @@
     edge.decisions.on_upstream_notice(notice, edge.now)
 
 
+def ask_for_pause(edge, name, pause_s):
+    """Let an instance receive an engine's wish for no requests, for a time in seconds."""
+    incarnation = edge.decisions.registry.incarnation(name)
+    notice = upstream_notices.UpstreamNotice(name, incarnation=incarnation, pause_s=pause_s)
+    edge.decisions.on_upstream_notice(notice, edge.now)
+
+
 def begin(edge, tokens, *, shared=""):
     """Begin a request of some tokens, a tenth of them for the answer.
 
--- a/yuccahitch/controllers/placement/assignments.py
+++ b/yuccahitch/controllers/placement/assignments.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yuccahitch import records
-from yuccahitch.controllers.upstream_state import engine_memory
+from yuccahitch.controllers.upstream_state import engine_memory, replica_state
 from yuccahitch.resources import service as services
 
 
@@ -22,6 +22,7 @@
             forwarded again.
         versions: Software versions whose upstreams may get the request; None means every one.
         memory_demand: What the request takes of an engine's memory.
+        output_tokens: Tokens of the longest answer; 0 if the request doesn't tell.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "local_only",
         "versions",
         "memory_demand",
+        "output_tokens",
     )
 
     def __init__(
@@ -49,7 +51,8 @@
         avoid: tuple[str, ...],
         local_only: bool,
         versions: frozenset[str] | None = None,
-        tokens: int = 0,
+        prompt_tokens: int = 0,
+        output_tokens: int = 0,
     ) -> None:
         self.request_id = request_id
         self.service = service
@@ -60,7 +63,8 @@
         self.avoid = avoid
         self.local_only = local_only
         self.versions = versions
-        self.memory_demand = _memory_demand(parts, tokens)
+        self.memory_demand = _memory_demand(parts, prompt_tokens + output_tokens)
+        self.output_tokens = output_tokens
 
 
 class Assignment(records.Record):
@@ -72,8 +76,11 @@
         prompt_read: Whether the upstream has read them, as its answer has begun.
         placed_at: When the request was placed, in monotonic seconds.
         service: Name of the service.
-        memory: Memory of the upstream's start that the request is placed on.
-        memory_demand: What the request takes of it.
+        replica: The start of the upstream.
+        ahead: Requests that had to end there before this one, for each slot; 0 while slots were
+            free.
+        output_tokens: Tokens of the longest answer; 0 if the request doesn't tell.
+        memory_demand: What the request takes of the upstream's memory.
     """
 
     __slots__ = (
@@ -82,7 +89,9 @@
         "prompt_read",
         "placed_at",
         "service",
-        "memory",
+        "replica",
+        "ahead",
+        "output_tokens",
         "memory_demand",
     )
 
@@ -93,7 +102,9 @@
         prompt_tokens: int,
         placed_at: float,
         service: str,
-        memory: engine_memory.EngineMemory,
+        replica: replica_state.Replica,
+        ahead: float,
+        output_tokens: int,
         memory_demand: engine_memory.MemoryDemand,
     ) -> None:
         self.upstream = upstream
@@ -101,7 +112,9 @@
         self.prompt_read = False
         self.placed_at = placed_at
         self.service = service
-        self.memory = memory
+        self.replica = replica
+        self.ahead = ahead
+        self.output_tokens = output_tokens
         self.memory_demand = memory_demand
 
 
--- a/yuccahitch/controllers/placement/balance.py
+++ b/yuccahitch/controllers/placement/balance.py
@@ -20,6 +20,7 @@
     prompt_parts,
     refusals,
     remote_regions,
+    speeds,
     upstream_loads,
 )
 from yuccahitch.controllers.upstream_state import replica_state, replicas
@@ -80,6 +81,7 @@
     Attributes:
         assignments: Placed requests by request id, until they are released.
         estimates: Estimates the time that requests take.
+        speeds: Learns how fast each upstream is.
         loads: Estimates the load of single upstreams.
         room: Knows the free memory of the engines.
         refusals: Refuses requests that no upstream can take.
@@ -94,6 +96,7 @@
         "spill_gain_s",
         "assignments",
         "estimates",
+        "speeds",
         "loads",
         "room",
         "refusals",
@@ -117,7 +120,8 @@
         self.spill_gain_s = spill_gain_s
         self.assignments: dict[str, assignments.Assignment] = {}
         self.estimates = estimates.WorkEstimates()
-        self.loads = upstream_loads.UpstreamLoads(registry, self.estimates)
+        self.speeds = speeds.Speeds()
+        self.loads = upstream_loads.UpstreamLoads(registry, self.estimates, self.speeds)
         self.room = engine_room.EngineRoom(members)
         self.refusals = refusals.Refusals(
             members=members,
@@ -197,7 +201,7 @@
         self.record_prompt_read(request_id)
         del self.assignments[request_id]
         self.registry.record_end(assignment.upstream)
-        assignment.memory.record_end(assignment.memory_demand, now)
+        assignment.replica.memory.record_end(assignment.memory_demand, now)
 
     def record_work_time(self, request_id: str, now: float) -> None:
         """Update the average time of a service with a request that just succeeded."""
@@ -205,6 +209,18 @@
         if assignment is not None:
             self.estimates.record_work_time(assignment.service, now - assignment.placed_at)
 
+    def record_answer(self, request_id: str, *, began_at: float | None, now: float) -> None:
+        """Learn the speed of an upstream from a request that just succeeded at the first attempt.
+
+        Args:
+            request_id: Id of the request.
+            began_at: When the answer began, in monotonic seconds; None if that is not known.
+            now: Monotonic seconds.
+        """
+        assignment = self.assignments.get(request_id)
+        if assignment is not None:
+            self.speeds.record_answer(assignment, began_at=began_at, now=now)
+
     def rooms(
         self, offered: typing.Iterable[services.Service], now: float
     ) -> list[pulses.ServiceCapacity]:
@@ -229,7 +245,7 @@
                 for replica in warm
                 if not is_short and self.registry.send_wait_s(replica, now, sharers) <= 0
             ]
-            costs_s = [self.loads.cost(r, service, uses) for r in open_now or warm]
+            costs_s = [self.loads.cost(r, service, uses, now) for r in open_now or warm]
             room = pulses.ServiceCapacity(
                 service.name,
                 places=sum(
@@ -265,6 +281,8 @@
             inputs.running = self.loads.running(best, self.members.near_uses(now))
             inputs.slots = best.upstream.slots
             inputs.memory_free = self.room.known_free(best, now)
+            factor = self.speeds.work_factor(best, request.service, now)
+            inputs.work_factor = round(factor, 2)
         if found.remote is not None:
             inputs.elsewhere_s = round(found.remote[0], 3)
             inputs.elsewhere = found.remote[1].region
@@ -341,7 +359,7 @@
         )
         rated = []
         for replica in self._considered(candidates, holders, now):
-            first_token_s = self._estimate_first_token(replica, request, uses, holders)
+            first_token_s = self._estimate_first_token(replica, request, uses, holders, now)
             running = self.loads.running(replica, uses)
             slowdown_s = self.estimates.slowdown(replica, request.service, running=running)
             cost_s = first_token_s + slowdown_s
@@ -374,6 +392,7 @@
         request: assignments.PlacementRequest,
         uses: dict[str, tuple[int, int]],
         part_holders: tuple[str, str],
+        now: float,
     ) -> float:
         """Return the estimated time to first token at an upstream, with penalties, in seconds.
 
@@ -383,14 +402,16 @@
             uses: Running requests and unread prompt tokens of other near instances, by upstream.
             part_holders: Names of the upstream that holds the shared part, and of the candidate
                 that is preferred after it.
+            now: Monotonic seconds.
         """
         holder, second_holder = part_holders
         unread = prompt_parts.unread_tokens(replica, request.parts, holder)
-        prefill_s = unread / estimates.PREFILL_TOKENS_PER_S
+        prefill_factor = self.speeds.prefill_factor(replica, now)
+        prefill_s = unread / estimates.PREFILL_TOKENS_PER_S * prefill_factor
         if holder and unread > request.parts[-1][1]:
             prefill_s += remote_regions.REREAD_PENALTY_S
             prefill_s *= SECOND_HOLDER_FACTOR if replica.upstream.name == second_holder else 1.0
-        return self.loads.wait(replica, request.service, uses) + prefill_s
+        return self.loads.wait(replica, request.service, uses, now) + prefill_s
 
     def _choose_remote(
         self, request: assignments.PlacementRequest, now: float, *, lingering: bool
@@ -407,13 +428,16 @@
         name = replica.upstream.name
         replica.record_parts(part for part, _ in request.parts)
         demand = request.memory_demand
+        uses = self.members.near_uses(now)
         replica.memory.record_dispatch(demand, now)
         self.assignments[request.request_id] = assignments.Assignment(
             name,
             prompt_tokens=tokens,
             placed_at=now,
             service=request.service.name,
-            memory=replica.memory,
+            replica=replica,
+            ahead=self.loads.ahead(replica, uses),
+            output_tokens=request.output_tokens,
             memory_demand=demand,
         )
         self.registry.record_dispatch(name, prompt_tokens=tokens, now=now)
--- a/yuccahitch/controllers/placement/estimates.py
+++ b/yuccahitch/controllers/placement/estimates.py
@@ -19,6 +19,9 @@
 INITIAL_MODEL_WORK_S = 0.6
 # Weight of the newest request in the moving average of that time.
 WORK_WEIGHT = 0.05
+# Exponent of an upstream's slowness in the delay by its running requests: chance sends a slow one
+# too many while it has free slots.
+CROWDING_EXPONENT = 0.5
 # Added to the estimate of an upstream that fails every request, in seconds.
 FAILURE_PENALTY_S = 0.5
 
@@ -52,7 +55,8 @@
         service: services.Service,
         *,
         running: int,
-        prompt_tokens: int,
+        prefill_s: float,
+        work_factor: float,
     ) -> float:
         """Return the estimated time to first token of a request without a prompt, in seconds.
 
@@ -60,16 +64,19 @@
             replica: The upstream.
             service: Its service.
             running: Requests that the upstream runs.
-            prompt_tokens: Prompt tokens of those that it has not read yet.
+            prefill_s: Time that the upstream takes to read their prompts, in seconds.
+            work_factor: Time that the upstream takes for a request over the service's average.
+                Even numbers of running requests give work in proportion to the speeds already, so
+                it counts fully in the queue alone.
         """
         slots = replica.upstream.slots
         is_model = service.kind == services.MODEL
         work_s = self.work_time(service)
-        queued_s = max(0, running + 1 - slots) * work_s / slots
+        queued_s = max(0, running + 1 - slots) * work_s * work_factor / slots
         crowding_s = running / slots * (FULL_LOAD_DELAY_S if is_model else work_s / 4)
+        crowding_s *= work_factor**CROWDING_EXPONENT
         failure_penalty_s = (1.0 - replica.success_rate) * FAILURE_PENALTY_S
         first_s = FIRST_TOKEN_S if is_model else work_s
-        prefill_s = prompt_tokens / PREFILL_TOKENS_PER_S
         return first_s + queued_s + crowding_s + failure_penalty_s + prefill_s
 
     def slowdown(
--- a/yuccahitch/controllers/placement/placement_inputs.py
+++ b/yuccahitch/controllers/placement/placement_inputs.py
@@ -25,6 +25,8 @@
         memory_needed: Tokens that the request takes where none of its prompt parts is held; None
             if that is not known.
         memory_free: Tokens that are free at the best local upstream; None if that is not known.
+        work_factor: Time that the best local upstream takes for a request over the average of its
+            service; None if there is none.
         told_s: Longest time since a reachable instance of this region was last seen, in seconds; 0
             if that is not measured.
     """
@@ -40,6 +42,7 @@
         "without_memory",
         "memory_needed",
         "memory_free",
+        "work_factor",
         "told_s",
     )
 
@@ -56,6 +59,7 @@
         without_memory: int | None = None,
         memory_needed: int | None = None,
         memory_free: int | None = None,
+        work_factor: float | None = None,
         told_s: float = 0.0,
     ) -> None:
         self.known = known
@@ -68,6 +72,7 @@
         self.without_memory = without_memory
         self.memory_needed = memory_needed
         self.memory_free = memory_free
+        self.work_factor = work_factor
         self.told_s = told_s
 
     def log_fields(self) -> dict[str, typing.Any]:
--- a/yuccahitch/controllers/upstream_state/replica_state.py
+++ b/yuccahitch/controllers/upstream_state/replica_state.py
@@ -5,7 +5,7 @@
 import math
 import typing
 
-from yuccahitch.controllers.upstream_state import engine_memory
+from yuccahitch.controllers.upstream_state import engine_memory, slowness
 from yuccahitch.resources import upstream
 
 # Prompt parts that are remembered for an upstream; the oldest one is dropped for a new one.
@@ -41,6 +41,7 @@
         cached_parts: Ids of the prompt parts that the upstream read for this instance, oldest
             first.
         memory: Counts the tokens that the upstream holds in its memory.
+        slowness: How slow the upstream is at each kind of work.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         "paused_until",
         "cached_parts",
         "memory",
+        "slowness",
     )
 
     def __init__(self, entry: upstream.Upstream, *, revision: int) -> None:
@@ -85,6 +87,7 @@
         self.paused_until = -math.inf
         self.cached_parts: dict[str, None] = {}
         self.memory = engine_memory.EngineMemory()
+        self.slowness = {kind: slowness.Slowness() for kind in slowness.Work}
 
     @property
     def incarnation(self) -> str:
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -41,9 +41,12 @@
         return place.apply_choice(choice, context)
 
     def leave(self, context: request_context.RequestContext, now: float) -> None:
-        """Release the request from its upstream; learn the work time from a success."""
+        """Release the request from its upstream; learn times from a success."""
         if context.succeeded:
             self.policy.record_work_time(context.id, now)
+            if context.attempt == 1:
+                began_at = context.answer_began_at or None
+                self.policy.record_answer(context.id, began_at=began_at, now=now)
         self.policy.release(context.id, now)
 
     def _postpone(
@@ -92,5 +95,6 @@
         + (context.hop.avoid if context.hop is not None else ()),
         local_only=context.hop is not None,
         versions=context.versions,
-        tokens=request.prompt_tokens + request.max_tokens,
+        prompt_tokens=request.prompt_tokens,
+        output_tokens=request.max_tokens,
     )
