Split balance.py and sum what others told once a placement

Change: region_rooms.py (what other regions are told) and options.py (what a request is placed among) of their own; the sum of uses goes along with the options, that of held tokens is kept for 20 ms.

--- a/yuccahitch/controllers/placement/balance.py
+++ b/yuccahitch/controllers/placement/balance.py
@@ -9,22 +9,24 @@
 import random
 import typing
 
-from yuccahitch import errors, records
+from yuccahitch import errors
 from yuccahitch.controllers.members import fleet
 from yuccahitch.controllers.placement import (
     assignments,
     choices,
     engine_room,
     estimates,
+    options,
     placement_inputs,
     prompt_parts,
     refusals,
+    region_rooms,
     remote_regions,
     speeds,
     upstream_loads,
 )
 from yuccahitch.controllers.upstream_state import replica_state, replicas
-from yuccahitch.messages import peers, pulses
+from yuccahitch.messages import pulses
 from yuccahitch.resources import service as services
 
 STEP = choices.STEP
@@ -35,36 +37,6 @@
 CHOOSERS_OF_ALL = 8
 # Upstreams among which an instance chooses at least.
 MIN_CONSIDERED = 2
-# Cost of an upstream, its time to first token, both in seconds, and the upstream.
-LocalChoice = tuple[float, float, replica_state.Replica | None]
-# Time to first token in another region, in seconds, and an instance there.
-RemoteChoice = tuple[float, peers.InstanceInfo]
-
-
-class Options(records.Record):
-    """The upstreams and regions that can take a request.
-
-    Attributes:
-        fitting: Upstreams of this region that can take it.
-        full: Those that could but for their memory.
-        local: The best one of this region.
-        remote: The best other region, or None.
-    """
-
-    __slots__ = ("fitting", "full", "local", "remote")
-
-    def __init__(
-        self,
-        *,
-        fitting: list[replica_state.Replica],
-        full: list[replica_state.Replica],
-        local: LocalChoice,
-        remote: RemoteChoice | None,
-    ) -> None:
-        self.fitting = fitting
-        self.full = full
-        self.local = local
-        self.remote = remote
 
 
 class Balancer:
@@ -85,6 +57,7 @@
         loads: Estimates the load of single upstreams.
         room: Knows the free memory of the engines.
         refusals: Refuses requests that no upstream can take.
+        region_rooms: Works out the room that this region tells others of.
         remote: Estimates of the other regions.
         prompt_parts: Decides which upstreams hold shared prompt parts.
     """
@@ -100,6 +73,7 @@
         "loads",
         "room",
         "refusals",
+        "region_rooms",
         "remote",
         "prompt_parts",
     )
@@ -130,6 +104,13 @@
             work=self.estimates,
             rng=rng,
         )
+        self.region_rooms = region_rooms.RegionRooms(
+            members=members,
+            registry=registry,
+            loads=self.loads,
+            room=self.room,
+            refused=self.refusals,
+        )
         self.remote = remote_regions.RemoteRegions(
             members=members,
             registry=registry,
@@ -181,7 +162,7 @@
                 f"estimated wait of {first_token_s:.2f} s is longer than the time left",
                 inputs,
             )
-        self._assign(best, request, now)
+        self._assign(best, request, found.uses, now)
         return choices.ToUpstream(best.upstream, inputs)
 
     def record_prompt_read(self, request_id: str) -> None:
@@ -224,48 +205,13 @@
     def rooms(
         self, offered: typing.Iterable[services.Service], now: float
     ) -> list[pulses.ServiceCapacity]:
-        """Return the room that this region has for each service with a usable warm upstream.
-
-        Args:
-            offered: Services of the configuration in force.
-            now: Monotonic seconds.
-        """
-        uses = self.members.near_uses(now)
-        sharers = self.members.rate_sharers(now)
-        rooms = []
-        for service in offered:
-            usable = self.registry.healthy(self.registry.usable(service.name, now), now)
-            warm = [replica for replica in usable if not self.registry.is_cold(replica, now)]
-            if not warm:
-                continue
-            is_short = self.refusals.is_short(service.name, now)
-            # What is held back now by a named rate or a pause is no room for other regions.
-            open_now = [
-                replica
-                for replica in warm
-                if not is_short and self.registry.send_wait_s(replica, now, sharers) <= 0
-            ]
-            costs_s = [self.loads.cost(r, service, uses, now) for r in open_now or warm]
-            room = pulses.ServiceCapacity(
-                service.name,
-                places=sum(
-                    min(
-                        self.loads.places(replica, service),
-                        self.loads.running(replica, uses)
-                        + self.room.count_further(replica, service.name, now),
-                    )
-                    for replica in open_now
-                ),
-                taken=sum(self.loads.running(replica, uses) for replica in open_now),
-                wait_s=min(costs_s),
-            )
-            rooms.append(room)
-        return rooms
+        """Return the room that this region has for each service with a usable warm upstream."""
+        return self.region_rooms.report(offered, now)
 
     def _placement_inputs(
         self,
         request: assignments.PlacementRequest,
-        found: Options,
+        found: options.Options,
         now: float,
     ) -> placement_inputs.PlacementInputs:
         """Return the inputs of a placement decision, for the log."""
@@ -278,7 +224,7 @@
         )
         if best is not None:
             inputs.wait_s = round(first_token_s, 3)
-            inputs.running = self.loads.running(best, self.members.near_uses(now))
+            inputs.running = self.loads.running(best, found.uses)
             inputs.slots = best.upstream.slots
             inputs.memory_free = self.room.known_free(best, now)
             factor = self.speeds.work_factor(best, request.service, now)
@@ -290,7 +236,7 @@
 
     def _options(
         self, request: assignments.PlacementRequest, now: float, *, lingering: bool = False
-    ) -> Options:
+    ) -> options.Options:
         """Return the upstreams and regions that can take a request.
 
         Args:
@@ -300,10 +246,12 @@
         """
         candidates = self._local_candidates(request, now, lingering=lingering)
         fitting, full = self.room.split(candidates, request.memory_demand, now)
-        return Options(
+        uses = self.members.near_uses(now)
+        return options.Options(
             fitting=fitting,
             full=full,
-            local=self._choose_local(fitting, request, now),
+            local=self._choose_local(fitting, request, uses, now),
+            uses=uses,
             remote=(
                 None
                 if request.local_only
@@ -343,8 +291,9 @@
         self,
         candidates: list[replica_state.Replica],
         request: assignments.PlacementRequest,
+        uses: upstream_loads.NearUses,
         now: float,
-    ) -> LocalChoice:
+    ) -> options.LocalChoice:
         """Return the least cost of an upstream, its time to first token, and the upstream.
 
         Cost and time are estimates in seconds. Ties are broken at random. Without candidates the
@@ -352,7 +301,6 @@
         """
         if not candidates:
             return 0.0, 0.0, None
-        uses = self.members.near_uses(now)
         holders = (
             self.prompt_parts.holder(request, now),
             self.prompt_parts.second_holder(request, candidates),
@@ -415,20 +363,23 @@
 
     def _choose_remote(
         self, request: assignments.PlacementRequest, now: float, *, lingering: bool
-    ) -> RemoteChoice | None:
+    ) -> options.RemoteChoice | None:
         """Return the best other region's estimated time to first token, and an instance there."""
         holder = self.prompt_parts.holder(request, now)
         return self.remote.choose(request, holder, now, lingering=lingering)
 
     def _assign(
-        self, replica: replica_state.Replica, request: assignments.PlacementRequest, now: float
+        self,
+        replica: replica_state.Replica,
+        request: assignments.PlacementRequest,
+        uses: upstream_loads.NearUses,
+        now: float,
     ) -> None:
         """Count a request as running at an upstream."""
         tokens = prompt_parts.unread_tokens(replica, request.parts, "")
         name = replica.upstream.name
         replica.record_parts(part for part, _ in request.parts)
         demand = request.memory_demand
-        uses = self.members.near_uses(now)
         replica.memory.record_dispatch(demand, now)
         self.assignments[request.request_id] = assignments.Assignment(
             name,
--- a/yuccahitch/controllers/placement/engine_room.py
+++ b/yuccahitch/controllers/placement/engine_room.py
@@ -16,6 +16,8 @@
 DEMAND_WEIGHT = 0.05
 # Further requests of an engine whose memory is not known.
 MAX_FURTHER = 1_000_000
+# Time for which the sum of what the others told is kept, in seconds; their reports come less often.
+TOLD_REFRESH_S = 0.02
 # Share of the free memory that all instances get in even parts; the rest is for larger requests.
 EVEN_SHARE = 0.5
 
@@ -29,7 +31,7 @@
     Attributes:
         mean_tokens: Moving average of the tokens that a request takes, by service.
         told: Tokens that other near instances told that they hold, by upstream.
-        told_at: For which time that was worked out, in monotonic seconds.
+        told_at: When that was worked out, in monotonic seconds.
         ranks: Rank of this instance among ``ranked``, by upstream.
         ranked: Ids of the instances of this region, this one included, when ranks were worked out.
     """
@@ -49,7 +51,7 @@
 
         Unreachable instances are not included.
         """
-        if now == self.told_at:
+        if 0 <= now - self.told_at < TOLD_REFRESH_S:
             return self.told
         region = self.members.own.region
         told: collections.Counter[str] = collections.Counter()
