Let placement use the holders of prompt parts and the link budget where settings ask for them

Cause: both parts were built without a caller. Change: balance.py counts requests for parts, keeps their holders as candidates, and tells the bytes of a forward; edge.py passes [policy] part_holders and link_share, 0 by default, which changes nothing.

--- a/tests/overflow_builders.py
+++ b/tests/overflow_builders.py
@@ -175,10 +175,7 @@
         waits = []
         for replica in edge.decisions.registry.usable("desk", edge.now):
             name = replica.upstream.name
-            running = replica.running + uses.get(name, (0, 0))[0]
-            wait_s = edge.decisions.balancer.estimates.wait(
-                replica, self.service, running=running, prompt_tokens=0
-            )
+            wait_s = edge.decisions.balancer.loads.wait(replica, self.service, uses, edge.now)
             waits.append((wait_s, self.rng.random(), name))
         wait_s, _, name = min(waits)
         return wait_s, name
--- a/yuccahitch/controllers/instance/edge.py
+++ b/yuccahitch/controllers/instance/edge.py
@@ -229,6 +229,8 @@
             link_bytes_per_s=options.link_bytes_per_s,
             link_delay_s=options.link_delay_s,
             spill_gain_s=options.spill_gain_s,
+            part_holders=options.part_holders,
+            link_share=options.link_share,
         )
         self.admission = urgency.UrgencyAdmission(
             config=self.config,
--- a/yuccahitch/controllers/placement/balance.py
+++ b/yuccahitch/controllers/placement/balance.py
@@ -49,6 +49,8 @@
         link_bytes_per_s: Bandwidth between regions, in bytes a second.
         link_delay_s: One-way delay between regions, in seconds.
         spill_gain_s: Least gain in time to first token that justifies another region, in seconds.
+        part_holders: Most upstreams of a region that hold the same prompt part; 0 for no bound.
+        link_share: Fraction of the bandwidth that forwards may take; 0 for no bound.
 
     Attributes:
         assignments: Placed requests by request id, until they are released.
@@ -87,6 +89,8 @@
         link_bytes_per_s: float,
         link_delay_s: float,
         spill_gain_s: float,
+        part_holders: int = 0,
+        link_share: float = 0.0,
     ) -> None:
         self.members = members
         self.registry = registry
@@ -118,8 +122,11 @@
             rng=rng,
             link_bytes_per_s=link_bytes_per_s,
             link_delay_s=link_delay_s,
+            link_share=link_share,
+        )
+        self.prompt_parts = prompt_parts.PromptParts(
+            registry, members=members, work=self.estimates, max_holders=part_holders
         )
-        self.prompt_parts = prompt_parts.PromptParts(registry)
 
     @property
     def region(self) -> str:
@@ -133,6 +140,7 @@
 
         The request then counts as running at the upstream that it is placed on.
         """
+        self.prompt_parts.record_request(request, now)
         found = self._options(request, now)
         full = found.full
         if not found.fitting and found.remote is None and request.versions is not None:
@@ -149,7 +157,9 @@
         ):
             remote_s, info = remote_choice
             if remote_s < request.left_s:
-                self.remote.count_forward(info.region, request.service.name, now)
+                self.remote.count_forward(
+                    info.region, request.service.name, now, body_bytes=request.body_bytes
+                )
                 return choices.ToInstance(
                     info, better_than_s=local_s if best else 0.0, placement_inputs=inputs
                 )
@@ -305,8 +315,10 @@
             self.prompt_parts.holder(request, now),
             self.prompt_parts.second_holder(request, candidates),
         )
+        kept = self._part_candidates(candidates, request, uses, now)
+        considered = kept if len(kept) < len(candidates) else self._sample(kept, holders, now)
         rated = []
-        for replica in self._considered(candidates, holders, now):
+        for replica in considered:
             first_token_s = self._estimate_first_token(replica, request, uses, holders, now)
             running = self.loads.running(replica, uses)
             slowdown_s = self.estimates.slowdown(replica, request.service, running=running)
@@ -315,7 +327,21 @@
         cost_s, _, first_token_s, best = min(rated)
         return cost_s, first_token_s, best
 
-    def _considered(
+    def _part_candidates(
+        self,
+        candidates: list[replica_state.Replica],
+        request: assignments.PlacementRequest,
+        uses: upstream_loads.NearUses,
+        now: float,
+    ) -> list[replica_state.Replica]:
+        """Return the candidates that may hold a shared part; all if it has none that matters."""
+
+        def fill(replica: replica_state.Replica) -> float:
+            return self.loads.running(replica, uses) / replica.upstream.slots
+
+        return self.prompt_parts.narrow(request, candidates, fill, now)
+
+    def _sample(
         self, candidates: list[replica_state.Replica], holders: tuple[str, str], now: float
     ) -> list[replica_state.Replica]:
         """Return the upstreams among which a request is placed: a random few of many instances.
