Fail an answer that was reset, or whose upload was not received

Cause: aiohttp ends a body that has no length when its connection does, also after a reset; a part of an answer went to the caller as a whole one (MIXED). Its transport waits with a close until the upload has been taken, so that after a half-close of a blocked upload neither an end nor a failure came. On the platform a reset was told apart, but a half-close counted as the end whatever was still to be sent: an upstream that closes a connection with nothing unread at that moment sends its end first, and the reset only for the next bytes of the upload.

Change: UpstreamProtocol fails the body that is being read when its connection breaks, and resets the connection at a half-close while the upload is sent. TcpConnection.read fails at such an end. "Sent" is what the other system has acknowledged, which the socket knows.

--- a/yuccahitch/tasks/tcp_connection.py
+++ b/yuccahitch/tasks/tcp_connection.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 
 # Unread bytes above which reading from the socket is paused.
 MAX_BUFFERED_BYTES = 65_536
@@ -12,6 +14,7 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 4_000
 # Value of SO_LINGER by which a close resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSED_WHILE_SENDING = "the other side closed the connection before it had received the request"
 
 
 def limit_unacknowledged(transport: asyncio.BaseTransport, timeout_ms: int) -> None:
@@ -21,6 +24,20 @@
         tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def is_sending(transport: asyncio.WriteTransport) -> bool:
+    """Return whether the system of the other side has not received all that was written.
+
+    What it has received is acknowledged at the latest with the next data or end that it sends.
+    """
+    if transport.get_write_buffer_size():
+        return True
+    tcp_socket = transport.get_extra_info("socket")
+    if tcp_socket is None:
+        return False
+    size = fcntl.ioctl(tcp_socket.fileno(), termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+    return struct.unpack("i", size) > (0,)
+
+
 class TcpConnection(asyncio.Protocol):
     """Buffers received bytes until they are read.
 
@@ -28,6 +45,7 @@
         transport: The transport, or None before the connection is made.
         unread: Received bytes that are not read yet.
         eof_reached: Whether the other side closed the connection gracefully (FIN).
+        closed_while_sending: Whether it did so before it had received all that was written.
         error: Exception that broke the connection, or None.
         closed: Whether the connection is closed.
         read_waiter: Completed when ``read`` can continue; None before the first wait.
@@ -39,6 +57,7 @@
         "transport",
         "unread",
         "eof_reached",
+        "closed_while_sending",
         "error",
         "closed",
         "read_waiter",
@@ -50,6 +69,7 @@
         self.transport: asyncio.Transport | None = None
         self.unread = bytearray()
         self.eof_reached = False
+        self.closed_while_sending = False
         self.closed = False
         self.error: Exception | None = None
         self.read_waiter: asyncio.Future[None] | None = None
@@ -78,6 +98,7 @@
     def eof_received(self) -> bool:
         """Record the graceful end; returning False closes the transport."""
         self.eof_reached = True
+        self.closed_while_sending = self.is_sending()
         self._wake_reader()
         return False
 
@@ -91,7 +112,8 @@
         """Wait for received bytes and return them; no bytes after a graceful end.
 
         Raises:
-            ConnectionError: When the connection broke or was aborted.
+            ConnectionError: When the connection broke or was aborted, or the other side closed it
+                before it had received all that was written.
         """
         while not self.unread and not self.eof_reached and not self.closed:
             self.read_waiter = asyncio.get_running_loop().create_future()
@@ -102,6 +124,8 @@
             if not self.closed:
                 self.transport.resume_reading()
             return data
+        if self.closed_while_sending:
+            raise ConnectionResetError(CLOSED_WHILE_SENDING)
         if self.eof_reached:
             return b""
         raise ConnectionResetError(str(self.error or "the connection is closed"))
@@ -116,6 +140,10 @@
             raise ConnectionResetError("can't write, the connection is closed")
         self.transport.write(data)
 
+    def is_sending(self) -> bool:
+        """Return whether the system of the other side has not received all that was written."""
+        return not self.closed and is_sending(self.transport)
+
     def is_idle(self) -> bool:
         """Return whether the connection is open with nothing left to read or to send."""
         # A transport that is closing is lost a turn of the loop later, and drops what is written.
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -12,7 +12,7 @@
 from yuccahitch import clock, errors, events, records
 from yuccahitch.codecs import callers, event_stream, upstreams
 from yuccahitch.messages import actions, answers, commands, requests, upstream_notices
-from yuccahitch.tasks import answer_stream, mailbox, single_send
+from yuccahitch.tasks import answer_stream, mailbox, single_send, upstream_protocol
 
 STEP = "dispatch"
 CONNECT_TIMEOUT_S = 1.0
@@ -314,6 +314,10 @@
     connector = aiohttp.TCPConnector(
         limit=MAX_CONNECTIONS, force_close=True, socket_factory=_make_socket
     )
+    # aiohttp offers no other way to set the class of its connections.
+    connector._factory = functools.partial(
+        upstream_protocol.UpstreamProtocol, loop=asyncio.get_running_loop()
+    )
     timeout = aiohttp.ClientTimeout(
         total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
     )
