Fail an answer whose status is none that an answer may have

Cause: aiohttp takes any three digits for a status, and 101 for the end of an exchange: 000 to 099, 101 and 600 to 999 went to the caller of the own interface as answers. h11 lets 600 to 999 through: the platform's caller got them, and with the x-not-executed header they were believed as refusals, so that an order that may have run was told as not run (MIXED, REFUSED).

Change: an answer ends an exchange with a status from 200 to 599 only (codecs/statuses.py). Any other one is a failure of a request that may have run, and nothing that it says of its upstream is believed.

--- a/yuccahitch/tasks/replica_exchange.py
+++ b/yuccahitch/tasks/replica_exchange.py
@@ -8,7 +8,7 @@
 import h11
 
 from yuccahitch import errors, events
-from yuccahitch.codecs import event_stream, header_text
+from yuccahitch.codecs import event_stream, header_text, statuses
 from yuccahitch.messages import actions, answers, upstream_notices
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.tasks import answer_stream, replica_connection
@@ -73,7 +73,8 @@
         Raises:
             OSError: When the connection breaks before the end of the answer.
             h11.RemoteProtocolError: When the answer is not valid HTTP.
-            replica_connection.InvalidAnswerError: When a part of a stream is no event of a run.
+            replica_connection.InvalidAnswerError: When its status is none that an answer may have,
+                or a part of a stream is no event of a run.
         """
         headers = [
             (header_text.to_bytes(name), header_text.to_bytes(value))
@@ -87,6 +88,8 @@
         self.connection.reusable_until = now + replica_connection.keep_alive_s(
             response_head.headers
         )
+        if not statuses.is_final(response_head.status):
+            raise replica_connection.InvalidAnswerError(f"status {response_head.status}")
         code = platform_requests.rejection_code(response_head.status, response_head.headers)
         if code is not errors.Code.UPSTREAM_MOVED:
             self._pass_on_notice(response_head)
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from yuccahitch import clock, errors, events, records
-from yuccahitch.codecs import callers, event_stream, upstreams
+from yuccahitch.codecs import callers, event_stream, statuses, upstreams
 from yuccahitch.messages import actions, answers, commands, requests, upstream_notices
 from yuccahitch.tasks import answer_stream, mailbox, single_send, upstream_protocol
 
@@ -198,13 +198,14 @@
     ) -> bool:
         """Put a response into the stream: its head, its body in chunks and its end.
 
-        A response to another request, or one of an overloaded upstream, becomes a failure; so does
-        the end of an event stream that lacks its end marker.
+        A response to another request, one with a status that no answer may have, or one of an
+        overloaded upstream, becomes a failure; so does the end of an event stream that lacks its
+        end marker.
 
         Returns:
             Whether the response was read to its end.
         """
-        if _is_answer_to(action, response):
+        if _is_answer_to(action, response) and statuses.is_final(response.status):
             self.on_notice(upstreams.decode_notice(action, response.status, response.headers))
         response_failure = _check_response(action, response)
         if response_failure is not None:
@@ -338,10 +339,16 @@
 def _check_response(
     action: actions.Dispatch, response: aiohttp.ClientResponse
 ) -> answers.Failure | None:
-    """Return a failure if a response is for another request, or a chat gets status 429 or 5xx."""
+    """Return the failure that a response stands for, or None if the caller may get it.
+
+    A chat gets neither status 429 nor 5xx.
+    """
     if not _is_answer_to(action, response):
         error = ValueError("the answer belongs to another request")
         return _failure(action, errors.Code.UPSTREAM_FAILED, error)
+    if not statuses.is_final(response.status):
+        error = ValueError(f"status {response.status}")
+        return _failure(action, errors.Code.UPSTREAM_FAILED, error)
     if action.request.kind == requests.CHAT and response.status in (429, 500, 502, 503, 504):
         error = ValueError(f"status {response.status}")
         return _failure(action, errors.Code.UPSTREAM_FAILED, error)
