Use no connection again whose upload was not received when its answer came

Cause: whether a connection may be used again was decided by what was left in the process's own buffer. The rest of an upload of some 100 kB lies in the socket, and an upstream that answers without reading may take it for the next request, so that the next caller's request fails, or is one that a body spelt out.

Change: a connection is closed after an answer that came before the other system had acknowledged the whole upload. What it has acknowledged and not read can't be told.

--- a/yuccahitch/tasks/replica_exchange.py
+++ b/yuccahitch/tasks/replica_exchange.py
@@ -85,9 +85,7 @@
         )
         self.connection.send(request, self.action.request.body, request_id=self.action.request.id)
         response_head = await self._read_head(request)
-        self.connection.reusable_until = now + replica_connection.keep_alive_s(
-            response_head.headers
-        )
+        self._limit_reuse(response_head, now)
         if not statuses.is_final(response_head.status):
             raise replica_connection.InvalidAnswerError(f"status {response_head.status}")
         code = platform_requests.rejection_code(response_head.status, response_head.headers)
@@ -111,6 +109,17 @@
             await self._relay_body(response_head)
         return True
 
+    def _limit_reuse(self, response_head: replica_connection.ResponseHead, now: float) -> None:
+        """Set how long the connection may be reused after this answer.
+
+        What an upstream had not received of an upload when it answered, it may take for the next
+        request.
+        """
+        reusable_s = replica_connection.keep_alive_s(response_head.headers)
+        if self.connection.protocol.is_sending():
+            reusable_s = 0.0
+        self.connection.reusable_until = now + reusable_s
+
     def _has_events(self, response_head: replica_connection.ResponseHead) -> bool:
         """Return whether the body is to be read as a stream of events, as its type or route says.
 
