--- a/yuccahitch/tasks/tcp_connection.py
+++ b/yuccahitch/tasks/tcp_connection.py
@@ -38,6 +38,15 @@
     return struct.unpack("i", size) > (0,)
 
 
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Close a connection so that the other side can't take what it got for all there is."""
+    tcp_socket = transport.get_extra_info("socket")
+    # The socket of a connection that is lost is closed already.
+    if tcp_socket is not None and tcp_socket.fileno() >= 0:
+        tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
 class TcpConnection(asyncio.Protocol):
     """Buffers received bytes until they are read.
 
@@ -157,12 +166,8 @@
 
     def abort(self) -> None:
         """Reset the connection; bytes that the other side has not received are discarded."""
-        if self.transport is None:
-            return
-        tcp_socket = self.transport.get_extra_info("socket")
-        if tcp_socket is not None and not self.closed:
-            tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.transport.abort()
+        if self.transport is not None:
+            reset(self.transport)
 
     def _wake_reader(self) -> None:
         if self.read_waiter is not None and not self.read_waiter.done():
--- a/yuccahitch/tasks/upstream_protocol.py
+++ b/yuccahitch/tasks/upstream_protocol.py
@@ -33,7 +33,7 @@
         """Reset the connection if its upload is still being sent."""
         if self.transport is not None and tcp_connection.is_sending(self.transport):
             self.cut_error = ConnectionResetError(tcp_connection.CLOSED_WHILE_SENDING)
-            self.transport.abort()
+            tcp_connection.reset(self.transport)
         super().eof_received()
 
     def connection_lost(self, error: BaseException | None) -> None:
