Test that the room of other regions counts, and only where requests may go

Cause: the scenario passed also when no room elsewhere was counted: the other region of the builder had learned no work time, so all requests went there. Change: it has learned one; the scenarios check the room that instances count. Measured: admission.feature 37 passed; with the room elsewhere taken as 0 the scenario fails.

--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -128,6 +128,7 @@
         self.far = platform_builders.EdgeUnderTest("far-edge", region="west", now=self.now)
         self.far.publish(a_ranked_publication())
         self.far.mark_store_read()
+        self.far.decisions.balancer.estimates.record_work_time("desk", WORK_S)
         for edge, number in itertools.product((*self.edges, self.far), range(upstreams)):
             zone = {"zone": "west-a", "capacity": self.slots}
             edge.register_upstream(f"far-{number}", **zone)
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -87,12 +87,17 @@
     Given 4 instances before 4 upstreams with 10 slots each, and another region with 8 idle ones
     When callers send 40 urgent, 60 normal and 60 late requests a second for 8 seconds
     Then no request was refused at the entry
+    And the instances count a room of more than 60
+    And the free room elsewhere is 80
+    When the other region is silent for 6 seconds
+    Then the free room elsewhere is 0
 
   Scenario: Requests that may not leave the region have no use of the room elsewhere
     Given 4 instances before 4 upstreams with 10 slots each, and another region that may serve none
     When callers send 40 urgent, 60 normal and 60 late requests a second for 8 seconds
     Then upstreams took at least 0.85 of the urgent requests of the last 4 seconds
     And upstreams took fewer than 0.05 of the late requests of the last 4 seconds
+    And the instances count a room of no more than 60
 
   Scenario: A service with enough room reports no demand
     Given 4 instances before 4 upstreams with 10 slots each
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -6,7 +6,7 @@
 
 from tests import admission_builders
 from yuccahitch import errors, events
-from yuccahitch.controllers.admission import account_shares, levels
+from yuccahitch.controllers.admission import account_shares, levels, room
 from yuccahitch.messages import actions
 
 PREFIX_BY_NAME = dict(
@@ -284,6 +284,31 @@
         assert gone not in edge.decisions.admission.reports.reports
 
 
+@behave.when("the other region is silent for {seconds:d} seconds")
+def step_silence_far(context, seconds):
+    context.site.far = None
+    context.site.run(seconds)
+
+
+@behave.then("the free room elsewhere is {places:d}")
+def step_check_elsewhere(context, places):
+    for edge in context.site.edges:
+        service = edge.decisions.config.current.services["desk"]
+        assert room.free_elsewhere(edge.decisions.balancer, service, edge.now) == places
+
+
+@behave.then("the instances count a room of more than {places:d}")
+def step_check_more_room(context, places):
+    for edge in context.site.edges:
+        assert edge.decisions.admission.states["desk"].room_per_s > places
+
+
+@behave.then("the instances count a room of no more than {places:d}")
+def step_check_less_room(context, places):
+    for edge in context.site.edges:
+        assert 0 < edge.decisions.admission.states["desk"].room_per_s <= places
+
+
 @behave.then("the instances report no demand for that service")
 @behave.then("the instances report no demand at all")
 def step_check_silent(context):
