Let an engine's report of its memory reach the decisions

Cause: the check of a new connection read the report's memory, and nobody passed it on, so room was inert. Change: one line in replica_client.

--- a/yuccahitch/tasks/replica_client.py
+++ b/yuccahitch/tasks/replica_client.py
@@ -218,7 +218,7 @@
     ) -> None:
         """Check where a new connection leads; it is closed if it can't be told or won't do."""
         try:
-            await incarnation_check.check(connection, action)
+            self.on_notice(await incarnation_check.check(connection, action))
         except BaseException as error:
             self._log_closed(action, connection, str(error) or type(error).__name__)
             connection.protocol.abort()
