--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -204,6 +204,7 @@
         self.metrics_collector.counters["store_calls"] = self.store.call_counts
         self.metrics_collector.gauges.update(
             open_requests=lambda: len(state.in_flight.contexts),
+            admission_levels=lambda: state.admission.levels_by_service(),
             waiting_messages=lambda: len(self.core.inbox),
             live_instances=lambda: len(state.members.reachable_members(now())) + 1,
             pulse_age_seconds=lambda: state.members.oldest_pulse_age(now()),
