--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -62,6 +62,8 @@
         session: HTTP client, or None before the start.
         pipe_ends: File descriptors of the pipes that nobody reads.
         started: Names of the instances that have been started.
+        machine_limits: Memory and descriptors of the machine of each instance, as the platform
+            names them.
         upstreams_born_ms: Start that the entries of upstreams name, in milliseconds since the Unix
             epoch.
     """
@@ -73,6 +75,7 @@
         "session",
         "pipe_ends",
         "started",
+        "machine_limits",
         "upstreams_born_ms",
     )
 
@@ -83,6 +86,7 @@
         self.session: aiohttp.ClientSession | None = None
         self.pipe_ends: list[int] = []
         self.started: set[str] = set()
+        self.machine_limits: dict[str, int] = {}
         self.upstreams_born_ms = 1_700_000_000_000
 
     async def start_standins(self) -> None:
@@ -157,7 +161,10 @@
     async def start(self, name: str, *, unread_log: bool = False) -> None:
         """Start an instance that logs to a file, or to a pipe that nobody reads."""
         path = self.run_dir / f"{name}.ini"
-        fields = platform_fields(name) | {"bootstrap": str(name not in self.started).lower()}
+        fields = platform_fields(name) | {
+            "bootstrap": str(name not in self.started).lower(),
+            "limits": self.machine_limits,
+        }
         self.started.add(name)
         path.write_text(render_settings(SETTINGS_TEMPLATE.read_text(), fields))
         log = (self.run_dir / f"{name}.log").open("ab")
