--- /dev/null
+++ b/tests/features/steps/intake.py
@@ -0,0 +1,98 @@
+"""Steps about what is granted to callers, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import behave
+
+from tests import intake_builders, platform_calls
+from yuccahitch import errors
+
+
+@behave.given("a budget of {limit:d} bytes")
+def step_make_budget(context, limit):
+    context.intake = intake_builders.IntakeUnderTest(limit)
+
+
+@behave.given("room for {count:d} connections")
+def step_make_connections(context, count):
+    context.intake = intake_builders.IntakeUnderTest(1000, max_connections=count)
+
+
+@behave.given("an upload of {size:d} bytes from {address} at {now:g} seconds")
+def step_add_upload(context, size, address, now):
+    context.intake.upload(address, size, now=now)
+
+
+@behave.given("a running request with {size:d} bytes from {address} at {now:g} seconds")
+def step_add_running(context, size, address, now):
+    context.intake.upload(address, size, now=now).is_incoming = False
+
+
+@behave.given("the upload from {address} gets 1 byte each second until {end:d} seconds")
+def step_drip(context, address, end):
+    for now in range(1, end + 1):
+        context.intake.extend(address, 1, now=now)
+
+
+@behave.when("an upload from {address} asks for {size:d} bytes at {now:g} seconds")
+def step_ask(context, address, size, now):
+    context.granted = context.intake.ask(address, size, now=now)
+
+
+@behave.when("connections a, b and c open, and a has a request in hand")
+def step_open_connections(context):
+    context.intake.connect("a", idle_since=None)
+    context.intake.connect("b", idle_since=1.0)
+    context.intake.connect("c", idle_since=2.0)
+
+
+@behave.when("an upload from {address} waits for {size:d} bytes, and {other} is answered")
+def step_wait(context, address, size, other):
+    async def work():
+        waiting = asyncio.ensure_future(context.intake.wait(address, size))
+        await asyncio.sleep(0)
+        context.intake.close(other)
+        await waiting
+
+    platform_calls.run(context, work())
+    context.granted = True
+
+
+@behave.when("an upload from {address} waits for {size:d} bytes in vain")
+def step_wait_in_vain(context, address, size):
+    try:
+        platform_calls.run(context, context.intake.wait(address, size))
+    except errors.GatewayError as error:
+        context.error = error
+
+
+@behave.then("the uploads from {addresses} are given up, and it gets its bytes")
+def step_check_given_up(context, addresses):
+    assert context.intake.aborted == addresses.split(" and "), context.intake.aborted
+    context.caused_events = context.intake.logged_events()
+    assert context.granted
+
+
+@behave.then("no upload is given up, and it gets {what} bytes")
+def step_check_none_given_up(context, what):
+    assert context.intake.aborted == [], context.intake.aborted
+    assert context.granted == (what == "its")
+
+
+@behave.then("it gets its bytes")
+def step_check_granted(context):
+    assert context.granted
+
+
+@behave.then("only {name} is closed")
+def step_check_closed(context, name):
+    assert context.intake.aborted == [name], context.intake.aborted
+
+
+@behave.then("it is refused as overloaded, with a time to come again")
+def step_check_refused(context):
+    assert context.error.code is errors.Code.OVERLOADED, context.error
+    assert context.error.run is errors.RunStatus.NOT_RUN
+    assert context.error.retry_after is not None
--- a/yuccahitch/events.py
+++ b/yuccahitch/events.py
@@ -51,6 +51,11 @@
         "attempt-refused",
         "An upstream refused an attempt; it says that it did not run the request.",
     )
+    CALLER_CLOSED = (
+        220,
+        "caller-closed",
+        "A caller's connection was closed to bound what is held for callers.",
+    )
     LEASE_LAPSED = (
         212,
         "lease-lapsed",
