Bound what callers make an instance hold: bodies, heads, requests ahead, connections

Cause: the HTTP servers read whatever comes. aiohttp has no limit for the time or the whole size of a head, queues 32 requests ahead, and reads each body to its end; a forwarded body is held five times.

Change: both front ends make their connections by tasks/caller_connection.py, which reads bodies within the budget of tasks/intake.py, pauses while a request waits behind another, closes heads that are too large or too slow, and closes the connection idle longest beyond the limit. Peers' forwarded requests count in the budget and are refused as not run without room. Limits come from [callers] memory_mb and max_descriptors, on the platform from the machine's.

--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -226,6 +226,7 @@
             edge_state=self.node.edge.decisions,
             mailboxes=self.node.mailboxes,
             metrics_registry=metrics.Metrics(),
+            caller_intake=self.node.server.caller_intake,
             time=clock.SystemClock(),
         )
 
--- /dev/null
+++ b/tests/features/caller_connections.feature
@@ -0,0 +1,26 @@
+Feature: A caller's connection is read only as far as its requests are answered
+
+  # Guards against a caller that sends requests ahead and reads no answer (LOST).
+  Scenario: Nothing is read while a request waits behind another
+    Given a connection whose requests are not answered yet
+    When 2 requests come one after another
+    Then reading is paused
+    When they are answered
+    Then reading goes on, and 2 requests were answered
+
+  Scenario: A head that comes in time is held and served
+    Given a connection whose requests are not answered yet
+    When a head comes in two parts, the second in time
+    Then reading goes on, and 1 requests were answered
+    And the head counted as held, and nothing is held any more
+
+  Scenario: A head that takes too long closes its connection
+    Given a connection whose requests are not answered yet
+    When a head comes in two parts, the second too late
+    Then the connection is closed without an answer
+    And the head counted as held, and nothing is held any more
+
+  Scenario: A slow but steady body is served
+    Given a connection whose requests are not answered yet
+    When a body comes in 2 parts, slower than a head may
+    Then reading goes on, and 1 requests were answered
--- a/tests/forwarding_pair.py
+++ b/tests/forwarding_pair.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from standins import link, replica
-from tests import platform_builders
+from tests import intake_builders, platform_builders
 from yuccahitch import clock, events
 from yuccahitch.messages import requests
 from yuccahitch.platform import requests as platform_requests
@@ -123,6 +123,7 @@
             secret="",
             core_inbox=self.core.inbox,
             mailboxes=self.mailboxes,
+            caller_intake=intake_builders.an_intake(log),
             time=system_clock,
             log=log,
         )
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -206,6 +206,29 @@
         "write_timeout_s": _number_rule(
             "Longest wait for a slow caller to read.", "seconds", 60, 0.1, 3600
         ),
+        "header_timeout_s": _number_rule(
+            "Longest time for the head of a request; twice this closes the connection.",
+            "seconds",
+            5.0,
+            0.1,
+            3600,
+        ),
+        "memory_mb": _number_rule(
+            "Memory of the machine, which bounds what is held for callers; 0 means all there is.",
+            "MB",
+            0,
+            0,
+            1e9,
+        ),
+        "max_descriptors": _number_rule(
+            "Descriptors of the machine, which bound the connections of callers; 0 means the limit"
+            " of the operating system.",
+            "descriptors",
+            0,
+            0,
+            1e9,
+            int,
+        ),
         "default_deadline_s": _number_rule(
             "Deadline of a request without a deadline header.", "seconds", 120, 0.1, 86400
         ),
@@ -410,6 +433,8 @@
         ),
         "answer_buffer_chunks": SCHEMA["callers"]["answer_buffer_chunks"],
         "write_timeout_s": SCHEMA["callers"]["write_timeout_s"],
+        "memory_mb": SCHEMA["callers"]["memory_mb"],
+        "max_descriptors": SCHEMA["callers"]["max_descriptors"],
     },
     "policy": {
         "link_bytes_per_s": SCHEMA["policy"]["link_bytes_per_s"],
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -16,114 +16,27 @@
 from yuccahitch import clock, errors
 from yuccahitch import settings as config_file
 from yuccahitch.codecs import callers
-from yuccahitch.messages import answers, requests
+from yuccahitch.messages import requests
+from yuccahitch.resources import publication
 from yuccahitch.resources import service as services
-from yuccahitch.tasks import _http_errors, core_messages, mailbox, metrics, open_requests, runner
+from yuccahitch.tasks import (
+    _http_errors,
+    caller_connection,
+    core_messages,
+    http_sink,
+    intake,
+    mailbox,
+    metrics,
+    open_requests,
+    runner,
+)
 
-MAX_BUFFERED_ANSWER_BYTES = 262_144
 # Time for which a stopping server waits for requests that are still coming in, in seconds.
 MAX_ARRIVAL_S = 5.0
 # Operation keys that one call may create.
 MAX_OPERATION_KEYS = 16
-
-
-class HttpSink:
-    """Writes the answer to one request to the caller's connection.
-
-    An answer that is not streamed is buffered until it is complete, up to
-    ``MAX_BUFFERED_ANSWER_BYTES``, so that an incomplete one can be replaced by an error response.
-
-    Args:
-        request: Request of the HTTP server that the answer belongs to.
-        request_id: Id of the request.
-        is_streaming: Whether the caller asked for an event stream.
-
-    Attributes:
-        id: Id of the request, returned in a header and in error bodies.
-        response: The response, or None until its headers are sent.
-        head: Status and headers of the answer, or None until they arrive.
-        buffered: Body bytes of an answer that is not streamed, until they are sent.
-    """
-
-    __slots__ = ("request", "id", "is_streaming", "response", "head", "buffered")
-
-    def __init__(self, request: web.Request, *, request_id: str, is_streaming: bool) -> None:
-        self.request = request
-        self.id = request_id
-        self.is_streaming = is_streaming
-        self.response: web.StreamResponse | None = None
-        self.head: answers.Head | None = None
-        self.buffered = bytearray()
-
-    async def start(self, head: answers.Head) -> None:
-        """Record status and headers, and send them at once for a streamed answer."""
-        self.head = head
-        if self.is_streaming:
-            await self._open_response()
-
-    async def write(self, chunk: answers.Chunk) -> None:
-        """Send body bytes, or buffer them until the answer is complete or too large to buffer."""
-        if self.response is not None:
-            await self.response.write(chunk.data)
-            return
-        self.buffered += chunk.data
-        if len(self.buffered) > MAX_BUFFERED_ANSWER_BYTES:
-            await self._open_response()
-            data, self.buffered = bytes(self.buffered), bytearray()
-            await self.response.write(data)
-
-    async def end(self, part: answers.End) -> None:
-        """Finish a complete answer; a buffered one is sent now."""
-        if self.response is None:
-            await self._send_complete(self.head.status, self.head.headers, bytes(self.buffered))
-            return
-        await self.response.write_eof()
-
-    async def cut(self, part: answers.Failure) -> None:
-        """End an incomplete answer in a way that the caller cannot mistake for a complete one.
-
-        If no header was sent, the caller gets an error response. A stream ends with an error
-        event; after part of any other answer, the connection is closed without the body's end.
-        """
-        if self.response is None:
-            await self.refuse(part.error, "")
-            return
-        if self.is_streaming:
-            event = callers.encode_error_event(part.error, request_id=self.id)
-            await self.response.write(event)
-            await self.response.write_eof()
-            return
-        if self.request.transport is not None:
-            self.request.transport.close()
-
-    async def refuse(self, error: errors.GatewayError, operation: str) -> None:
-        """Send an error response for a request that is not served."""
-        body = callers.encode_error_body(error, request_id=self.id, operation=operation)
-        headers = callers.encode_error_headers(error, request_id=self.id)
-        await self._send(web.Response(status=error.code.status, body=body, headers=headers))
-
-    async def replay(self, answer: answers.RecordedAnswer) -> None:
-        """Send the recorded answer of an earlier request with the same idempotency key."""
-        headers = (*answer.headers, ("x-replayed", "true"))
-        await self._send_complete(answer.status, headers, answer.body)
-
-    async def _send_complete(
-        self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
-    ) -> None:
-        """Send a complete response in one step."""
-        response_headers = dict(headers) | {callers.REQUEST_ID_HEADER: self.id}
-        await self._send(web.Response(status=status, body=body, headers=response_headers))
-
-    async def _open_response(self) -> None:
-        """Send status and headers; the body follows in pieces."""
-        headers = dict(self.head.headers) | {callers.REQUEST_ID_HEADER: self.id}
-        self.response = web.StreamResponse(status=self.head.status, headers=headers)
-        await self.response.prepare(self.request)
-
-    async def _send(self, response: web.Response) -> None:
-        self.response = response
-        await response.prepare(self.request)
-        await response.write_eof()
+# Key of what is held for a request, in the mapping that the request is.
+HELD = "held"
 
 
 class CallerServer:
@@ -134,6 +47,7 @@
         core_inbox: Mailbox of the core task.
         mailboxes: Mailboxes that request tasks send their messages to.
         metrics_registry: Metrics returned by ``/metrics``.
+        caller_intake: Grants memory and connections to callers.
         time: Source of monotonic and wall-clock time.
 
     Attributes:
@@ -146,6 +60,7 @@
         "core_inbox",
         "mailboxes",
         "metrics_registry",
+        "caller_intake",
         "time",
         "open_requests",
         "app_runner",
@@ -158,12 +73,14 @@
         core_inbox: mailbox.Mailbox,
         mailboxes: runner.Mailboxes,
         metrics_registry: metrics.Metrics,
+        caller_intake: intake.Intake,
         time: clock.Clock,
     ) -> None:
         self.settings = settings
         self.core_inbox = core_inbox
         self.mailboxes = mailboxes
         self.metrics_registry = metrics_registry
+        self.caller_intake = caller_intake
         self.time = time
         self.open_requests = open_requests.OpenRequests()
         self.app_runner: web.AppRunner | None = None
@@ -183,8 +100,10 @@
         app.router.add_get("/readyz", self._get_readiness)
         app.router.add_get("/metrics", self._get_metrics)
         app.router.add_route("*", "/{path:.*}", self._call_by_host)
-        self.app_runner = web.AppRunner(
+        self.app_runner = caller_connection.CallerRunner(
             app,
+            caller_intake=self.caller_intake,
+            limits=self._limits,
             access_log=None,
             handler_cancellation=True,
             max_line_size=caller_settings.max_header_bytes,
@@ -214,14 +133,16 @@
         """Turn errors raised before a request has an id into error responses."""
         try:
             self._check_header_count(request)
+            abort = request.protocol.abort
+            address = caller_connection.peer_address(request)
             with self.open_requests.handling():
-                return await handler(request)
+                with self.caller_intake.holding(address, abort) as request[HELD]:
+                    return await handler(request)
         except errors.GatewayError as error:
-            return _http_errors.error_response(error)
-        except web.HTTPRequestEntityTooLarge:
-            return _http_errors.error_response(
-                _gateway_error(errors.Code.BODY_TOO_LARGE, self._body_limit_detail())
-            )
+            response = _http_errors.error_response(error)
+            if not request.content.is_eof():
+                response.force_close()
+            return response
         except web.HTTPNotFound:
             return _http_errors.error_response(
                 _gateway_error(
@@ -233,6 +154,31 @@
     def _body_limit_detail(self) -> str:
         return f"the body is larger than the limit of {self.settings.callers.max_body_bytes} bytes"
 
+    def _limits(self) -> publication.CallerLimits:
+        """Return the limits of callers, as connections need them."""
+        caller_settings = self.settings.callers
+        return publication.CallerLimits(
+            max_header_bytes=caller_settings.max_header_bytes * caller_settings.max_headers,
+            max_body_bytes=caller_settings.max_body_bytes,
+            header_timeout_s=caller_settings.header_timeout_s,
+        )
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        """Return a request's body.
+
+        Raises:
+            errors.GatewayError: When it is larger than the limit, or there is no memory for it.
+        """
+        body = await caller_connection.read_body(
+            request,
+            self.settings.callers.max_body_bytes,
+            caller_intake=self.caller_intake,
+            held=request[HELD],
+        )
+        if body is None:
+            raise _gateway_error(errors.Code.BODY_TOO_LARGE, self._body_limit_detail())
+        return body
+
     def _check_header_count(self, request: web.Request) -> None:
         if len(request.headers) > self.settings.callers.max_headers:
             limit = self.settings.callers.max_headers
@@ -243,7 +189,7 @@
 
     async def _complete_chat(self, request: web.Request) -> web.StreamResponse:
         """Run a chat completion and return the response that was sent."""
-        body = await request.read()
+        body = await self._read_body(request)
         parsed = callers.parse_chat_request(
             request.headers,
             body,
@@ -257,7 +203,7 @@
         query = f"?{request.query_string}" if request.query_string else ""
         parsed = callers.parse_plain_request(
             request.headers,
-            await request.read(),
+            await self._read_body(request),
             service=request.match_info["service"],
             method=request.method,
             path=f"/{request.match_info['path']}{query}",
@@ -278,7 +224,7 @@
             )
         parsed = callers.parse_plain_request(
             request.headers,
-            await request.read(),
+            await self._read_body(request),
             service=host,
             method=request.method,
             path=request.raw_path,
@@ -291,7 +237,7 @@
         self, request: web.Request, parsed: requests.Request
     ) -> web.StreamResponse:
         """Run a parsed request in a child task and return the response that was sent."""
-        sink = HttpSink(request, request_id=parsed.id, is_streaming=parsed.stream)
+        sink = http_sink.HttpSink(request, request_id=parsed.id, is_streaming=parsed.stream)
         request_runner = runner.Runner(self.mailboxes, parsed, sink, now=self.time.now)
         task = self.open_requests.start(request_runner)
         try:
@@ -328,7 +274,7 @@
         """Return as many new operation keys as the body's ``count`` asks for."""
         api_key_digest = callers.key_digest(request.headers)
         account = await self._query_core(lambda gateway: gateway.account_of(api_key_digest))
-        count = _parse_key_count(await request.read())
+        count = _parse_key_count(await self._read_body(request))
         return web.json_response(
             {"operation_keys": await self._mint_operation_keys(account, count)}
         )
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -21,6 +21,7 @@
     core,
     core_messages,
     front_server,
+    intake,
     log_pipe,
     mailbox,
     metrics,
@@ -51,6 +52,7 @@
         time: Clock of the instance.
         log: Log of the instance.
         metrics_collector: Collects the metrics of the instance.
+        caller_intake: Grants memory and connections to callers.
         core: Task that runs the decision logic.
         store: Client of the store.
         peers: Client that sends messages and forwards requests to other instances.
@@ -69,6 +71,7 @@
         "time",
         "log",
         "metrics_collector",
+        "caller_intake",
         "core",
         "store",
         "peers",
@@ -87,6 +90,11 @@
         self.instance = f"{settings.instance.name}~{uuid.uuid4().hex[:8]}"
         self.log = events.Log(self.instance, events.HybridClock(self.time.wall))
         self.metrics_collector = metrics.Metrics()
+        self.caller_intake = intake.Intake(
+            intake.limits_of_machine(settings.callers.memory_mb, settings.callers.max_descriptors),
+            time=self.time,
+            log=self.log,
+        )
         self.children = mailbox.ChildTasks()
         self.pipe = log_pipe.LogPipe(_open_log(settings.log.file))
         eliot.add_destinations(self.pipe)
@@ -110,6 +118,7 @@
             edge_state=self.core.decisions,
             mailboxes=mailboxes,
             metrics_registry=self.metrics_collector,
+            caller_intake=self.caller_intake,
             time=self.time,
         )
         self._register_gauges()
@@ -117,6 +126,7 @@
             secret=NO_SECRET,
             core_inbox=self.core.inbox,
             mailboxes=mailboxes,
+            caller_intake=self.caller_intake,
             time=self.time,
             log=self.log,
         )
@@ -201,8 +211,11 @@
         """Register the counters and gauges that are read when metrics are collected."""
         state, now = self.core.decisions, self.time.now
         self.metrics_collector.counters["events"] = self.log.series
+        self.metrics_collector.counters["callers_closed"] = self.caller_intake.closed
         self.metrics_collector.counters["store_calls"] = self.store.call_counts
         self.metrics_collector.gauges.update(
+            held_bytes=lambda: self.caller_intake.budget.held,
+            caller_connections=lambda: len(self.caller_intake.connections),
             open_requests=lambda: len(state.in_flight.contexts),
             waiting_messages=lambda: len(self.core.inbox),
             live_instances=lambda: len(state.members.reachable_members(now())) + 1,
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -14,10 +14,20 @@
 from yuccahitch import clock, errors
 from yuccahitch import settings as config_file
 from yuccahitch.controllers.instance import edge
+from yuccahitch.controllers.intake import budget
 from yuccahitch.messages import answers, requests
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.resources import publication
-from yuccahitch.tasks import caller_server, core_messages, mailbox, metrics, open_requests, runner
+from yuccahitch.tasks import (
+    caller_connection,
+    core_messages,
+    http_sink,
+    intake,
+    mailbox,
+    metrics,
+    open_requests,
+    runner,
+)
 
 # Size of one header line that the HTTP parser accepts; the published limits are checked later.
 MAX_HEADER_BYTES = 65536
@@ -29,7 +39,7 @@
 JSON_HEADERS = {"content-type": "application/json"}
 
 
-class FrontSink(caller_server.HttpSink):
+class FrontSink(http_sink.HttpSink):
     """Writes an answer to the caller's connection as the upstream sent it.
 
     An answer that is not an event stream is buffered until it is complete, so that an incomplete
@@ -108,6 +118,7 @@
         edge_state: Controllers of the instance; the server reads their state and changes nothing.
         mailboxes: Mailboxes that request tasks send their messages to.
         metrics_registry: Metrics returned by the metrics server.
+        caller_intake: Grants memory and connections to callers.
         time: Source of monotonic and wall-clock time.
 
     Attributes:
@@ -121,6 +132,7 @@
         "edge_state",
         "mailboxes",
         "metrics_registry",
+        "caller_intake",
         "time",
         "open_requests",
         "runners",
@@ -134,6 +146,7 @@
         edge_state: edge.Edge,
         mailboxes: runner.Mailboxes,
         metrics_registry: metrics.Metrics,
+        caller_intake: intake.Intake,
         time: clock.Clock,
     ) -> None:
         self.settings = settings
@@ -141,6 +154,7 @@
         self.edge_state = edge_state
         self.mailboxes = mailboxes
         self.metrics_registry = metrics_registry
+        self.caller_intake = caller_intake
         self.time = time
         self.open_requests = open_requests.OpenRequests()
         self.runners: list[web.ServerRunner] = []
@@ -174,8 +188,10 @@
 
     async def _listen(self, address: str, handler: typing.Any) -> None:
         """Start an HTTP server on an address, ``IP:PORT``, that calls a handler per request."""
-        server = web.Server(
+        server = caller_connection.CallerListener(
             handler,
+            caller_intake=self.caller_intake,
+            limits=self._limits,
             access_log=None,
             auto_decompress=False,
             handler_cancellation=True,
@@ -219,13 +235,17 @@
 
     async def _proxy_request(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle a caller's request, and return the response that was sent."""
-        with self.open_requests.handling():
-            return await self._read_and_run(request)
+        address = caller_connection.peer_address(request)
+        abort = request.protocol.abort
+        with self.open_requests.handling(), self.caller_intake.holding(address, abort) as held:
+            return await self._read_and_run(request, held)
 
-    async def _read_and_run(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _read_and_run(
+        self, request: web.BaseRequest, held: budget.Holding
+    ) -> web.StreamResponse:
         """Read, parse and run a caller's request, and return the response that was sent."""
         try:
-            body = await self._read_body(request)
+            body = await self._read_body(request, held)
         except errors.GatewayError as error:
             return await self._refuse_unparsed(request, error)
         parsed = platform_requests.decode(
@@ -238,18 +258,29 @@
         )
         return await self._run_request(request, parsed)
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    def _limits(self) -> publication.CallerLimits:
+        """Return the limits of callers that are in force."""
+        published = self.edge_state.config.current
+        return publication.CallerLimits() if published is None else published.limits
+
+    async def _read_body(self, request: web.BaseRequest, held: budget.Holding) -> bytes:
         """Return a request's body, checked against the limits.
 
         Raises:
-            errors.GatewayError: When headers or body are larger than their limit.
+            errors.GatewayError: When headers or body are larger than their limit, or there is no
+                memory for them.
         """
-        published = self.edge_state.config.current
-        limits = publication.CallerLimits() if published is None else published.limits
+        limits = self._limits()
         try:
-            return await _read_within(request, limits)
+            _check_headers(request, limits.max_header_bytes)
+            body = await caller_connection.read_body(
+                request, limits.max_body_bytes, caller_intake=self.caller_intake, held=held
+            )
+            if body is None:
+                raise _too_large_error(limits.max_body_bytes)
+            return body
         except errors.GatewayError as error:
-            if published is not None:
+            if self.edge_state.config.current is not None:
                 raise
             # Limits that nobody published are no reason to tell the caller not to come again.
             raise errors.GatewayError(
@@ -289,25 +320,21 @@
         return self.edge_state.shutdown.leaving
 
 
-async def _read_within(request: web.BaseRequest, limits: publication.CallerLimits) -> bytes:
-    """Return a request's body.
+def _check_headers(request: web.BaseRequest, max_bytes: int) -> None:
+    """Check the total size of a request's headers.
 
     Raises:
-        errors.GatewayError: When headers or body are larger than their limit.
+        errors.GatewayError: When it is larger than the limit.
     """
     size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
-    if size > limits.max_header_bytes:
-        detail = f"the headers have {size} bytes; the limit is {limits.max_header_bytes}"
+    if size > max_bytes:
+        detail = f"the headers have {size} bytes; the limit is {max_bytes}"
         raise errors.GatewayError(errors.Code.HEADERS_TOO_LARGE, step="front", detail=detail)
-    body = bytearray()
-    limit = limits.max_body_bytes
-    while len(body) <= limit and (request.content_length or 0) <= limit:
-        received = await request.content.readany()
-        if not received:
-            return bytes(body)
-        body += received
-    detail = f"the body is larger than the limit of {limit} bytes"
-    raise errors.GatewayError(errors.Code.BODY_TOO_LARGE, step="front", detail=detail)
+
+
+def _too_large_error(max_bytes: int) -> errors.GatewayError:
+    detail = f"the body is larger than the limit of {max_bytes} bytes"
+    return errors.GatewayError(errors.Code.BODY_TOO_LARGE, step="front", detail=detail)
 
 
 def _add_headers(response: web.StreamResponse, headers: tuple[tuple[str, str], ...]) -> None:
--- a/yuccahitch/tasks/peer_server.py
+++ b/yuccahitch/tasks/peer_server.py
@@ -15,6 +15,7 @@
 from yuccahitch.messages import answers, peers, requests
 from yuccahitch.tasks import (
     core_messages,
+    intake,
     leased_runs,
     mailbox,
     open_requests,
@@ -22,6 +23,9 @@
     runner,
 )
 
+# Copies of a forwarded body while its request runs: the message, the body, and what is being sent.
+FORWARDED_COPIES = 3
+
 
 class PartSink:
     """Sends the parts of an answer to the peer that forwarded the request.
@@ -104,6 +108,7 @@
         secret: Secret that the instances of the fleet share.
         core_inbox: Mailbox of the core task.
         mailboxes: Mailboxes that request tasks send their messages to.
+        caller_intake: Grants memory to the requests that peers forward.
         time: Source of monotonic time.
         log: Event log; its hybrid clock stamps the messages.
 
@@ -117,6 +122,7 @@
         "secret",
         "core_inbox",
         "mailboxes",
+        "caller_intake",
         "time",
         "log",
         "open_requests",
@@ -130,12 +136,14 @@
         secret: str,
         core_inbox: mailbox.Mailbox,
         mailboxes: runner.Mailboxes,
+        caller_intake: intake.Intake,
         time: clock.Clock,
         log: events.Log,
     ) -> None:
         self.secret = secret
         self.core_inbox = core_inbox
         self.mailboxes = mailboxes
+        self.caller_intake = caller_intake
         self.time = time
         self.log = log
         self.open_requests = open_requests.OpenRequests()
@@ -179,7 +187,20 @@
         sink = PartSink(
             stream, request_id=request.id, attempt=attempt, stamp_clock=self.log.hybrid_clock
         )
-        request_runner = runner.Runner(self.mailboxes, request, sink, now=self.time.now)
+        with self.caller_intake.holding(sender, stream.cancel) as held:
+            held.is_incoming = False
+            try:
+                self.caller_intake.take_at_once(held, len(request.body) * FORWARDED_COPIES)
+            except errors.GatewayError as error:
+                await sink.refuse(error, "")
+                return
+            request_runner = runner.Runner(self.mailboxes, request, sink, now=self.time.now)
+            await self._run_forwarded(request_runner, hop, sender=sender, attempt=attempt)
+
+    async def _run_forwarded(
+        self, request_runner: runner.Runner, hop: requests.Hop, *, sender: str, attempt: int
+    ) -> None:
+        """Run a forwarded request in the way that its metadata ask for."""
         if hop.leased:
             await self.leased_runs.run(request_runner, hop, sender=sender, attempt=attempt)
         elif hop.owned:
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -19,6 +19,7 @@
     caller_server,
     core,
     core_messages,
+    intake,
     mailbox,
     metrics,
     operator_server,
@@ -43,6 +44,7 @@
         time: Clock of the instance.
         log: Log of the instance.
         metrics_collector: Collects the metrics of the instance.
+        caller_intake: Grants memory and connections to callers.
         core: Task that runs the decision logic.
         store: Client of the store.
         peers: Client that sends messages and forwards requests to other instances.
@@ -60,6 +62,7 @@
         "time",
         "log",
         "metrics_collector",
+        "caller_intake",
         "core",
         "store",
         "peers",
@@ -77,6 +80,11 @@
         self.instance = f"{settings.instance.name}~{uuid.uuid4().hex[:8]}"
         self.log = events.Log(self.instance, events.HybridClock(self.time.wall))
         self.metrics_collector = metrics.Metrics()
+        self.caller_intake = intake.Intake(
+            intake.limits_of_machine(settings.callers.memory_mb, settings.callers.max_descriptors),
+            time=self.time,
+            log=self.log,
+        )
         self.children = mailbox.ChildTasks()
         rng = random.Random(os.urandom(16))
         self.upstreams = upstream_client.UpstreamClient(
@@ -164,6 +172,7 @@
             core_inbox=inbox,
             mailboxes=mailboxes,
             metrics_registry=self.metrics_collector,
+            caller_intake=self.caller_intake,
             time=self.time,
         )
         changes = operator_server.observe_entries(decisions.config.listeners)
@@ -174,6 +183,7 @@
             secret=self.settings.peers.secret,
             core_inbox=inbox,
             mailboxes=mailboxes,
+            caller_intake=self.caller_intake,
             time=self.time,
             log=self.log,
         )
@@ -183,8 +193,11 @@
         """Register the counters and gauges that are read when metrics are collected."""
         now = self.time.now
         self.metrics_collector.counters["events"] = self.log.series
+        self.metrics_collector.counters["callers_closed"] = self.caller_intake.closed
         self.metrics_collector.counters["store_calls"] = self.store.call_counts
         self.metrics_collector.gauges.update(
+            held_bytes=lambda: self.caller_intake.budget.held,
+            caller_connections=lambda: len(self.caller_intake.connections),
             open_requests=lambda: len(decisions.in_flight.contexts),
             waiting_requests=lambda: decisions.queue.size,
             live_instances=lambda: len(decisions.members.members) + 1,
