Never take a body for a head, and wait for memory once in all

Cause: until a request was handled, bytes of its body counted as a head, so that large bodies on new connections were closed (seen in the process test: tries at 4 MiB were closed for 6 s). An upload could wait 2.5 s for each of its pieces, 20 s in all.

Change: the body of the last parsed head says what comes; an upload waits at most 2.5 s in all. A scenario sends a body at once with its head; it passes on the former code too, as the gap is shorter there, so the process test is what shows the fault.

--- a/tests/caller_connections.py
+++ b/tests/caller_connections.py
@@ -12,7 +12,9 @@
 from yuccahitch.tasks import caller_connection
 
 HEADER_TIMEOUT_S = 0.3
-MAX_BODY_BYTES = 100_000
+MAX_BODY_BYTES = 1_000_000
+# Bytes that come at once.
+PIECE_BYTES = 65_536
 # Time in which the server handles what it can, in seconds.
 STEP_S = 0.05
 
--- a/tests/features/caller_connections.feature
+++ b/tests/features/caller_connections.feature
@@ -24,3 +24,10 @@
     Given a connection whose requests are not answered yet
     When a body comes in 2 parts, slower than a head may
     Then reading goes on, and 1 requests were answered
+
+  # Guards against a connection that is closed as its body comes before its request is handled.
+  Scenario: A body that comes at once with its head is not taken for a head
+    Given a connection whose requests are not answered yet
+    When a request with 400000 bytes comes before the server does anything else
+    And they are answered
+    Then reading goes on, and 1 requests were answered
--- a/tests/features/steps/caller_connections.py
+++ b/tests/features/steps/caller_connections.py
@@ -33,6 +33,17 @@
     platform_calls.run(context, work())
 
 
+@behave.when("a request with {size:d} bytes comes before the server does anything else")
+def step_receive_at_once(context, size):
+    async def work():
+        data = caller_connections.a_request(size)
+        for start in range(0, len(data), caller_connections.PIECE_BYTES):
+            piece = data[start : start + caller_connections.PIECE_BYTES]
+            context.caller.connection.data_received(piece)
+
+    platform_calls.run(context, work())
+
+
 @behave.when("they are answered")
 def step_answer(context):
     async def work():
--- a/yuccahitch/controllers/intake/budget.py
+++ b/yuccahitch/controllers/intake/budget.py
@@ -26,6 +26,7 @@
         size: Bytes of memory that it takes.
         is_incoming: Whether its bytes still come in, so that nothing of it has run.
         is_waiting: Whether the instance lets it wait for memory; it can't progress meanwhile.
+        waits_until: When it has waited long enough, in monotonic seconds, or None before.
         is_open: Whether it is part of the budget.
     """
 
@@ -36,6 +37,7 @@
         "size",
         "is_incoming",
         "is_waiting",
+        "waits_until",
         "is_open",
     )
 
@@ -46,6 +48,7 @@
         self.size = 0
         self.is_incoming = True
         self.is_waiting = False
+        self.waits_until: float | None = None
         self.is_open = True
 
     def is_stalled(self, now: float) -> bool:
--- a/yuccahitch/tasks/caller_connection.py
+++ b/yuccahitch/tasks/caller_connection.py
@@ -41,7 +41,7 @@
         caller_intake: Grants memory and connections.
         limits: Returns the limits of callers that are in force.
         idle_since: Since when no request is being handled, in monotonic seconds, or None.
-        body: Body of the last request, also while the rest of a refused one is dropped, or None.
+        body: Body of the last request whose head has come, or None.
         head: What is held of a head that is coming in, or None.
         head_timer: Closes the connection when the head takes too long, or None.
         is_held: Whether reading is paused until the next request is handled.
@@ -87,15 +87,15 @@
         was_between_requests = self._is_between_requests()
         super().data_received(data)
         if self._messages:
+            _, self.body = self._messages[-1]
             self._end_head()
             self._hold_reading()
         elif data and was_between_requests:
             self._extend_head(len(data))
 
-    def begin_request(self, body: aiohttp.StreamReader) -> None:
+    def begin_request(self) -> None:
         """Note that a request is being handled, and read on unless another one waits."""
         self.idle_since = None
-        self.body = body
         self._end_head()
         if self.is_held and not self._messages:
             self.is_held = False
@@ -195,7 +195,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle a request, and keep the connection's state up to date."""
         connection = request.protocol
-        connection.begin_request(request.content)
+        connection.begin_request()
         try:
             return await self.answer(request)
         finally:
--- a/yuccahitch/tasks/intake.py
+++ b/yuccahitch/tasks/intake.py
@@ -125,14 +125,15 @@
             raise self._short_error()
 
     async def take(self, holding: budget.Holding, count: int) -> None:
-        """Add bytes to a holding, waiting for memory if needed.
+        """Add bytes to a holding, waiting for memory if needed, once for a time in all.
 
         Raises:
             errors.GatewayError: When there is no memory for them in time.
         """
-        ends_at = self.time.now() + WAIT_LIMIT_S
         while not self.try_take(holding, count):
-            left_s = ends_at - self.time.now()
+            if holding.waits_until is None:
+                holding.waits_until = self.time.now() + WAIT_LIMIT_S
+            left_s = holding.waits_until - self.time.now()
             if left_s <= 0 or not holding.is_open:
                 raise self._short_error()
             await self._wait(holding, left_s)
