Reset the connection of an answer that breaks off in HTTP/1.0

Cause: an answer without a length is complete in HTTP/1.0 when its connection ends in order, and both front ends ended it so. Change: http_sink.abort; HTTP/1.1 has the missing last chunk and goes on as before, but the own front end no longer sends what it had buffered first.

--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -82,7 +82,7 @@
         if self.response is None:
             await self.refuse(part.error, "")
         elif self.request.transport is not None:
-            self.request.transport.abort()
+            http_sink.abort(self.request)
 
     async def refuse(self, error: errors.GatewayError, operation: str) -> None:
         """Send an error response for a request that is not served."""
--- a/yuccahitch/tasks/http_sink.py
+++ b/yuccahitch/tasks/http_sink.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import aiohttp
 from aiohttp import web
 
 from yuccahitch import errors
 from yuccahitch.codecs import callers
 from yuccahitch.messages import answers
+from yuccahitch.tasks import tcp_connection
 
 MAX_BUFFERED_ANSWER_BYTES = 262_144
 
@@ -67,7 +69,7 @@
         """End an incomplete answer in a way that the caller cannot mistake for a complete one.
 
         If no header was sent, the caller gets an error response. A stream ends with an error
-        event; after part of any other answer, the connection is closed without the body's end.
+        event; after part of any other answer, the connection is aborted.
         """
         if self.response is None:
             await self.refuse(part.error, "")
@@ -78,7 +80,7 @@
             await self.response.write_eof()
             return
         if self.request.transport is not None:
-            self.request.transport.close()
+            abort(self.request)
 
     async def refuse(self, error: errors.GatewayError, operation: str) -> None:
         """Send an error response for a request that is not served."""
@@ -108,3 +110,14 @@
         self.response = response
         await response.prepare(self.request)
         await response.write_eof()
+
+
+def abort(request: web.BaseRequest) -> None:
+    """Close the connection of a request whose answer is not complete.
+
+    In HTTP/1.0 an end in order would make the answer complete, so the connection is reset.
+    """
+    if request.version < aiohttp.HttpVersion11:
+        tcp_connection.reset(request.transport)
+    else:
+        request.transport.abort()
