Correct docstrings that a reader stumbles over

Cause: a docstring called an object a flag, one named more statuses than the code checks, one called the time since a request's arrival the time at an upstream, a type hint spelled out an alias, and an attribute had no line. Change: docstrings and one type hint; no behaviour. Measured: make lint clean.

--- a/yuccahitch/controllers/admission/service_admission.py
+++ b/yuccahitch/controllers/admission/service_admission.py
@@ -17,7 +17,7 @@
     """The admission to one service.
 
     Attributes:
-        shortage: Whether the service is short of places.
+        shortage: Follows whether the service is short of places.
         gate: Lets the admitted share pass.
         decided_at: When the level was last decided, in monotonic seconds.
         work_by_priority: Work that the region asked for then, in seconds a second.
--- a/yuccahitch/controllers/placement/balance.py
+++ b/yuccahitch/controllers/placement/balance.py
@@ -364,7 +364,7 @@
         self,
         replica: replica_state.Replica,
         request: assignments.PlacementRequest,
-        uses: dict[str, tuple[int, int]],
+        uses: upstream_loads.NearUses,
         part_holders: tuple[str, str],
         now: float,
     ) -> float:
--- a/yuccahitch/filters/urgency.py
+++ b/yuccahitch/filters/urgency.py
@@ -39,7 +39,7 @@
         return actions.Refuse(error)
 
     def leave(self, context: request_context.RequestContext, now: float) -> None:
-        """Learn how long a request took at an upstream here, and whether it was turned away."""
+        """Learn how long a request took from its arrival, and whether it was turned away."""
         if context.attempt == 0:
             return
         service, priority = context.service, request_context.effective_priority(context)
--- a/yuccahitch/tasks/caller_connection.py
+++ b/yuccahitch/tasks/caller_connection.py
@@ -164,6 +164,9 @@
         caller_intake: Grants memory and connections.
         limits: Returns the limits of callers that are in force.
         options: Options of the HTTP server and its parser.
+
+    Attributes:
+        answer: The handler; requests reach it by way of ``_handle``.
     """
 
     __slots__ = ("caller_intake", "limits", "answer")
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -341,7 +341,7 @@
 ) -> answers.Failure | None:
     """Return the failure that a response stands for, or None if the caller may get it.
 
-    A chat gets neither status 429 nor 5xx.
+    A chat gets none of the statuses 429, 500, 502, 503 and 504.
     """
     if not _is_answer_to(action, response):
         error = ValueError("the answer belongs to another request")
