Give the shortest samples names and units, and a megabyte one constant

Cause: MIN_SAMPLE_S**2, a time squared, stood for a time for a token; intake.py repeated BYTES_PER_MB of machine_limits.py. Change: MIN_WHOLE_S and MIN_TOKEN_S with the same values, and one BYTES_PER_MB.

--- a/yuccahitch/controllers/placement/speeds.py
+++ b/yuccahitch/controllers/placement/speeds.py
@@ -12,8 +12,9 @@
 AVERAGE_WEIGHT = 0.02
 # Prompts that are shorter tell nothing of the time that an upstream takes to read, in tokens.
 MIN_PROMPT_TOKENS = 1000
-# Shortest time that counts as a sample, in seconds.
-MIN_SAMPLE_S = 0.001
+# Samples that are shorter count as this, in seconds: whole requests, and times for a token.
+MIN_WHOLE_S = 0.001
+MIN_TOKEN_S = 0.000001
 
 
 class Speeds:
@@ -79,9 +80,8 @@
         now: float,
     ) -> None:
         """Record the time of a kind of work for an upstream and in the average of its service."""
-        sample = math.log(
-            max(MIN_SAMPLE_S if kind is slowness.Work.WHOLE else MIN_SAMPLE_S**2, time_s)
-        )
+        shortest_s = MIN_WHOLE_S if kind is slowness.Work.WHOLE else MIN_TOKEN_S
+        sample = math.log(max(shortest_s, time_s))
         average = self.averages.get((service, kind), sample)
         self.averages[(service, kind)] = average + AVERAGE_WEIGHT * (sample - average)
         replica.slowness[kind].record(sample - average, now)
--- a/yuccahitch/tasks/intake.py
+++ b/yuccahitch/tasks/intake.py
@@ -20,7 +20,6 @@
 WAIT_LIMIT_S = budget.STALL_S + 0.5
 RETRY_AFTER_S = 1.0
 STEP = "intake"
-BYTES_PER_MB = 1_000_000
 
 # Closes the connection that a holding belongs to.
 Abort = typing.Callable[[], None]
@@ -213,7 +212,7 @@
     """
     if not memory_mb:
         page_count = os.sysconf("SC_PHYS_PAGES")
-        memory_mb = page_count * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
+        memory_mb = page_count * os.sysconf("SC_PAGE_SIZE") / machine_limits.BYTES_PER_MB
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     return machine_limits.MachineLimits(
         memory_mb=memory_mb, max_descriptors=min(max_descriptors or soft_limit, soft_limit)
