Remove drop_unlisted, which nothing calls

Cause: no code and no test calls it. Change: the method goes. So states of upstreams that left the catalog stay, as before.

--- a/yuccahitch/controllers/upstream_state/upstreams.py
+++ b/yuccahitch/controllers/upstream_state/upstreams.py
@@ -122,16 +122,6 @@
             existing = self.by_name[name] = UpstreamState()
         return existing
 
-    def drop_unlisted(self, names: typing.Container[str]) -> None:
-        """Drop the state of upstreams that are not in ``names`` and hold no requests."""
-        idle_names = [
-            known_name
-            for known_name, known_state in self.by_name.items()
-            if known_name not in names and not known_state.outstanding
-        ]
-        for name in idle_names:
-            del self.by_name[name]
-
     def is_usable(self, spec: upstream.Upstream, now: float) -> bool:
         """Return whether an upstream may get new requests."""
         return self.is_open(spec, now) and not self.is_ejected(spec, now)
