Say which requests leave a region without a price

Cause: the docstring said requests that no upstream can take; the code asks for usable upstreams, also those whose memory is full or whose rate is spent. Change: the docstring.

--- a/yuccahitch/controllers/placement/remote_regions.py
+++ b/yuccahitch/controllers/placement/remote_regions.py
@@ -141,8 +141,8 @@
     def _price(self, region: str, request: assignments.PlacementRequest, now: float) -> float:
         """Return the gain that a forward needs beyond its cost in time, in seconds.
 
-        It is infinite if this instance's part of the link is used up. A request that no upstream of
-        this region can take needs none.
+        It is infinite if this instance's part of the link is used up. A request for which this
+        region has no usable upstream needs none; upstreams that are full or limited are usable.
         """
         if self.budget is None or self._must_leave(request, now):
             return 0.0
