--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -110,6 +110,12 @@
     Then callers are told to return after 0.3 to 4 seconds, spread over at least 0.3 seconds
     And returning normal requests are taken more often than new ones
 
+  # Guards against a crowd that returns at one moment.
+  Scenario: Many refused callers don't return at the same time
+    Given 1 instance before 4 upstreams with 10 slots each
+    When callers send 20 urgent, 20 normal and 900 late requests a second for 6 seconds
+    Then at most one refused caller in 20 is told to return after the same time
+
   Scenario Outline: An account at six times its usual leaves the others what they get without it
     Given <instances> instances before 4 upstreams with 10 slots each, for 3 accounts
     When each account sends 8 normal requests a second beside 30 urgent ones, for 25 seconds
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -28,6 +28,14 @@
     When an upload from a asks for 1000 bytes at 1 seconds
     Then no upload is given up, and it gets no bytes
 
+  # Guards against a caller who ends the uploads of others while there is memory (LOST).
+  Scenario: An address at its share ends no upload of another one
+    Given a budget of 10000 bytes
+    And an upload of 1000 bytes from b at 0 seconds
+    And a running request with 7000 bytes from a at 0 seconds
+    When an upload from a asks for 1000 bytes at 10 seconds
+    Then no upload is given up, and it gets no bytes
+
   Scenario: A single request gets what it needs
     Given a budget of 10000 bytes
     When an upload from a asks for 40000 bytes at 1 seconds
--- a/tests/features/room.feature
+++ b/tests/features/room.feature
@@ -34,6 +34,20 @@
     And 20 requests of 5000 tokens with a shared part of 20000 tokens are sent
     Then 15 of them are sent to engines
 
+  Scenario: Requests that state no tokens go to an engine whose parts are taken
+    Given 2 instances before engine g1
+    When g1 reports a memory of 100000 tokens
+    And pulses are exchanged
+    And 2 requests of 30000 tokens are sent
+    And 1 request of 0 tokens is sent
+    Then 1 of them is sent to engines
+
+  # Guards against memory that grows with each request (processes that end by themselves).
+  Scenario: What is remembered of requests to an engine without a report is bounded by time
+    Given an instance before engine g1
+    When 100 requests of 10 tokens are sent, 0.1 seconds apart
+    Then at most 5 of them are remembered as unheard
+
   Scenario: What another instance holds counts until it is silent for long
     Given 2 instances before engine g1
     When g1 reports a memory of 100000 tokens
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import behave
 
 from tests import admission_builders
@@ -326,6 +328,13 @@
     assert max(delays) - min(delays) >= spread
 
 
+@behave.then("at most one refused caller in {part:d} is told to return after the same time")
+def step_check_spread(context, part):
+    delays = collections.Counter(round(delay, 3) for *_, delay in context.site.delays)
+    (delay, count), *_ = delays.most_common(1)
+    assert count * part <= delays.total(), (delay, count, delays.total())
+
+
 @behave.then("returning normal requests are taken more often than new ones")
 def step_check_preference(context):
     site, prefix = context.site, PREFIX_BY_NAME["normal"]
--- a/tests/features/steps/room.py
+++ b/tests/features/steps/room.py
@@ -97,6 +97,19 @@
         assert edge_simulation.dispatched_upstream(outcome), outcome
 
 
+@behave.when("{count:d} requests of {tokens:d} tokens are sent, {gap:g} seconds apart")
+def step_send_apart(context, count, tokens, gap):
+    for _ in range(count):
+        step_pass(context, gap)
+        context.edge.finish_request(room_builders.begin(context.edge, tokens).request_id)
+
+
+@behave.then("at most {count:d} of them are remembered as unheard")
+def step_check_unheard(context, count):
+    (replica,) = context.edge.decisions.registry.by_name.values()
+    assert len(replica.memory.unheard.placed) <= count, len(replica.memory.unheard.placed)
+
+
 @behave.when("pulses are exchanged")
 def step_exchange(context):
     edge_simulation.exchange_pulses(context.edges)
--- a/yuccahitch/controllers/admission/urgency.py
+++ b/yuccahitch/controllers/admission/urgency.py
@@ -306,6 +306,7 @@
             lambda item: item[0] <= arrival.priority, sorted(state.work_by_priority.items())
         )
         load = sum(work for _, work in ahead) / max(state.room_per_s, 1e-9)
-        spread_s = MIN_RETURN_S * max(1.0, load)
-        wait_s = MIN_RETURN_S + self.rng.random() * spread_s
-        return max(LEAST_RETURN_S, min(wait_s, MAX_RETURN_S, arrival.left_s * MAX_RETURN_PART))
+        latest_s = max(LEAST_RETURN_S, min(MAX_RETURN_S, arrival.left_s * MAX_RETURN_PART))
+        first_s = min(MIN_RETURN_S, latest_s / 2)
+        spread_s = min(MIN_RETURN_S * max(1.0, load), latest_s - first_s)
+        return first_s + self.rng.random() * spread_s
--- a/yuccahitch/controllers/intake/budget.py
+++ b/yuccahitch/controllers/intake/budget.py
@@ -108,13 +108,27 @@
         self.held_by_address[holding.address] = address_held + count
         return True
 
-    def stalled(self, holding: Holding, now: float) -> Holding | None:
-        """Return the other holding that has made no progress longest, or None if all do.
+    def stalled(self, holding: Holding, count: int, now: float) -> Holding | None:
+        """Return the holding to give up for further bytes: the one without progress for longest.
 
-        Those of the same address go first.
+        Those of the same address go first. Others are left alone while there is memory, so that an
+        address at its share ends nobody else's.
+
+        Args:
+            holding: The holding that asks.
+            count: The bytes that it asks for.
+            now: Monotonic seconds.
+
+        Returns:
+            The other holding, or None if there is none.
         """
+        is_short = self.held + count > self.limit
         candidates = [
-            item for item in self.holdings if item is not holding and item.is_stalled(now)
+            item
+            for item in self.holdings
+            if item is not holding
+            and item.is_stalled(now)
+            and (is_short or item.address == holding.address)
         ]
         return min(
             candidates,
--- a/yuccahitch/controllers/placement/engine_room.py
+++ b/yuccahitch/controllers/placement/engine_room.py
@@ -113,7 +113,7 @@
         told_tokens = self.told_tokens(now)[replica.upstream.name]
         needed = memory.missing_tokens(demand, now)
         free = memory.free_tokens(told_tokens, now)
-        if needed > free or len(self.ranked) == 1:
+        if not needed or needed > free or len(self.ranked) == 1:
             return needed <= free
         sent = memory.unheard.sum(now)
         shared_out = min(free + sent, memory.usable_tokens)
--- a/yuccahitch/controllers/placement/refusals.py
+++ b/yuccahitch/controllers/placement/refusals.py
@@ -97,7 +97,7 @@
             errors.Code.UPSTREAMS_LIMITED,
             "all of them named a rate or asked for a pause",
             inputs,
-            retry_after_s=_bounded(min(waits_s) + self.rng.random() * RETRY_AFTER_S),
+            retry_after_s=self._bounded(min(waits_s) + self.rng.random() * RETRY_AFTER_S),
         )
 
     def _without_memory(
@@ -121,9 +121,17 @@
             errors.Code.UPSTREAMS_FULL,
             f"{len(full)} upstreams lack the memory for its {request.memory_demand.tokens} tokens",
             inputs,
-            retry_after_s=_bounded(retry_after_s),
+            retry_after_s=self._bounded(retry_after_s),
         )
 
+    def _bounded(self, retry_after_s: float) -> float:
+        """Return a Retry-After within its bounds, in seconds; what is beyond them is spread."""
+        if retry_after_s > MAX_RETRY_AFTER_S:
+            return MAX_RETRY_AFTER_S * (1 + self.rng.random()) / 2
+        if retry_after_s < RETRY_AFTER_S / 2:
+            return RETRY_AFTER_S * (1 + self.rng.random()) / 2
+        return retry_after_s
+
 
 def refuse(
     code: errors.Code,
@@ -135,8 +143,3 @@
     """Return the refusal of a request, with a time after which the caller may try again."""
     error = errors.GatewayError(code, step=choices.STEP, detail=detail, retry_after=retry_after_s)
     return choices.Refused(error, inputs)
-
-
-def _bounded(retry_after_s: float) -> float:
-    """Return a Retry-After within its bounds, in seconds."""
-    return min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S / 2, retry_after_s))
--- a/yuccahitch/controllers/upstream_state/recent_tokens.py
+++ b/yuccahitch/controllers/upstream_state/recent_tokens.py
@@ -25,12 +25,17 @@
 
     def add(self, tokens: int, now: float) -> None:
         """Count tokens that are placed now."""
+        self._drop_old(now)
         self.placed.append((now, tokens))
         self.total += tokens
 
     def sum(self, now: float) -> int:
         """Return the tokens that were placed within the window."""
+        self._drop_old(now)
+        return self.total
+
+    def _drop_old(self, now: float) -> None:
+        """Drop what was placed before the window."""
         while self.placed and self.placed[0][0] <= now - self.window_s:
             _, tokens = self.placed.popleft()
             self.total -= tokens
-        return self.total
--- a/yuccahitch/tasks/intake.py
+++ b/yuccahitch/tasks/intake.py
@@ -108,7 +108,7 @@
         """
         now = self.time.now()
         while not self.budget.take(holding, count, now):
-            stalled = self.budget.stalled(holding, now) if holding.is_open else None
+            stalled = self.budget.stalled(holding, count, now) if holding.is_open else None
             if stalled is None:
                 return False
             self._shed(stalled)
