--- a/yuccahitch/tasks/caller_connection.py
+++ b/yuccahitch/tasks/caller_connection.py
@@ -230,6 +230,7 @@
         self.limits = limits
 
     async def _make_server(self) -> web.Server:
+        # aiohttp has no other way to choose the class of an application's connections.
         made = await super()._make_server()
         return CallerListener(
             made.request_handler,
--- a/yuccahitch/tasks/tcp_connection.py
+++ b/yuccahitch/tasks/tcp_connection.py
@@ -35,7 +35,8 @@
     if tcp_socket is None:
         return False
     size = fcntl.ioctl(tcp_socket.fileno(), termios.TIOCOUTQ, bytes(struct.calcsize("i")))
-    return struct.unpack("i", size) > (0,)
+    (unacknowledged_bytes,) = struct.unpack("i", size)
+    return unacknowledged_bytes > 0
 
 
 def reset(transport: asyncio.WriteTransport) -> None:
