--- a/tests/room_builders.py
+++ b/tests/room_builders.py
@@ -13,6 +13,7 @@
 REGION_ZONES = {"east": "east-a", "west": "west-a"}
 PATH = "/ask/x"
 SLOTS = 64
+POLICY = {"engine_memory": "on", "upstream_speeds": "on"}
 
 _parts = itertools.count(1)
 
@@ -20,7 +21,7 @@
 def start_edges(count, *, region="east", now=1000.0):
     """Return ready instances of a region that know each other."""
     edges = [
-        platform_builders.EdgeUnderTest(f"{region}-{number}", region=region, now=now)
+        platform_builders.EdgeUnderTest(f"{region}-{number}", region=region, now=now, policy=POLICY)
         for number in range(count)
     ]
     for edge in edges:
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -69,6 +69,12 @@
     return rule
 
 
+def _switch_rule(description: str) -> dict[str, typing.Any]:
+    """Return the rule of an option that is on or off, off by default."""
+    values = ["on", "off"]
+    return _option_rule(description, "on or off", default="off", type="string", allowed=values)
+
+
 def _number_rule(
     meaning: str, unit: str, default: float, low: float, high: float, number_type: type = float
 ) -> dict[str, typing.Any]:
@@ -442,13 +448,15 @@
         "spill_gain_s": _number_rule(
             "Gain in time to first token that justifies another region.", "seconds", 0.1, 0, 60
         ),
-        "urgency": _option_rule(
+        "urgency": _switch_rule(
             "Whether a service that is short of places admits its more urgent requests first, if "
             "its routes or accounts hold more than one priority.",
-            "on or off",
-            default="on",
-            type="string",
-            allowed=["on", "off"],
+        ),
+        "engine_memory": _switch_rule(
+            "Whether requests go only to upstreams with memory for them."
+        ),
+        "upstream_speeds": _switch_rule(
+            "Whether the speed of each upstream is learned, and queues and waits follow it.",
         ),
         "link_share": _number_rule(
             "Fraction of a link to another region that forwards may take; 0 for no bound.",
--- a/yuccahitch/controllers/instance/edge.py
+++ b/yuccahitch/controllers/instance/edge.py
@@ -231,6 +231,8 @@
             spill_gain_s=options.spill_gain_s,
             part_holders=options.part_holders,
             link_share=options.link_share,
+            engine_memory=options.engine_memory == "on",
+            upstream_speeds=options.upstream_speeds == "on",
         )
         self.admission = urgency.UrgencyAdmission(
             config=self.config,
--- a/yuccahitch/controllers/placement/balance.py
+++ b/yuccahitch/controllers/placement/balance.py
@@ -51,6 +51,8 @@
         spill_gain_s: Least gain in time to first token that justifies another region, in seconds.
         part_holders: Most upstreams of a region that hold the same prompt part; 0 for no bound.
         link_share: Fraction of the bandwidth that forwards may take; 0 for no bound.
+        engine_memory: Whether the memory of engines bounds what they get.
+        upstream_speeds: Whether the speed of each upstream is learned.
 
     Attributes:
         assignments: Placed requests by request id, until they are released.
@@ -91,6 +93,8 @@
         spill_gain_s: float,
         part_holders: int = 0,
         link_share: float = 0.0,
+        engine_memory: bool = False,
+        upstream_speeds: bool = False,
     ) -> None:
         self.members = members
         self.registry = registry
@@ -98,9 +102,9 @@
         self.spill_gain_s = spill_gain_s
         self.assignments: dict[str, assignments.Assignment] = {}
         self.estimates = estimates.WorkEstimates()
-        self.speeds = speeds.Speeds()
+        self.speeds = speeds.Speeds(enabled=upstream_speeds)
         self.loads = upstream_loads.UpstreamLoads(registry, self.estimates, self.speeds)
-        self.room = engine_room.EngineRoom(members)
+        self.room = engine_room.EngineRoom(members, enabled=engine_memory)
         self.refusals = refusals.Refusals(
             members=members,
             registry=registry,
--- a/yuccahitch/controllers/placement/engine_room.py
+++ b/yuccahitch/controllers/placement/engine_room.py
@@ -27,6 +27,7 @@
 
     Args:
         members: The fleet.
+        enabled: Whether the memory of engines bounds what they get.
 
     Attributes:
         mean_tokens: Moving average of the tokens that a request takes, by service.
@@ -36,10 +37,11 @@
         ranked: Ids of the instances of this region, this one included, when ranks were worked out.
     """
 
-    __slots__ = ("members", "mean_tokens", "told", "told_at", "ranks", "ranked")
+    __slots__ = ("members", "enabled", "mean_tokens", "told", "told_at", "ranks", "ranked")
 
-    def __init__(self, members: fleet.Fleet) -> None:
+    def __init__(self, members: fleet.Fleet, *, enabled: bool) -> None:
         self.members = members
+        self.enabled = enabled
         self.mean_tokens: dict[str, float] = {}
         self.told: collections.Counter[str] = collections.Counter()
         self.told_at = -math.inf
@@ -74,7 +76,7 @@
         now: float,
     ) -> tuple[list[replica_state.Replica], list[replica_state.Replica]]:
         """Return the candidates whose memory holds a request, and those whose memory doesn't."""
-        if not any(replica.memory.total_tokens for replica in candidates):
+        if not self.enabled or not any(r.memory.total_tokens for r in candidates):
             return candidates, []
         self._rank_by(self.members.near_ids(now))
         fitting: list[replica_state.Replica] = []
@@ -91,6 +93,8 @@
             service: Name of its service.
             now: Monotonic seconds.
         """
+        if not self.enabled:
+            return MAX_FURTHER
         told = self.told_tokens(now)
         free_tokens = replica.memory.free_tokens(told[replica.upstream.name], now)
         mean_tokens = max(1.0, self.mean_tokens.get(service, 1.0))
--- a/yuccahitch/controllers/placement/speeds.py
+++ b/yuccahitch/controllers/placement/speeds.py
@@ -20,14 +20,18 @@
 class Speeds:
     """Compares the times that upstreams take with the average of their service.
 
+    Args:
+        enabled: Whether speeds are learned; if not, all upstreams count as alike.
+
     Attributes:
         averages: Average of the logarithms of times, by service and kind of work; the times are
             those for a token, or for a request of a plain service.
     """
 
-    __slots__ = ("averages",)
+    __slots__ = ("enabled", "averages")
 
-    def __init__(self) -> None:
+    def __init__(self, *, enabled: bool) -> None:
+        self.enabled = enabled
         self.averages: dict[tuple[str, slowness.Work], float] = {}
 
     def record_answer(
@@ -47,6 +51,8 @@
             began_at: When the answer began, in monotonic seconds; None if that is not known.
             now: Monotonic seconds.
         """
+        if not self.enabled:
+            return
         replica, service = assignment.replica, assignment.service
         if not assignment.output_tokens:
             whole_s = (now - assignment.placed_at) / (1 + assignment.ahead)
