Show what callers that read slowly and send in small pieces do: tests before the change

The stand-ins get sizes of answers and events. Memory now counts with the queues of the process's sockets, also in the older crowds. Two scenarios without processes count the pieces that are parsed between two turns of the loop.

--- a/standins/plain.py
+++ b/standins/plain.py
@@ -6,13 +6,20 @@
 
 from aiohttp import web
 
-from standins import faults, request_recorder
+from standins import faults, long_answers, request_recorder
 
 
 def application(name: str = "plain") -> web.Application:
     """Return the service; ``GET /runs`` returns the runs by method, path and body."""
     switches = faults.FaultSwitches(
-        {"delay_s": 0.0, "crash_before": 0, "crash_after": 0, "hang_up_late": 0, "status": 200}
+        {
+            "delay_s": 0.0,
+            "crash_before": 0,
+            "crash_after": 0,
+            "hang_up_late": 0,
+            "status": 200,
+            "answer_bytes": 0,
+        }
     )
     app = faults.application(switches)
     recorder = request_recorder.RequestRecorder()
@@ -30,6 +37,8 @@
         if switches.consume("crash_after"):
             request.transport.abort()
             raise ConnectionResetError("connection aborted by a fault switch")
+        if switches["answer_bytes"]:
+            return await long_answers.send(request, {}, switches["answer_bytes"])
         reply = {"service": name, "run": runs[request_key], "total": sum(runs.values())}
         return web.json_response(reply, status=switches["status"])
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -16,10 +16,13 @@
 
 from aiohttp import web
 
-from standins import faults, garbled_events, upstream_reports
+from standins import faults, garbled_events, long_answers, upstream_reports
 
 # Fault switches with their values without a fault. Whole numbers count requests; ``work_s`` is the
 # duration of a run and ``gap_s`` the time between two events of a stream, both in seconds.
+# ``answer_bytes`` is the size of plain answers, ``event_bytes`` is added to each event, and
+# ``event_total`` is the number of events; 0 leaves them as they are. A plain answer that nobody
+# reads for ``unread_limit_s`` seconds is cut off, unless that is 0.
 FAULTS = {
     "shed": 0,
     "fail": 0,
@@ -60,6 +63,10 @@
     "shed_pause_s": 0,
     "work_s": 0.0,
     "gap_s": 0.02,
+    "answer_bytes": 0,
+    "event_bytes": 0,
+    "event_total": 0,
+    "unread_limit_s": 0,
 } | dict.fromkeys(garbled_events.GARBLED_EVENTS, 0)
 # Fault switches of all upstreams in the process; the one that serves the next request uses them up.
 SHARED_FAULTS = faults.FaultSwitches(FAULTS)
@@ -147,7 +154,12 @@
     def event(self, number: int) -> bytes:
         """Return an event of a stream."""
         origin = f" {self.version} {self.id}" if self.version else ""
-        return f"id: {number}\ndata: token {number}{origin}\n\n".encode()
+        filler = "x" * self.faults["event_bytes"]
+        return f"id: {number}\ndata: token {number}{origin}{filler}\n\n".encode()
+
+    def last_event(self) -> int:
+        """Return the number of the last event of a stream."""
+        return self.faults["event_total"] or self.event_count
 
 
 def application(
@@ -255,6 +267,11 @@
         request.transport.write(STRAY_RESPONSE)
     if state.event_count:
         return await _send_stream(request, state)
+    if switches["answer_bytes"]:
+        headers = _response_headers(request, state)
+        return await long_answers.send(
+            request, headers, switches["answer_bytes"], unread_limit_s=switches["unread_limit_s"]
+        )
     response = web.Response(headers=_response_headers(request, state), text=f"done by {state.id}")
     if _consume_fault(state, "unsigned"):
         del response.headers["X-Response-Signature"]
@@ -343,7 +360,7 @@
         e for name, e in garbled_events.GARBLED_EVENTS.items() if _consume_fault(state, name)
     ]
     await response.prepare(request)
-    for number in range(first_number, state.event_count + 1):
+    for number in range(first_number, state.last_event() + 1):
         for event in garbled:
             if event.position == number:
                 await response.write(event.data)
--- a/tests/caller_connections.py
+++ b/tests/caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 from aiohttp import web
 
@@ -17,6 +18,8 @@
 PIECE_BYTES = 65_536
 # Time in which the server handles what it can, in seconds.
 STEP_S = 0.05
+# Turns of the loop after which the server has handled what it can.
+MAX_TURNS = 100_000
 
 
 class FakeTransport(asyncio.Transport):
@@ -48,6 +51,13 @@
         """Return whether it was closed."""
         return self.is_closed
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        """Do nothing: all that is written is taken at once."""
+
+    def get_write_buffer_size(self):
+        """Return that nothing waits to be sent."""
+        return 0
+
     def pause_reading(self):
         """Record that reading is paused."""
         self.is_paused = True
@@ -70,6 +80,9 @@
 class ConnectionUnderTest:
     """A connection whose requests are answered when the test says so.
 
+    Args:
+        intake: Grants memory and connections; None makes one.
+
     Attributes:
         intake: Grants memory and connections.
         answering: Set when answers may be written.
@@ -77,9 +90,9 @@
         transport: What it reads from and writes to.
     """
 
-    def __init__(self):
+    def __init__(self, intake=None):
         log = events.Log("connection", events.HybridClock(clock.SystemClock().wall))
-        self.intake = intake_builders.an_intake(log)
+        self.intake = intake or intake_builders.an_intake(log)
         self.answering = asyncio.Event()
         self.connection = None
         self.transport = None
@@ -98,6 +111,10 @@
         self.transport = FakeTransport(self.connection)
         self.connection.connection_made(self.transport)
 
+    def parsed_bytes(self):
+        """Return how many bytes of the body of the last request have been parsed."""
+        return 0 if self.connection.body is None else self.connection.body.total_bytes
+
     async def close(self):
         """Close the connection, and let the server end its task."""
         self.transport.close()
@@ -122,6 +139,27 @@
         return web.Response(text="done")
 
 
+async def most_parsed_in_turn(callers, size):
+    """Let the server handle what came, and return the most bytes of bodies in a turn of the loop.
+
+    Args:
+        callers: The connections.
+        size: Bytes of all bodies.
+    """
+    counts = [sum(caller.parsed_bytes() for caller in callers)]
+    while counts[-1] < size and len(counts) < MAX_TURNS:
+        await asyncio.sleep(0)
+        counts.append(sum(caller.parsed_bytes() for caller in callers))
+    assert counts[-1] == size, counts[-1]
+    return max(later - earlier for earlier, later in itertools.pairwise([0, *counts]))
+
+
+def a_request_in_chunks(count):
+    """Return a request with a body in some chunks of one byte each."""
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + b"1\r\nx\r\n" * count
+
+
 def a_request(size):
     """Return a request with a body of a size."""
     return b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size
--- a/tests/features/caller_connections.feature
+++ b/tests/features/caller_connections.feature
@@ -31,3 +31,14 @@
     When a request with 400000 bytes comes before the server does anything else
     And they are answered
     Then reading goes on, and 1 requests were answered
+
+  # Guards against an instance that stands still while it parses (LOST).
+  Scenario Outline: Bodies in very small chunks are parsed in turns with other tasks
+    Given <count> connections of one instance
+    When a body in 10000 chunks of one byte comes on each at once
+    Then at most 1000 chunks were parsed between two turns of other tasks
+
+    Examples:
+      | count |
+      | 1     |
+      | 20    |
--- a/tests/features/hostile_callers.feature
+++ b/tests/features/hostile_callers.feature
@@ -1,6 +1,7 @@
 @alone
 Feature: Callers that keep to no limit don't end an instance
-  The machine has 160 MB of memory and 400 descriptors, as the settings of the test say.
+  The bounds are those of the machines in the settings of the test. Memory counts with the bytes that
+  the system holds for the sockets of the process.
 
   # Guards against an instance that runs out of memory or of descriptors (LOST).
   Scenario Outline: A crowd on the users' platform
@@ -19,6 +20,21 @@
       | 48    | rows of requests sent ahead       | /book/x |
       | 48    | heads without an end              | /book/x |
       | 500   | silent connections                | /book/x |
+      | 100   | uploads in chunks of one byte     | /book/x |
+      | 100   | uploads with long trailers        | /book/x |
+
+  # Guards against an instance that runs out of memory or of descriptors (LOST).
+  Scenario Outline: A large crowd from many addresses on the users' platform
+    Given instances on the platform, on machines with 160 MB and 1000 descriptors
+    When 300 callers from 100 addresses send edge-east-1 <crowd> to <path> and stay
+    Then edge-east-1 and edge-west-1 live within the memory and descriptors of their machines
+    And a request to /status/x at edge-east-1 is answered with 200
+
+    Examples:
+      | crowd                             | path    |
+      | uploads in chunks that stop short | /book/x |
+      | whole uploads                     | /away/x |
+      | rows of requests sent ahead       | /book/x |
 
   # Guards against an instance that runs out of memory or of descriptors (LOST).
   Scenario Outline: A crowd on the own interface
@@ -35,3 +51,5 @@
       | 48    | rows of requests sent ahead       |
       | 48    | heads without an end              |
       | 500   | silent connections                |
+      | 100   | uploads in chunks of one byte     |
+      | 100   | uploads with long trailers        |
--- a/tests/features/steps/caller_connections.py
+++ b/tests/features/steps/caller_connections.py
@@ -24,6 +24,36 @@
     platform_calls.run(context, work())
 
 
+@behave.given("{count:d} connections of one instance")
+def step_open_many(context, count):
+    async def work():
+        first = caller_connections.ConnectionUnderTest()
+        others = [caller_connections.ConnectionUnderTest(first.intake) for _ in range(count - 1)]
+        context.callers = [first, *others]
+        context.closers = [caller.close for caller in context.callers]
+        for caller in context.callers:
+            await caller.open()
+
+    platform_calls.run(context, work())
+
+
+@behave.when("a body in {count:d} chunks of one byte comes on each at once")
+def step_receive_chunks(context, count):
+    async def work():
+        for caller in context.callers:
+            caller.connection.data_received(caller_connections.a_request_in_chunks(count))
+        context.most_parsed = await caller_connections.most_parsed_in_turn(
+            context.callers, count * len(context.callers)
+        )
+
+    platform_calls.run(context, work())
+
+
+@behave.then("at most {count:d} chunks were parsed between two turns of other tasks")
+def step_check_turns(context, count):
+    assert context.most_parsed <= count, context.most_parsed
+
+
 @behave.when("{count:d} requests come one after another")
 def step_receive(context, count):
     async def work():
--- a/tests/features/steps/hostile_callers.py
+++ b/tests/features/steps/hostile_callers.py
@@ -2,23 +2,24 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 
 import aiohttp
 import behave
 
-from standins import deployment, platform_site
-from tests import builders, event_coverage, hostile_callers, moved_example, platform_calls
+from standins import platform_site
+from tests import (
+    builders,
+    event_coverage,
+    hostile_callers,
+    moved_example,
+    platform_calls,
+    watched_crowds,
+)
 
-FRONT_PORT = 7101
 PLATFORM_INSTANCES = ("edge-east-1", "edge-west-1")
-# Time within which an ordinary request is answered; a refusal before is allowed, in seconds.
-ANSWER_LIMIT_S = 20.0
-# Time that the process gets to notice that the crowd has gone, in seconds.
-SETTLE_S = 3.0
 EXAMPLE, EXAMPLE_INSTANCE = "ice-works", "muscat-a-1"
-EXAMPLE_ACCOUNT, EXAMPLE_MODEL = "sahil-rinks", "ice-model"
+EXAMPLE_MODEL = "ice-model"
 
 
 @behave.given(
@@ -58,42 +59,31 @@
 
 
 @behave.when("{count:d} callers send {instance} {kind} to {path} and stay")
-def step_send_to_platform(context, count, instance, kind, path):
+@behave.when(
+    "{count:d} callers from {addresses:d} addresses send {instance} {kind} to {path} and stay"
+)
+def step_send_to_platform(context, count, instance, kind, path, addresses=0):
     crowd = hostile_callers.Crowd(
         platform_site.instance_host(instance),
-        FRONT_PORT,
+        watched_crowds.FRONT_PORT,
         path=path,
         headers=hostile_callers.platform_headers(),
+        sources=hostile_callers.source_addresses(addresses),
     )
-    platform_calls.run(context, send_watched(context, crowd, kind, count))
+    platform_calls.run(context, watched_crowds.send_watched(context, crowd, kind, count))
 
 
 @behave.when("{count:d} callers send it {kind} and stay")
 def step_send_to_example(context, count, kind):
     section = context.example.settings[EXAMPLE_INSTANCE]["instance"]
-    headers = hostile_callers.own_headers(EXAMPLE_ACCOUNT)
+    headers = hostile_callers.own_headers(watched_crowds.EXAMPLE_ACCOUNT)
     crowd = hostile_callers.Crowd(
         section["listen"],
         int(section["caller_port"]),
         path="/v1/services/rink-desk/x",
         headers=headers,
     )
-    platform_calls.run(context, send_watched(context, crowd, kind, count))
-
-
-async def send_watched(context, crowd, kind, count):
-    """Send as a crowd, and sample the processes meanwhile."""
-    context.crowd = crowd
-    context.closers.append(crowd.close)
-    context.usages = {
-        name: hostile_callers.Usage(process.pid) for name, process in context.processes.items()
-    }
-    watchers = [asyncio.ensure_future(usage.watch()) for usage in context.usages.values()]
-    await crowd.send(kind, count)
-    await asyncio.gather(*[usage.settle() for usage in context.usages.values()])
-    for watcher in watchers:
-        watcher.cancel()
-    await asyncio.gather(*watchers, return_exceptions=True)
+    platform_calls.run(context, watched_crowds.send_watched(context, crowd, kind, count))
 
 
 @behave.then("it lives within the memory and descriptors of its machine")
@@ -101,7 +91,8 @@
 def step_check_usage(context, names=""):
     memory_mb, descriptors = context.bounds
     seen = {n: (u.peak_mb, u.peak_descriptors) for n, u in context.usages.items()}
-    print(f"memory in MB and descriptors: {seen}")
+    resident = {name: usage.peak_resident_mb for name, usage in context.usages.items()}
+    print(f"memory in MB and descriptors: {seen}; resident: {resident}")
     assert all(p.returncode is None for p in context.processes.values()), "a process has ended"
     assert all(mb <= memory_mb and fds <= descriptors for mb, fds in seen.values()), seen
 
@@ -112,7 +103,7 @@
         async with aiohttp.ClientSession() as session:
             return (await platform_calls.send(session, instance, "GET", path)).status
 
-    check_answered(context, ask, status)
+    watched_crowds.check_answered(context, ask, status)
 
 
 @behave.then(
@@ -126,9 +117,8 @@
             )
             return reply.status
 
-    platform_calls.run(context, context.crowd.close())
-    platform_calls.run(context, asyncio.sleep(SETTLE_S))
-    check_answered(context, ask, status)
+    watched_crowds.leave(context)
+    watched_crowds.check_answered(context, ask, status)
 
 
 @behave.then("a chat is answered with {status:d}")
@@ -136,25 +126,11 @@
     async def ask():
         url = context.example.url(EXAMPLE_INSTANCE) + "/v1/chat/completions"
         body = builders.chat_body(model=EXAMPLE_MODEL, max_tokens=1)
-        headers = builders.key_header(EXAMPLE_ACCOUNT)
+        headers = builders.key_header(watched_crowds.EXAMPLE_ACCOUNT)
         with contextlib.suppress(aiohttp.ClientError):
             async with aiohttp.ClientSession() as session:
                 async with session.post(url, json=body, headers=headers) as response:
                     return response.status
         return 0
 
-    check_answered(context, ask, status)
-
-
-def check_answered(context, ask, status):
-    """Ask until a request has the expected status."""
-    statuses = []
-
-    async def is_answered():
-        statuses.append(await ask())
-        return statuses[-1] == status
-
-    try:
-        platform_calls.run(context, deployment.wait_until(is_answered, ANSWER_LIMIT_S))
-    except TimeoutError as error:
-        raise AssertionError(f"the statuses were {statuses}") from error
+    watched_crowds.check_answered(context, ask, status)
--- a/tests/hostile_callers.py
+++ b/tests/hostile_callers.py
@@ -1,11 +1,10 @@
-"""Callers that keep to no limit, and what a process holds meanwhile."""
+"""Callers that keep to no limit in what they send."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import os
-import pathlib
+import itertools
 
 from tests import builders, platform_builders
 
@@ -16,12 +15,15 @@
 HEADER_LINE_BYTES = 60_000
 HEADER_LINES = 100
 REQUESTS_AHEAD = 30
+# Bodies in chunks of one byte, and how many of these go out in a write.
+TINY_CHUNKS = 200_000
+TINY_CHUNKS_PER_WRITE = 4096
+# Time that requests have where the test gives them much, in seconds.
+REQUEST_TIME_S = 120
+# Connections that upstreams take, and requests that models run at once, where there is much room.
+MANY_CONNECTIONS = 2000
 # Time for which a caller tries to send, in seconds.
 SEND_LIMIT_S = 20.0
-SAMPLE_PERIOD_S = 0.05
-# The crowd has done what it can when memory has not grown for this time, in seconds.
-QUIET_S = 3.0
-WATCH_LIMIT_S = 60.0
 
 
 class Crowd:
@@ -32,18 +34,20 @@
         port: Its port.
         path: Path that requests are sent to.
         headers: Header lines of each request, without the end of the head.
+        sources: Addresses that the callers connect from, in turn; without any, the system chooses.
 
     Attributes:
         writers: The open connections.
     """
 
-    __slots__ = ("host", "port", "path", "headers", "writers")
+    __slots__ = ("host", "port", "path", "headers", "sources", "writers")
 
-    def __init__(self, host, port, *, path, headers):
+    def __init__(self, host, port, *, path, headers, sources=()):
         self.host = host
         self.port = port
         self.path = path
         self.headers = headers
+        self.sources = itertools.cycle(sources or (None,))
         self.writers = []
 
     async def send(self, kind, count):
@@ -64,7 +68,10 @@
         """Connect and send pieces until all are sent, the server closes or the time is over."""
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(SEND_LIMIT_S):
-                _, writer = await asyncio.open_connection(self.host, self.port, limit=4096)
+                source = next(self.sources)
+                _, writer = await asyncio.open_connection(
+                    self.host, self.port, limit=4096, local_addr=(source, 0) if source else None
+                )
                 self.writers.append(writer)
                 for piece in pieces(self):
                     writer.write(piece)
@@ -91,6 +98,19 @@
         yield b"%x\r\n%b\r\n" % (len(piece), piece)
 
 
+def tiny_chunks(crowd):
+    """Yield a request with a body of chunks of one byte each that lacks its last one."""
+    yield crowd.head("Transfer-Encoding: chunked") + b"\r\n"
+    for _ in range(TINY_CHUNKS // TINY_CHUNKS_PER_WRITE):
+        yield b"1\r\nx\r\n" * TINY_CHUNKS_PER_WRITE
+
+
+def long_trailers(crowd):
+    """Yield a request in chunks whose trailers do not end."""
+    yield crowd.head("Transfer-Encoding: chunked") + b"\r\n1\r\nx\r\n0\r\n"
+    yield from long_lines()
+
+
 def whole_upload(crowd):
     """Yield a complete request with the largest body."""
     yield crowd.head(f"Content-Length: {MAX_BODY_BYTES}") + b"\r\n"
@@ -107,6 +127,11 @@
 def endless_head(crowd):
     """Yield a head that does not end."""
     yield crowd.head()
+    yield from long_lines()
+
+
+def long_lines():
+    """Yield long header lines."""
     for number in range(HEADER_LINES):
         yield f"X-Line-{number}: {'x' * HEADER_LINE_BYTES}\r\n".encode()
 
@@ -119,6 +144,8 @@
 SENDERS = {
     "uploads that stop short": short_upload,
     "uploads in chunks that stop short": short_chunked_upload,
+    "uploads in chunks of one byte": tiny_chunks,
+    "uploads with long trailers": long_trailers,
     "whole uploads": whole_upload,
     "rows of requests sent ahead": requests_ahead,
     "heads without an end": endless_head,
@@ -126,55 +153,17 @@
 }
 
 
-class Usage:
-    """The largest memory and number of descriptors of a process that were seen.
+def source_addresses(count):
+    """Return loopback addresses that callers connect from."""
+    return [f"127.77.{number // 250}.{number % 250 + 1}" for number in range(count)]
 
-    Args:
-        pid: Id of the process.
 
-    Attributes:
-        peak_mb: Largest resident memory, in MB.
-        peak_descriptors: Largest number of open descriptors.
-    """
-
-    __slots__ = ("pid", "peak_mb", "peak_descriptors")
-
-    def __init__(self, pid):
-        self.pid = pid
-        self.peak_mb = 0.0
-        self.peak_descriptors = 0
-
-    async def watch(self):
-        """Sample the process until cancelled."""
-        while True:
-            self.sample()
-            await asyncio.sleep(SAMPLE_PERIOD_S)
-
-    async def settle(self):
-        """Sample the process until its memory no longer grows."""
-        loop = asyncio.get_running_loop()
-        ends_at, quiet_at = loop.time() + WATCH_LIMIT_S, loop.time() + QUIET_S
-        while loop.time() < min(ends_at, quiet_at):
-            earlier_mb = self.peak_mb
-            self.sample()
-            if self.peak_mb > earlier_mb:
-                quiet_at = loop.time() + QUIET_S
-            await asyncio.sleep(SAMPLE_PERIOD_S)
-
-    def sample(self):
-        """Read memory and descriptors of the process once."""
-        lines = pathlib.Path(f"/proc/{self.pid}/status").read_text().splitlines()
-        resident_kb = next(int(line.split()[1]) for line in lines if line.startswith("VmRSS"))
-        self.peak_mb = max(self.peak_mb, resident_kb / 1024)
-        self.peak_descriptors = max(self.peak_descriptors, len(os.listdir(f"/proc/{self.pid}/fd")))
-
-
-def platform_headers():
+def platform_headers(*, deadline_s=8):
     """Return the header lines of a request on the users' platform."""
     return (
         f"Host: {platform_builders.HOST}",
         f"Authorization: Token {platform_builders.PLATFORM_KEY}",
-        "X-Deadline-Ms: 8000",
+        f"X-Deadline-Ms: {deadline_s * 1000}",
     )
 
 
@@ -184,6 +173,21 @@
     return ("Host: localhost", f"Authorization: {key}")
 
 
+def roomy_publication(version):
+    """Return a configuration whose requests have much time and whose upstreams have many places.
+
+    It takes bodies of the default limit.
+    """
+    document = large_bodies_publication(version)
+    for route in document["routes"]:
+        route["timeoutMs"] = REQUEST_TIME_S * 1000
+    for service in document["services"]:
+        service["maxConnections"] = MANY_CONNECTIONS
+        if "engine" in service:
+            service["engine"] |= {"capacity": MANY_CONNECTIONS}
+    return document
+
+
 def large_bodies_publication(version):
     """Return a configuration that takes bodies of the default limit."""
     limits = {
