Let the crowd on the own interface begin when its account's rate is known

Cause: three of its five rows passed on as the instance refused the crowd for the first seconds (rate-unavailable, rate-exceeded in its log); nothing was held.

Change: the step waits until a chat and a reply are answered. Crowds and bounds are as before.

--- a/tests/features/steps/slow_readers.py
+++ b/tests/features/steps/slow_readers.py
@@ -6,9 +6,10 @@
 import json
 import re
 
+import aiohttp
 import behave
 
-from standins import platform_site
+from standins import deployment, platform_site
 from tests import (
     builders,
     event_coverage,
@@ -161,6 +162,16 @@
             await example.set_faults(url, answer_bytes=size)
         for url in example.standin_urls("engine").values():
             await example.set_faults(url, word_mark="x" * EVENT_BYTES)
+        # The rates of accounts are known some seconds after the start.
+        await deployment.wait_until(is_served, watched_crowds.ANSWER_LIMIT_S)
+
+    async def is_served():
+        headers = builders.key_header(watched_crowds.EXAMPLE_ACCOUNT)
+        url = example.url(ENTRY)
+        async with aiohttp.ClientSession(headers=headers) as session:
+            async with session.post(url + CHAT_PATH, json=builders.chat_body()) as chat:
+                async with session.get(url + REPLY_PATH) as reply:
+                    return chat.status == reply.status == 200 and len(await reply.read()) == size
 
     platform_calls.run(context, start())
     context.processes = example.processes
