Bound the number and the length of prompt part ids that callers choose

What callers saw: nothing yet; an instance remembers 4,096 parts of each upstream under the ids that callers send, and an id was as long as a header may be (16 KB published: up to 64 MB an upstream). A header of thousands of parts was also gone through for each upstream.

Cause: the tables bound how many ids they keep, not how long these are, and nothing bounded the parts of a request.

Change: ids over 64 characters are replaced by their hash where a request is read, on both interfaces; from the 64th part on, parts count as one with the last. The header itself goes on unchanged, so upstreams see what the caller sent.

Evidence: part_ids.feature, virtual time: both scenarios failed before (ids of 3,000 characters kept; 1,000 parts counted), both pass now. That memory runs out by it was worked out, not played.

--- a/yuccahitch/codecs/callers.py
+++ b/yuccahitch/codecs/callers.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from yuccahitch import errors
+from yuccahitch.codecs import prompt_parts
 from yuccahitch.messages import requests
 from yuccahitch.resources import key
 
@@ -130,7 +131,7 @@
         json.dumps(message, ensure_ascii=False, sort_keys=True).encode()
         for message in data["messages"]
     ]
-    return tuple(
+    return prompt_parts.bound(
         (xxhash.xxh64_hexdigest(message), math.ceil(len(message) / BYTES_PER_TOKEN))
         for message in encoded_messages
     )
--- a/yuccahitch/platform/requests.py
+++ b/yuccahitch/platform/requests.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from yuccahitch import errors
+from yuccahitch.codecs import prompt_parts
 from yuccahitch.messages import actions, requests, upstream_notices
 from yuccahitch.platform import names
 from yuccahitch.resources import key
@@ -263,7 +264,9 @@
 def _parse_prompt_parts(text: str) -> tuple[tuple[str, int], ...]:
     """Return the id and token count of each part in a prompt parts header."""
     pairs = (part.partition(":") for part in text.split(",") if part)
-    return tuple((name.strip(), _parse_token_count(tokens)) for name, _, tokens in pairs)
+    return prompt_parts.bound(
+        (name.strip(), _parse_token_count(tokens)) for name, _, tokens in pairs
+    )
 
 
 def _parse_token_count(text: str) -> int:
