Count the tokens of an answer without keeping it

An answer over 1 MiB counted as 0 tokens of its account's rate.

Cause: the token count was read by parsing the whole answer at its end.

Change: the report of the tokens is found while the answer passes, with 64 bytes carried over between two pieces. Quotes in the text of an answer are escaped, so the text is never taken for a report.

Evidence: answer_meter.feature: 0 tokens counted and over 1,000,000 bytes kept of 3,000,000 before; 1,234 tokens and 64 bytes now, wherever the answer is cut into pieces.

--- a/yuccahitch/codecs/upstreams.py
+++ b/yuccahitch/codecs/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import typing
 
 from yuccahitch import records
@@ -24,8 +25,11 @@
 TOKEN_MARKER = b'"content"'
 # Length of the end of a stream that is kept to find the usage and the last event.
 KEPT_LAST_BYTES = 4096
-# An answer that is not a stream is kept up to about this size to read its usage.
-MAX_USAGE_BYTES = 1_048_576
+# The output tokens that an answer reports if it is not a stream. Quotes in the text of the answer are
+# escaped, so the text never matches.
+REPORTED_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d{1,9})')
+# Bytes that are scanned again with the next ones, as a report may have begun in them.
+CARRIED_BYTES = 64
 
 
 class UpstreamRequest(records.Record):
@@ -88,41 +92,44 @@
 
     Attributes:
         counted_tokens: Events with a token so far, in a stream.
-        carried_bytes: Last bytes scanned, where a token marker may have begun.
+        reported_tokens: Output tokens reported so far, if it is not a stream, or None.
+        carried_bytes: Last bytes scanned, where a token marker or a report may have begun.
         last_bytes: End of the stream so far, at most ``KEPT_LAST_BYTES``.
-        body: The answer so far, if it is not a stream.
     """
 
-    __slots__ = ("stream", "prompt_tokens", "counted_tokens", "carried_bytes", "last_bytes", "body")
+    __slots__ = (
+        "stream",
+        "prompt_tokens",
+        "counted_tokens",
+        "reported_tokens",
+        "carried_bytes",
+        "last_bytes",
+    )
 
     def __init__(self, *, stream: bool, prompt_tokens: int) -> None:
         self.stream = stream
         self.prompt_tokens = prompt_tokens
         self.counted_tokens = 0
+        self.reported_tokens: int | None = None
         self.carried_bytes = b""
         self.last_bytes = b""
-        self.body = bytearray()
 
     def add(self, data: bytes) -> None:
         """Process the next bytes of the answer."""
+        bytes_to_scan = self.carried_bytes + data
         if not self.stream:
-            if len(self.body) < MAX_USAGE_BYTES:
-                self.body += data
+            self.carried_bytes = bytes_to_scan[-CARRIED_BYTES:]
+            for match in REPORTED_TOKENS.finditer(bytes_to_scan):
+                self.reported_tokens = int(match[1])
             return
-        bytes_to_scan = self.carried_bytes + data
         self.counted_tokens += bytes_to_scan.count(TOKEN_MARKER)
         self.carried_bytes = bytes_to_scan[-len(TOKEN_MARKER) + 1 :]
         self.last_bytes = (self.last_bytes + data)[-KEPT_LAST_BYTES:]
 
     def usage(self) -> answers.Usage:
         """Return the tokens used, as the upstream reports them, else as counted."""
-        if self.stream:
-            reported = self._reported_stream_tokens()
-            counted = self.counted_tokens
-        else:
-            reported = _reported_output_tokens(bytes(self.body))
-            counted = 0
-        output = reported if reported is not None else counted
+        reported = self._reported_stream_tokens() if self.stream else self.reported_tokens
+        output = reported if reported is not None else self.counted_tokens
         return answers.Usage(self.prompt_tokens, output)
 
     def _reported_stream_tokens(self) -> int | None:
