--- a/tests/attempt_clients.py
+++ b/tests/attempt_clients.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from tests import builders, forwarding_pair, platform_builders
+from tests import builders, forwarding_pair, intake_builders, platform_builders
 from yuccahitch import clock, events
 from yuccahitch.messages import actions, requests, store
 from yuccahitch.platform import store as platform_store
@@ -83,7 +83,9 @@
     """Post a call with a deadline to a client; return the stream of its answer."""
     action = a_call(address)
     action.request.deadline = deadline
-    stream = answer_stream.AnswerStream(action.request.id, action.attempt, capacity=8)
+    stream = answer_stream.AnswerStream(
+        action.request.id, action.attempt, capacity=8, memory=intake_builders.an_answer_memory()
+    )
     post_dispatch(client, action, stream)
     return stream
 
@@ -131,7 +133,9 @@
             hop=hop,
             deadline_in=5.0,
         )
-        stream = answer_stream.AnswerStream(action.request.id, 1, capacity=8)
+        stream = answer_stream.AnswerStream(
+            action.request.id, 1, capacity=8, memory=intake_builders.an_answer_memory()
+        )
         client.inbox.post(peer_client.OpenForward(action, stream))
         return client, stream
     if receivers == "platform upstreams":
@@ -141,7 +145,9 @@
     else:
         client = an_upstream_client()
         action = a_call(f"http://127.0.0.1:{port}")
-    stream = answer_stream.AnswerStream(action.request.id, 1, capacity=8)
+    stream = answer_stream.AnswerStream(
+        action.request.id, 1, capacity=8, memory=intake_builders.an_answer_memory()
+    )
     post_dispatch(client, action, stream)
     return client, stream
 
--- a/tests/copied_answers.py
+++ b/tests/copied_answers.py
@@ -6,7 +6,7 @@
 import time
 
 from standins import copying_upstream
-from tests import attempt_clients, forwarding_pair, platform_builders
+from tests import attempt_clients, forwarding_pair, intake_builders, platform_builders
 from yuccahitch.messages import answers
 from yuccahitch.tasks import answer_stream, mailbox, runner
 
@@ -52,7 +52,9 @@
         action.request.body = body
         action.request.method = method or ("POST" if body else "GET")
         action.request.headers = (("Host", platform_builders.HOST),)
-        stream = answer_stream.AnswerStream(request_id, attempt, capacity=64)
+        stream = answer_stream.AnswerStream(
+            request_id, attempt, capacity=64, memory=intake_builders.an_answer_memory()
+        )
         attempt_clients.post_dispatch(self.client, action, stream)
         parts = []
         async with asyncio.timeout(LIMIT_S):
@@ -116,7 +118,13 @@
         """Run a caller's request; return its sink and its task."""
         sink = forwarding_pair.RecordingSink()
         request = forwarding_pair.a_platform_request(path, method, body, LIMIT_S, request_id)
-        request_runner = runner.Runner(self.node.mailboxes, request, sink, now=time.monotonic)
+        request_runner = runner.Runner(
+            self.node.mailboxes,
+            request,
+            sink,
+            memory=intake_builders.an_answer_memory(),
+            now=time.monotonic,
+        )
         return sink, self.requests.start(request_runner.run())
 
     def runs(self, request_id):
--- a/tests/early_answer_forms.py
+++ b/tests/early_answer_forms.py
@@ -6,7 +6,7 @@
 import itertools
 
 from standins import early_answers
-from tests import attempt_clients, platform_builders
+from tests import attempt_clients, intake_builders, platform_builders
 from yuccahitch import errors
 from yuccahitch.messages import answers
 from yuccahitch.tasks import answer_stream
@@ -245,7 +245,9 @@
 
 async def exchange(client, action, limit_s):
     """Send a request; return its outcome, which may lack an end after a time in seconds."""
-    stream = answer_stream.AnswerStream(action.request.id, action.attempt, capacity=64)
+    stream = answer_stream.AnswerStream(
+        action.request.id, action.attempt, capacity=64, memory=intake_builders.an_answer_memory()
+    )
     attempt_clients.post_dispatch(client, action, stream)
     parts = []
     try:
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -164,3 +164,10 @@
     And all of them know that u1 is idle and that the others run 3 requests each
     When each instance begins a request
     Then u1 gets at most a quarter of the requests
+
+  # Guards against upstreams that seem full as callers read slowly (LOST).
+  Scenario: An upstream that has sent a whole answer is free, though the caller has not read it
+    Given an instance with configuration 1 and upstreams u1
+    When two requests run at u1, and the caller of the first lets its whole answer wait
+    Then u1 counts 1 request, and still 1 once the first is over
+    And the time that the caller takes is not taken for work
--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -64,3 +64,82 @@
     And a running request with 7000 bytes from a at 0 seconds
     When an upload from d waits for 4000 bytes in vain
     Then it is refused as overloaded, with a time to come again
+
+  # Guards against answers that take all memory, so that a new one finds none (LOST).
+  Scenario: However many answers wait for their callers, a new one finds room
+    Given a budget of 60000000 bytes
+    When 100 answers take all that they can, in pieces of 16000 bytes
+    Then each of them has at least 16000 bytes
+    And an answer to d gets its first 60000 bytes, and none is given up
+
+  Scenario: A single answer is fetched ahead of its caller
+    Given a budget of 60000000 bytes
+    When 1 answers take all that they can, in pieces of 16000 bytes
+    Then each of them has at least 4000000 bytes
+
+  # Guards against answers that leave no memory for bodies (LOST).
+  Scenario: Bodies find room beside answers
+    Given a budget of 60000000 bytes
+    When 100 answers take all that they can, in pieces of 16000 bytes
+    Then an upload from d gets 12000000 bytes, and none is given up
+
+  # Guards against new answers that wait for callers who read nothing (LOST).
+  Scenario: The answer that was not read for longest is given up first
+    Given a budget of 2000000 bytes
+    And an answer of 100000 bytes to a that waits since 0 seconds
+    And an answer of 100000 bytes to b that waits since 1 seconds
+    When an answer to d asks for its first 700000 bytes at 4 seconds
+    Then the uploads from a are given up, and it gets its bytes
+
+  Scenario: The caller that reads most slowly is given up before others
+    Given a budget of 2000000 bytes
+    And an answer of 100000 bytes to a that waits since 0 seconds
+    And an answer of 100000 bytes to b that waits since 0 seconds
+    And a reads 3000 bytes each second, and b 9000, until 6 seconds
+    When an answer to d asks for its first 700000 bytes at 6 seconds
+    Then the uploads from a are given up, and it gets its bytes
+
+  Scenario: An answer whose caller reads fast enough is not given up
+    Given a budget of 2000000 bytes
+    And an answer of 100000 bytes to a that waits since 0 seconds
+    And an answer of 100000 bytes to b that waits since 0 seconds
+    And a reads 20000 bytes each second, and b 18000, until 4 seconds
+    When an answer to d asks for its first 700000 bytes at 4 seconds
+    Then no upload is given up, and it gets no bytes
+
+  Scenario: An answer gives nobody up for more than its first bytes
+    Given a budget of 2000000 bytes
+    And an answer of 100000 bytes to a that waits since 0 seconds
+    And an answer of 60000 bytes to d that waits since 9 seconds
+    When the answer to d asks for 300000 bytes more at 10 seconds
+    Then no upload is given up, and it gets no bytes
+
+  # Guards against slow callers whose answers end each other in turn (LOST).
+  Scenario: An answer that is read slowly ends no other
+    Given a budget of 2000000 bytes
+    And an answer of 100000 bytes to a that waits since 0 seconds
+    And an answer of 60000 bytes to d that waits since 0 seconds
+    And d has read 60000 bytes by 8 seconds, and waits no longer
+    When the answer to d asks for 1200000 bytes more at 10 seconds
+    Then no upload is given up, and it gets no bytes
+
+  Scenario: A body is granted at the cost of an answer that is not read
+    Given a budget of 800000 bytes
+    And an answer of 100000 bytes to a that waits since 0 seconds
+    When an upload from d asks for 390000 bytes at 4 seconds
+    Then the uploads from a are given up, and it gets its bytes
+
+  # Guards against a crowd of uploads that ends the answers of all slow callers (LOST).
+  Scenario: Beyond their part of the budget, bodies end no answers
+    Given a budget of 800000 bytes
+    And an answer of 100000 bytes to a that waits since 0 seconds
+    When an upload from d asks for 410000 bytes at 4 seconds
+    Then no upload is given up, and it gets no bytes
+
+  # Guards against answers that find no memory, as bodies that stall hold all of it (LOST).
+  Scenario: An answer is granted at the cost of an upload that stalls
+    Given a budget of 2000000 bytes
+    And an upload of 1000000 bytes from a at 0 seconds
+    And an upload of 980000 bytes from b at 1 seconds
+    When an answer to d asks for its first 70000 bytes at 4 seconds
+    Then the uploads from a are given up, and it gets its bytes
--- a/tests/features/slow_readers.feature
+++ b/tests/features/slow_readers.feature
@@ -21,6 +21,7 @@
       | 150   | 150       | /away/x   | nothing |
       | 300   | 300       | /ask/x    | slowly  |
       | 300   | 1         | /ask/x    | nothing |
+      | 600   | 300       | /ask/x    | nothing |
 
   # Guards against bytes to callers and bytes from them that each take what the other needs (LOST).
   Scenario Outline: Crowds that read and crowds that send, at once
--- a/tests/features/steps/between_attempts.py
+++ b/tests/features/steps/between_attempts.py
@@ -8,7 +8,7 @@
 import behave
 
 from standins import copying_upstream
-from tests import copied_answers, forwarding_pair
+from tests import copied_answers, forwarding_pair, intake_builders
 from yuccahitch import errors
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.tasks import runner
@@ -40,7 +40,11 @@
     context.sink = forwarding_pair.RecordingSink()
     request = forwarding_pair.a_platform_request(PATH, "POST", b"x", LIMIT_S, REQUEST_ID)
     context.runner = runner.Runner(
-        returned.node.mailboxes, request, context.sink, now=time.monotonic
+        returned.node.mailboxes,
+        request,
+        context.sink,
+        memory=intake_builders.an_answer_memory(),
+        now=time.monotonic,
     )
     context.task = returned.requests.start(context.runner.run())
 
--- a/tests/features/steps/cut_answers.py
+++ b/tests/features/steps/cut_answers.py
@@ -7,7 +7,7 @@
 import behave
 from aiohttp import web
 
-from tests import builders, forwarding_pair
+from tests import builders, forwarding_pair, intake_builders
 from yuccahitch.messages import answers
 from yuccahitch.tasks import front_server, http_sink
 
@@ -19,11 +19,21 @@
 
 
 def make_platform_sink(request):
-    return front_server.FrontSink(request, request_id=REQUEST_ID, is_leaving=lambda: False)
+    return front_server.FrontSink(
+        request,
+        request_id=REQUEST_ID,
+        memory=intake_builders.an_answer_memory(),
+        is_leaving=lambda: False,
+    )
 
 
 def make_own_sink(request):
-    return http_sink.HttpSink(request, request_id=REQUEST_ID, is_streaming=False)
+    return http_sink.HttpSink(
+        request,
+        request_id=REQUEST_ID,
+        memory=intake_builders.an_answer_memory(),
+        is_streaming=False,
+    )
 
 
 SINKS = {"platform's front end": make_platform_sink, "own front end": make_own_sink}
--- a/tests/features/steps/endless_bytes.py
+++ b/tests/features/steps/endless_bytes.py
@@ -241,7 +241,7 @@
                 for _ in range(count)
             ]
             context.longest_wait_s = await longest_wait(seconds + 1.0)
-            return [stream.parts.get_nowait() for stream in streams]
+            return [stream.parts.popleft() for stream in streams]
 
     context.parts = platform_calls.run(context, work())
 
--- a/tests/features/steps/extra_answers.py
+++ b/tests/features/steps/extra_answers.py
@@ -11,7 +11,7 @@
 import behave
 
 from standins import extra_answers
-from tests import attempt_clients, builders
+from tests import attempt_clients, builders, intake_builders
 from yuccahitch.codecs import etcd
 from yuccahitch.messages import answers, commands, store
 from yuccahitch.platform import store as platform_store
@@ -113,7 +113,9 @@
 async def send(client, action, words):
     """Send an attempt; return what it got."""
     outcome = Outcome(words)
-    stream = answer_stream.AnswerStream(action.request.id, action.attempt, capacity=8)
+    stream = answer_stream.AnswerStream(
+        action.request.id, action.attempt, capacity=8, memory=intake_builders.an_answer_memory()
+    )
     attempt_clients.post_dispatch(client, action, stream)
     part = None
     while type(part) not in (answers.End, answers.Failure):
--- a/tests/features/steps/intake.py
+++ b/tests/features/steps/intake.py
@@ -36,6 +36,62 @@
         context.intake.extend(address, 1, now=now)
 
 
+@behave.given("an answer of {size:d} bytes to {address} that waits since {now:g} seconds")
+def step_add_answer(context, size, address, now):
+    assert context.intake.answer(address, 60_000, now=now)
+    assert size == 60_000 or context.intake.extend_answer(address, size - 60_000)
+    context.intake.let_wait(address, now=now)
+
+
+@behave.given("a reads {first:d} bytes each second, and b {second:d}, until {end:d} seconds")
+def step_read(context, first, second, end):
+    for now in range(1, end + 1):
+        context.intake.read("a", first, now=now)
+        context.intake.read("b", second, now=now)
+
+
+@behave.given("{address} has read {size:d} bytes by {now:g} seconds, and waits no longer")
+def step_read_all(context, address, size, now):
+    context.intake.read(address, size, now=now)
+    context.intake.holdings[address].end_lag()
+
+
+@behave.when("{count:d} answers take all that they can, in pieces of {piece:d} bytes")
+def step_fill_answers(context, count, piece):
+    addresses = [f"c{number}" for number in range(count)]
+    for address in addresses:
+        assert context.intake.answer(address, piece, now=0), address
+    context.sizes = [context.intake.fill_answer(address, piece) for address in addresses]
+
+
+@behave.when("an answer to {address} asks for its first {size:d} bytes at {now:g} seconds")
+def step_ask_for_answer(context, address, size, now):
+    context.granted = context.intake.answer(address, size, now=now)
+
+
+@behave.when("the answer to {address} asks for {size:d} bytes more at {now:g} seconds")
+def step_extend_answer(context, address, size, now):
+    context.intake.clock.seconds = now
+    context.granted = context.intake.extend_answer(address, size)
+
+
+@behave.then("each of them has at least {size:d} bytes")
+def step_check_sizes(context, size):
+    assert min(context.sizes) >= size, context.sizes
+
+
+@behave.then("an answer to {address} gets its first {size:d} bytes, and none is given up")
+def step_check_new_answer(context, address, size):
+    assert context.intake.answer(address, size, now=0)
+    assert context.intake.aborted == [], context.intake.aborted
+
+
+@behave.then("an upload from {address} gets {size:d} bytes, and none is given up")
+def step_check_new_upload(context, address, size):
+    assert context.intake.ask(address, size, now=0)
+    assert context.intake.aborted == [], context.intake.aborted
+
+
 @behave.when("an upload from {address} asks for {size:d} bytes at {now:g} seconds")
 def step_ask(context, address, size, now):
     context.granted = context.intake.ask(address, size, now=now)
--- a/tests/features/steps/single_runs.py
+++ b/tests/features/steps/single_runs.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from click import testing
 
-from tests import attempt_clients, forwarding_pair, platform_builders
+from tests import attempt_clients, forwarding_pair, intake_builders, platform_builders
 from yuccahitch import errors
 from yuccahitch.cli import operate
 from yuccahitch.controllers.runs import orders
@@ -190,7 +190,12 @@
     async def work():
         async with attempt_clients.running_upstream_client() as client:
             action = attempt_clients.a_call(context.service_url, method)
-            stream = answer_stream.AnswerStream(action.request.id, action.attempt, capacity=8)
+            stream = answer_stream.AnswerStream(
+                action.request.id,
+                action.attempt,
+                capacity=8,
+                memory=intake_builders.an_answer_memory(),
+            )
             attempt_clients.post_dispatch(client, action, stream)
             return await asyncio.wait_for(stream.get(), 5)
 
@@ -273,7 +278,9 @@
     action.address = f"127.0.0.1:{context.listener.getsockname()[1]}"
     action.request.method, action.request.body = "POST", b"x" * size
     action.request.headers = (("Host", "rinks.example"),)
-    stream = answer_stream.AnswerStream(action.request.id, action.attempt, capacity=8)
+    stream = answer_stream.AnswerStream(
+        action.request.id, action.attempt, capacity=8, memory=intake_builders.an_answer_memory()
+    )
 
     async def work():
         task = asyncio.ensure_future(client.run())
--- a/tests/forwarding_pair.py
+++ b/tests/forwarding_pair.py
@@ -63,6 +63,9 @@
         """Record body bytes."""
         self.body += chunk.data
 
+    async def flush(self):
+        """Do nothing: nothing is held back."""
+
     async def end(self, part):
         """Record that the answer is complete."""
         self.ends.append("complete")
@@ -218,7 +221,13 @@
         sink = sink or RecordingSink()
         request = a_platform_request(path, method, body, deadline_s, request_id, headers)
         task = self.requests.start(
-            runner.Runner(self.entry.mailboxes, request, sink, now=SYSTEM_CLOCK.now).run()
+            runner.Runner(
+                self.entry.mailboxes,
+                request,
+                sink,
+                memory=intake_builders.an_answer_memory(),
+                now=SYSTEM_CLOCK.now,
+            ).run()
         )
         return request_id, sink, task
 
--- a/tests/intake_builders.py
+++ b/tests/intake_builders.py
@@ -4,10 +4,11 @@
 
 from yuccahitch import clock, events
 from yuccahitch.controllers.intake import machine_limits
-from yuccahitch.tasks import intake
+from yuccahitch.tasks import answer_memory, intake
 
 MEMORY_MB = 400
 DESCRIPTORS = 4000
+LONG_ANSWER_BYTES = 4_000_000
 
 
 def an_intake(log, *, time=None, memory_mb=MEMORY_MB, descriptors=DESCRIPTORS):
@@ -16,6 +17,35 @@
     return intake.Intake(limits, time=time or clock.SystemClock(), log=log)
 
 
+def an_answer_memory(**options):
+    """Return what counts the bytes of an answer, for a machine of its own."""
+    time = clock.SystemClock()
+    caller_intake = an_intake(events.Log("memory", events.HybridClock(time.wall)), **options)
+    holding = caller_intake.open("10.0.0.1", _ignore)
+    holding.is_incoming = False
+    return answer_memory.AnswerMemory(caller_intake, holding)
+
+
+def fill_with_answers(caller_intake, piece=16_000):
+    """Let other answers take all memory that there is for answers, and return what they hold."""
+    others = []
+    while True:
+        holding = caller_intake.open("10.0.0.2", _ignore)
+        holding.is_incoming = False
+        if not caller_intake.try_take_for_answer(holding, piece):
+            caller_intake.close(holding)
+            return others
+        others.append(holding)
+        while holding.answer_bytes < LONG_ANSWER_BYTES and caller_intake.try_take_for_answer(
+            holding, piece
+        ):
+            pass
+
+
+def _ignore():
+    """Close nothing."""
+
+
 class SteppedClock:
     """A clock that a test sets; it steps forward with each reading once it runs.
 
@@ -84,6 +114,34 @@
         self.clock.seconds = now
         assert self.intake.try_take(self.holdings[address], size)
 
+    def answer(self, address, size, *, now):
+        """Begin an answer of which some bytes have come, and return whether it gets them."""
+        self.clock.seconds = now
+        holding = self.intake.open(address, lambda: self.aborted.append(address))
+        holding.is_incoming = False
+        self.holdings[address] = holding
+        return self.intake.try_take_for_answer(holding, size)
+
+    def extend_answer(self, address, size):
+        """Add bytes to an answer, and return whether it gets them."""
+        return self.intake.try_take_for_answer(self.holdings[address], size)
+
+    def fill_answer(self, address, piece):
+        """Add pieces to an answer while it gets them, and return how many bytes it has."""
+        holding = self.holdings[address]
+        while holding.answer_bytes < LONG_ANSWER_BYTES and self.extend_answer(address, piece):
+            pass
+        return holding.answer_bytes
+
+    def let_wait(self, address, *, now):
+        """Let an answer wait for its caller."""
+        self.holdings[address].begin_lag(now)
+
+    def read(self, address, size, *, now):
+        """Let the caller read bytes of an answer that goes on waiting."""
+        self.holdings[address].record_moved(size, now)
+        self.intake.budget.give_back(self.holdings[address], size)
+
     async def wait(self, address, size):
         """Begin an upload, and wait until it gets its bytes."""
         self.clock.step_s = 1.0
--- a/tests/restarting_upstreams.py
+++ b/tests/restarting_upstreams.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from standins import replica
-from tests import forwarding_pair, platform_builders
+from tests import forwarding_pair, intake_builders, platform_builders
 from yuccahitch.tasks import mailbox, runner
 
 HOST = "127.0.0.1"
@@ -130,7 +130,13 @@
         request = forwarding_pair.a_platform_request(
             path, "GET", b"", LIMIT_S, request_id, headers or {}
         )
-        request_runner = runner.Runner(self.node.mailboxes, request, sink, now=time.monotonic)
+        request_runner = runner.Runner(
+            self.node.mailboxes,
+            request,
+            sink,
+            memory=intake_builders.an_answer_memory(),
+            now=time.monotonic,
+        )
         return request_id, sink, self.requests.start(request_runner.run())
 
     async def ask(
--- a/yuccahitch/_settings_schema.py
+++ b/yuccahitch/_settings_schema.py
@@ -207,7 +207,7 @@
             "Largest number of headers in a request.", "headers", 64, 8, 512, int
         ),
         "answer_buffer_chunks": _number_rule(
-            "Chunks of an answer buffered for a slow caller.", "chunks", 64, 1, 65536, int
+            "64 KiB chunks of an answer buffered for a slow caller.", "chunks", 64, 1, 65536, int
         ),
         "write_timeout_s": _number_rule(
             "Longest wait for a slow caller to read.", "seconds", 60, 0.1, 3600
--- a/yuccahitch/codecs/upstreams.py
+++ b/yuccahitch/codecs/upstreams.py
@@ -25,8 +25,8 @@
 TOKEN_MARKER = b'"content"'
 # Length of the end of a stream that is kept to find the usage and the last event.
 KEPT_LAST_BYTES = 4096
-# The output tokens that an answer reports if it is not a stream. Quotes in the text of the answer are
-# escaped, so the text never matches.
+# The output tokens that an answer reports if it is not a stream. The quotes in the text of the
+# answer are escaped, so the text never matches.
 REPORTED_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d{1,9})')
 # Bytes that are scanned again with the next ones, as a report may have begun in them.
 CARRIED_BYTES = 64
--- a/yuccahitch/controllers/instance/in_flight.py
+++ b/yuccahitch/controllers/instance/in_flight.py
@@ -67,6 +67,13 @@
         context.attempt_open = False
         return self._outcome(context, self._chain(context).resume(context, reply, now), now)
 
+    def record_received(self, message: request_lifecycle.Received, now: float) -> None:
+        """Let the filters release what a request holds of its upstream, which is done with it."""
+        context = self.contexts.get(message.request_id)
+        if context is not None and context.request is message.request:
+            context.received_at = now
+            self._chain(context).record_received(context, now)
+
     def remove(self, message: request_lifecycle.Finish) -> request_context.RequestContext | None:
         """Remove a request that is over and return its context with the result, or None.
 
--- a/yuccahitch/errors.py
+++ b/yuccahitch/errors.py
@@ -72,6 +72,11 @@
         "The upstream at the address is not known to have the software version of its entry.",
     )
     ANSWER_CUT = ("answer-cut", 502, "The answer ended before it was complete.")
+    CALLER_SLOW = (
+        "caller-slow",
+        502,
+        "The answer was given up, as the caller read it slowly while memory was short.",
+    )
     RESUMPTION_INVALID = (
         "resumption-invalid",
         400,
--- a/yuccahitch/filters/assign.py
+++ b/yuccahitch/filters/assign.py
@@ -16,7 +16,7 @@
 
 
 class Assign(chain.BaseFilter):
-    """Counts a request at the chosen upstream until the request or its attempt is over.
+    """Counts a request at the chosen upstream until the upstream is done with it.
 
     Args:
         policy: Makes the placement decisions and counts the requests at each upstream.
@@ -40,15 +40,24 @@
             self._postpone(choice.error, context, now)
         return place.apply_choice(choice, context)
 
+    def record_received(self, context: request_context.RequestContext, now: float) -> None:
+        """Release the request from its upstream, and learn times from the whole answer."""
+        self._learn_times(context, now)
+        self.policy.release(context.id, now)
+
     def leave(self, context: request_context.RequestContext, now: float) -> None:
         """Release the request from its upstream; learn times from a success."""
         if context.succeeded:
-            self.policy.record_work_time(context.id, now)
-            if context.attempt == 1:
-                began_at = context.answer_began_at or None
-                self.policy.record_answer(context.id, began_at=began_at, now=now)
+            self._learn_times(context, now)
         self.policy.release(context.id, now)
 
+    def _learn_times(self, context: request_context.RequestContext, now: float) -> None:
+        """Learn times from a whole answer, if the request is still counted at its upstream."""
+        self.policy.record_work_time(context.id, now)
+        if context.attempt == 1:
+            began_at = context.answer_began_at or None
+            self.policy.record_answer(context.id, began_at=began_at, now=now)
+
     def _postpone(
         self, error: errors.GatewayError, context: request_context.RequestContext, now: float
     ) -> None:
--- a/yuccahitch/filters/chain.py
+++ b/yuccahitch/filters/chain.py
@@ -32,6 +32,12 @@
     ) -> actions.Action:
         """Process the reply to the work that this filter requested for a request."""
 
+    def record_received(self, context: request_context.RequestContext, now: float) -> None:
+        """Release what the filter holds of an upstream that has sent its whole answer.
+
+        The caller has not read the answer yet. ``leave`` follows when it has.
+        """
+
     def leave(self, context: request_context.RequestContext, now: float) -> None:
         """Release what the filter holds for a request that is over or rewound to this step."""
 
@@ -48,6 +54,9 @@
         """Proceed: a filter that requests no work gets no reply to process."""
         return actions.Proceed()
 
+    def record_received(self, context: request_context.RequestContext, now: float) -> None:
+        """Do nothing: the filter holds nothing of the upstream."""
+
     def leave(self, context: request_context.RequestContext, now: float) -> None:
         """Do nothing: the filter holds nothing for the request."""
 
@@ -82,6 +91,11 @@
         action = self.filters[position].resume(context, reply, now)
         return _apply_action(action, self, context, position, now)
 
+    def record_received(self, context: request_context.RequestContext, now: float) -> None:
+        """Tell all entered filters that the upstream has sent the whole answer."""
+        for step in reversed(context.entered_steps):
+            self.filters[self.positions[step]].record_received(context, now)
+
     def finish(self, context: request_context.RequestContext, now: float) -> None:
         """Leave all entered filters of a request that is over; a second call does nothing."""
         while context.entered_steps:
--- a/yuccahitch/filters/dispatch.py
+++ b/yuccahitch/filters/dispatch.py
@@ -73,7 +73,8 @@
         if not context.upstream:
             return
         if context.succeeded:
-            seconds = now - context.arrived_at
+            received_at = now if context.received_at is None else context.received_at
+            seconds = received_at - context.arrived_at
             self.upstream_states.record_success(
                 context.upstream, seconds=seconds, tokens=context.usage.output
             )
--- a/yuccahitch/filters/place.py
+++ b/yuccahitch/filters/place.py
@@ -11,7 +11,7 @@
 
 
 class Place(chain.BaseFilter):
-    """Counts a request at the chosen upstream until the request or its attempt is over.
+    """Counts a request at the chosen upstream until the upstream is done with it.
 
     Args:
         policy: Makes the placement decisions and keeps the queue.
@@ -37,6 +37,10 @@
         """Apply the decision about a request that waited in the queue."""
         return apply_choice(reply, context)
 
+    def record_received(self, context: request_context.RequestContext, now: float) -> None:
+        """Release the request from its upstream."""
+        self.policy.release(context.id, now)
+
     def leave(self, context: request_context.RequestContext, now: float) -> None:
         """Release the request from its upstream or from the queue."""
         self.policy.release(context.id, now)
--- a/yuccahitch/filters/request_context.py
+++ b/yuccahitch/filters/request_context.py
@@ -49,6 +49,8 @@
         send_count: Number of attempts made by ``filters.send``.
         answered_attempt: Number of the latest attempt whose answer began, or 0.
         answer_began_at: When that answer began, in monotonic seconds.
+        received_at: When the whole answer had come while the caller had not read it, in monotonic
+            seconds, or None.
         crashes: Crashes of upstreams in its attempts, in their order, those that came with the hop
             included.
         origin_version: Software version that began its stream, once that is known; the stream goes
@@ -95,6 +97,7 @@
         "send_count",
         "answered_attempt",
         "answer_began_at",
+        "received_at",
         "crashes",
         "origin_version",
         "stream_key",
@@ -139,6 +142,7 @@
         self.send_count = 0
         self.answered_attempt = 0
         self.answer_began_at = 0.0
+        self.received_at: float | None = None
         self.crashes: list[crash_evidence.Crash] = []
         self.origin_version: str | None = None
         self.stream_key: int | None = None
--- a/yuccahitch/messages/answers.py
+++ b/yuccahitch/messages/answers.py
@@ -80,6 +80,21 @@
         self.event_id = event_id
 
 
+class Pause(records.Record):
+    """A pause in an answer: nothing more comes before the caller has taken what came.
+
+    Attributes:
+        request_id: Id of the answered request.
+        attempt: Number of the answered attempt.
+    """
+
+    __slots__ = ("request_id", "attempt")
+
+    def __init__(self, *, request_id: str, attempt: int) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
+
+
 class End(records.Record):
     """The end of a complete answer.
 
@@ -129,7 +144,7 @@
         self.usage = usage or Usage()
 
 
-Part = Head | Chunk | End | Failure
+Part = Head | Chunk | Pause | End | Failure
 
 
 class RecordedAnswer(records.Record):
--- a/yuccahitch/messages/request_lifecycle.py
+++ b/yuccahitch/messages/request_lifecycle.py
@@ -36,6 +36,21 @@
         self.part = part
 
 
+class Received(records.Record):
+    """Note that the upstream has sent a whole answer which the caller has not read yet.
+
+    Attributes:
+        request_id: Id of the request.
+        request: The request itself, which tells it from another one with the same id.
+    """
+
+    __slots__ = ("request_id", "request")
+
+    def __init__(self, request_id: str, request: requests.Request) -> None:
+        self.request_id = request_id
+        self.request = request
+
+
 class Expire(records.Record):
     """Expire a request whose answer did not begin in time; the reply is the refusal.
 
--- a/yuccahitch/tasks/answer_stream.py
+++ b/yuccahitch/tasks/answer_stream.py
@@ -3,32 +3,38 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing
 
 from yuccahitch import errors
 from yuccahitch.messages import answers
-from yuccahitch.tasks import mailbox
+from yuccahitch.tasks import answer_memory, mailbox
 
 STEP = "attempt"
-# Bytes of an answer that are buffered for a slow caller.
+# Bytes of an answer that are buffered for a slow caller, if its length is not known.
 MAX_BUFFERED_BYTES = 131_072
+# Size up to which chunks that wait are joined, in bytes.
+MAX_JOINED_BYTES = 65_536
 
 
 class AnswerStream:
     """A bounded queue of the parts of one attempt's answer.
 
     A full queue blocks the producer, so that a slow caller slows the upstream down. It is full with
-    as many parts as its capacity, or with more than MAX_BUFFERED_BYTES in more than one part.
+    as many parts as its capacity, with more bytes than ``expect`` allows in more than one part, or
+    when there is no memory for more. Then the runner gets a ``Pause``.
 
     Args:
         request_id: Id of the request that the parts must answer.
         attempt: Number of the attempt that the parts must answer.
         capacity: Maximum number of buffered parts.
+        memory: Counts what the answer takes.
 
     Attributes:
         parts: The buffered parts.
         buffered_bytes: Bytes of the body in these parts.
-        has_room: Set when a part was taken out.
+        max_bytes: Bytes that are buffered at most.
+        changed: Set when a part was put in or taken out.
         producer: Task that runs the attempt, or None before it starts.
         closed: Whether nobody waits for the answer any more.
         dropped_parts: Number of parts dropped because they answered another request or attempt.
@@ -37,20 +43,33 @@
     __slots__ = (
         "request_id",
         "attempt",
+        "capacity",
+        "memory",
         "parts",
         "buffered_bytes",
-        "has_room",
+        "max_bytes",
+        "changed",
         "producer",
         "closed",
         "dropped_parts",
     )
 
-    def __init__(self, request_id: str, attempt: int, *, capacity: int) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        attempt: int,
+        *,
+        capacity: int,
+        memory: answer_memory.AnswerMemory,
+    ) -> None:
         self.request_id = request_id
         self.attempt = attempt
-        self.parts: asyncio.Queue[answers.Part] = asyncio.Queue(capacity)
+        self.capacity = capacity
+        self.memory = memory
+        self.parts: collections.deque[answers.Part] = collections.deque()
         self.buffered_bytes = 0
-        self.has_room = asyncio.Event()
+        self.max_bytes = MAX_BUFFERED_BYTES
+        self.changed = asyncio.Event()
         self.producer: asyncio.Task[typing.Any] | None = None
         self.closed = False
         self.dropped_parts = 0
@@ -83,23 +102,37 @@
         )
         return answers.Failure(request_id=self.request_id, attempt=self.attempt, error=error)
 
+    def expect(self, size: int) -> None:
+        """Buffer an answer of a known size whole, so that its upstream need not wait.
+
+        Args:
+            size: Bytes of its body.
+        """
+        self.max_bytes = max(MAX_BUFFERED_BYTES, size)
+
     async def put(self, part: answers.Part) -> None:
-        """Add a part, or drop and count it if it answers another request or attempt."""
+        """Add a part, or drop it if nobody waits or it answers another request or attempt."""
+        if self.closed:
+            return
         if part.request_id != self.request_id or part.attempt != self.attempt:
             self.dropped_parts += 1
             return
         size = _body_size(part)
-        while self.buffered_bytes and self.buffered_bytes + size > MAX_BUFFERED_BYTES:
-            self.has_room.clear()
-            await self.has_room.wait()
-        self.buffered_bytes += size
-        await self.parts.put(part)
+        if size:
+            await self._take_memory(size)
+        self._append(part, size)
+        while len(self.parts) > self.capacity:
+            await self._wait_for_change()
+        if type(part) is answers.End:
+            self.memory.record_received()
 
     async def get(self) -> answers.Part:
         """Wait for the next part and return it."""
-        part = await self.parts.get()
+        while not self.parts:
+            await self._wait_for_change()
+        part = self.parts.popleft()
         self.buffered_bytes -= _body_size(part)
-        self.has_room.set()
+        self.changed.set()
         return part
 
     def close(self) -> None:
@@ -107,6 +140,34 @@
         self.closed = True
         if self.producer is not None:
             self.producer.cancel()
+        self.parts.clear()
+        self.memory.drop(self.buffered_bytes)
+        self.buffered_bytes = 0
+
+    async def _take_memory(self, size: int) -> None:
+        """Wait until the bytes of a part may be buffered, and count them."""
+        while self.buffered_bytes and self.buffered_bytes + size > self.max_bytes:
+            await self._wait_for_change()
+        if self.memory.try_take(size):
+            return
+        # What the caller's sink holds back must go out, as nothing more comes before.
+        self._append(answers.Pause(request_id=self.request_id, attempt=self.attempt), 0)
+        await self.memory.take(size)
+
+    def _append(self, part: answers.Part, size: int) -> None:
+        """Add a part to the queue; a small chunk is joined to one that waits."""
+        last = self.parts[-1] if self.parts else None
+        if size and type(last) is answers.Chunk and len(last.data) + size <= MAX_JOINED_BYTES:
+            last.data += part.data
+            last.event_id = part.event_id or last.event_id
+        else:
+            self.parts.append(part)
+        self.buffered_bytes += size
+        self.changed.set()
+
+    async def _wait_for_change(self) -> None:
+        self.changed.clear()
+        await self.changed.wait()
 
 
 def _body_size(part: answers.Part) -> int:
--- a/yuccahitch/tasks/caller_connection.py
+++ b/yuccahitch/tasks/caller_connection.py
@@ -9,14 +9,18 @@
 import aiohttp
 from aiohttp import web, web_protocol
 
-from yuccahitch.controllers.intake import budget
+from yuccahitch.controllers.intake import holding
 from yuccahitch.resources import publication
-from yuccahitch.tasks import intake
+from yuccahitch.tasks import answer_memory, intake, tcp_connection
 
 # Bytes that are read from a connection at once.
 READ_BYTES = 65_536
 # Bytes that the kernel receives and keeps unread for a connection; it doubles the number.
 RECEIVE_BUFFER_BYTES = 65_536
+# Bytes that the kernel keeps of what a caller has not received; it doubles the number.
+SEND_BUFFER_BYTES = 65_536
+# Bytes of an answer that wait in the transport before writing pauses.
+WRITE_BUFFER_BYTES = 32_768
 # Bytes of a body that are read ahead before reading pauses.
 READ_AHEAD_BYTES = 32_768
 # Bytes that a body takes before they are read from it: one read and what is read ahead.
@@ -45,9 +49,19 @@
         head: What is held of a head that is coming in, or None.
         head_timer: Closes the connection when the head takes too long, or None.
         is_held: Whether reading is paused until the next request is handled.
+        answer: Counts what the answer that is being written takes, or None.
     """
 
-    __slots__ = ("caller_intake", "limits", "idle_since", "body", "head", "head_timer", "is_held")
+    __slots__ = (
+        "caller_intake",
+        "limits",
+        "idle_since",
+        "body",
+        "head",
+        "head_timer",
+        "is_held",
+        "answer",
+    )
 
     def __init__(
         self,
@@ -62,17 +76,20 @@
         self.limits = limits
         self.idle_since: float | None = None
         self.body: aiohttp.StreamReader | None = None
-        self.head: budget.Holding | None = None
+        self.head: holding.Holding | None = None
         self.head_timer: asyncio.TimerHandle | None = None
         self.is_held = False
+        self.answer: answer_memory.AnswerMemory | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection; one too many closes another, or this one."""
         super().connection_made(transport)
         transport.max_size = READ_BYTES
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         accepted = transport.get_extra_info("socket")
         if accepted is not None:
             accepted.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.idle_since = self.caller_intake.time.now()
         self.caller_intake.add_connection(self)
 
@@ -93,6 +110,23 @@
         elif data and was_between_requests:
             self._extend_head(len(data))
 
+    def pause_writing(self) -> None:
+        """Let the answer count as waiting for the caller."""
+        super().pause_writing()
+        if self.answer is not None:
+            self.answer.begin_lag()
+
+    def resume_writing(self) -> None:
+        """Let the answer no longer count as waiting."""
+        super().resume_writing()
+        if self.answer is not None:
+            self.answer.end_lag()
+
+    def begin_answer(self, answer: answer_memory.AnswerMemory) -> None:
+        """Count what the caller lets wait for the answer that is to be written."""
+        answer.unsent_bytes = self._unsent_bytes
+        self.answer = answer
+
     def begin_request(self) -> None:
         """Note that a request is being handled, and read on unless another one waits."""
         self.idle_since = None
@@ -103,6 +137,7 @@
 
     def end_request(self) -> None:
         """Note that a request has been answered."""
+        self.answer = None
         self.idle_since = self.caller_intake.time.now()
 
     def abort(self) -> None:
@@ -110,6 +145,10 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _unsent_bytes(self) -> int:
+        """Return how many bytes of what was written the caller's system has not received."""
+        return 0 if self.transport is None else tcp_connection.unsent_bytes(self.transport)
+
     def _address(self) -> str:
         """Return the IP address of the caller."""
         return str(self.peername[0]) if self.peername else ""
@@ -248,7 +287,7 @@
 
 
 async def read_body(
-    request: web.BaseRequest, max_bytes: int, *, caller_intake: intake.Intake, held: budget.Holding
+    request: web.BaseRequest, max_bytes: int, *, caller_intake: intake.Intake, held: holding.Holding
 ) -> bytes | None:
     """Return a request's body, or None if it is larger than the limit.
 
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -21,6 +21,7 @@
 from yuccahitch.resources import service as services
 from yuccahitch.tasks import (
     _http_errors,
+    answer_memory,
     caller_connection,
     core_messages,
     http_sink,
@@ -237,8 +238,15 @@
         self, request: web.Request, parsed: requests.Request
     ) -> web.StreamResponse:
         """Run a parsed request in a child task and return the response that was sent."""
-        sink = http_sink.HttpSink(request, request_id=parsed.id, is_streaming=parsed.stream)
-        request_runner = runner.Runner(self.mailboxes, parsed, sink, now=self.time.now)
+        request[HELD].request_id = parsed.id
+        memory = answer_memory.AnswerMemory(self.caller_intake, request[HELD])
+        request.protocol.begin_answer(memory)
+        sink = http_sink.HttpSink(
+            request, request_id=parsed.id, memory=memory, is_streaming=parsed.stream
+        )
+        request_runner = runner.Runner(
+            self.mailboxes, parsed, sink, memory=memory, now=self.time.now
+        )
         task = self.open_requests.start(request_runner)
         try:
             await asyncio.shield(task)
--- a/yuccahitch/tasks/core.py
+++ b/yuccahitch/tasks/core.py
@@ -241,6 +241,11 @@
     core.decisions.begin_drain(now)
 
 
+@handle_without_reply.register
+def _(message: request_lifecycle.Received, core: Core, now: float) -> None:
+    core.decisions.in_flight.record_received(message, now)
+
+
 @handle_without_reply.register
 def _(message: request_lifecycle.Finish, core: Core, now: float) -> None:
     context = core.decisions.finish(message, now)
--- a/yuccahitch/tasks/edge_process.py
+++ b/yuccahitch/tasks/edge_process.py
@@ -214,7 +214,7 @@
         self.metrics_collector.counters["callers_closed"] = self.caller_intake.closed
         self.metrics_collector.counters["store_calls"] = self.store.call_counts
         self.metrics_collector.gauges.update(
-            held_bytes=lambda: self.caller_intake.budget.held,
+            held_bytes=self.caller_intake.budget.held_by_way,
             caller_connections=lambda: len(self.caller_intake.connections),
             open_requests=lambda: len(state.in_flight.contexts),
             admission_levels=lambda: state.admission.levels_by_service(),
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -14,11 +14,12 @@
 from yuccahitch import clock, errors
 from yuccahitch import settings as config_file
 from yuccahitch.controllers.instance import edge
-from yuccahitch.controllers.intake import budget
+from yuccahitch.controllers.intake import holding
 from yuccahitch.messages import answers, requests
 from yuccahitch.platform import requests as platform_requests
 from yuccahitch.resources import publication
 from yuccahitch.tasks import (
+    answer_memory,
     caller_connection,
     core_messages,
     http_sink,
@@ -48,6 +49,7 @@
     Args:
         request: Request of the HTTP server that the answer belongs to.
         request_id: Id of the request.
+        memory: Counts what the answer takes.
         is_leaving: Returns whether the instance is leaving; connections are then closed after the
             answer.
     """
@@ -59,9 +61,10 @@
         request: web.BaseRequest,
         *,
         request_id: str,
+        memory: answer_memory.AnswerMemory,
         is_leaving: typing.Callable[[], bool],
     ) -> None:
-        super().__init__(request, request_id=request_id, is_streaming=False)
+        super().__init__(request, request_id=request_id, memory=memory, is_streaming=False)
         self.is_leaving = is_leaving
 
     async def start(self, head: answers.Head) -> None:
@@ -96,9 +99,10 @@
         _add_headers(response, headers)
         await self._send(response)
 
-    async def _open_response(self) -> None:
+    async def _open_response(self, length: int | None = None) -> None:
         self.response = web.StreamResponse(status=self.head.status)
         _add_headers(self.response, self.head.headers)
+        self.response.content_length = length
         if self.is_leaving():
             self.response.force_close()
         await self.response.prepare(self.request)
@@ -241,7 +245,7 @@
             return await self._read_and_run(request, held)
 
     async def _read_and_run(
-        self, request: web.BaseRequest, held: budget.Holding
+        self, request: web.BaseRequest, held: holding.Holding
     ) -> web.StreamResponse:
         """Read, parse and run a caller's request, and return the response that was sent."""
         try:
@@ -256,14 +260,15 @@
             now=self.time.now(),
             new_id=uuid.uuid4().hex,
         )
-        return await self._run_request(request, parsed)
+        held.request_id = parsed.id
+        return await self._run_request(request, parsed, held)
 
     def _limits(self) -> publication.CallerLimits:
         """Return the limits of callers that are in force."""
         published = self.edge_state.config.current
         return publication.CallerLimits() if published is None else published.limits
 
-    async def _read_body(self, request: web.BaseRequest, held: budget.Holding) -> bytes:
+    async def _read_body(self, request: web.BaseRequest, held: holding.Holding) -> bytes:
         """Return a request's body, checked against the limits.
 
         Raises:
@@ -297,14 +302,18 @@
         return response
 
     async def _run_request(
-        self, request: web.BaseRequest, parsed: requests.Request
+        self, request: web.BaseRequest, parsed: requests.Request, held: holding.Holding
     ) -> web.StreamResponse:
         """Run a parsed request in a child task and return the response that was sent.
 
         The task is cancelled when the caller disconnects.
         """
-        sink = FrontSink(request, request_id=parsed.id, is_leaving=self._is_leaving)
-        request_runner = runner.Runner(self.mailboxes, parsed, sink, now=self.time.now)
+        memory = answer_memory.AnswerMemory(self.caller_intake, held)
+        request.protocol.begin_answer(memory)
+        sink = FrontSink(request, request_id=parsed.id, memory=memory, is_leaving=self._is_leaving)
+        request_runner = runner.Runner(
+            self.mailboxes, parsed, sink, memory=memory, now=self.time.now
+        )
         task = self.open_requests.start(request_runner)
         try:
             await asyncio.shield(task)
--- a/yuccahitch/tasks/http_sink.py
+++ b/yuccahitch/tasks/http_sink.py
@@ -8,9 +8,11 @@
 from yuccahitch import errors
 from yuccahitch.codecs import callers
 from yuccahitch.messages import answers
-from yuccahitch.tasks import tcp_connection
+from yuccahitch.tasks import answer_memory, tcp_connection
 
 MAX_BUFFERED_ANSWER_BYTES = 262_144
+# Bytes that are written at once; the rest waits until the connection has taken them.
+PIECE_BYTES = 16_384
 
 
 class HttpSink:
@@ -22,6 +24,7 @@
     Args:
         request: Request of the HTTP server that the answer belongs to.
         request_id: Id of the request.
+        memory: Counts what the answer takes.
         is_streaming: Whether the caller asked for an event stream.
 
     Attributes:
@@ -31,11 +34,19 @@
         buffered: Body bytes of an answer that is not streamed, until they are sent.
     """
 
-    __slots__ = ("request", "id", "is_streaming", "response", "head", "buffered")
+    __slots__ = ("request", "id", "memory", "is_streaming", "response", "head", "buffered")
 
-    def __init__(self, request: web.Request, *, request_id: str, is_streaming: bool) -> None:
+    def __init__(
+        self,
+        request: web.Request,
+        *,
+        request_id: str,
+        memory: answer_memory.AnswerMemory,
+        is_streaming: bool,
+    ) -> None:
         self.request = request
         self.id = request_id
+        self.memory = memory
         self.is_streaming = is_streaming
         self.response: web.StreamResponse | None = None
         self.head: answers.Head | None = None
@@ -50,16 +61,23 @@
     async def write(self, chunk: answers.Chunk) -> None:
         """Send body bytes, or buffer them until the answer is complete or too large to buffer."""
         if self.response is not None:
-            await self.response.write(chunk.data)
+            await self._write(chunk.data)
             return
         self.buffered += chunk.data
         if len(self.buffered) > MAX_BUFFERED_ANSWER_BYTES:
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Send what is buffered; from then on the answer can't be replaced by an error response."""
+        if self.response is None and self.buffered:
             await self._open_response()
-            data, self.buffered = bytes(self.buffered), bytearray()
-            await self.response.write(data)
+            await self._write_buffered()
 
     async def end(self, part: answers.End) -> None:
         """Finish a complete answer; a buffered one is sent now."""
+        if self.response is None and len(self.buffered) > PIECE_BYTES:
+            await self._open_response(len(self.buffered))
+            await self._write_buffered()
         if self.response is None:
             await self._send_complete(self.head.status, self.head.headers, bytes(self.buffered))
             return
@@ -100,12 +118,32 @@
         response_headers = dict(headers) | {callers.REQUEST_ID_HEADER: self.id}
         await self._send(web.Response(status=status, body=body, headers=response_headers))
 
-    async def _open_response(self) -> None:
-        """Send status and headers; the body follows in pieces."""
+    async def _open_response(self, length: int | None = None) -> None:
+        """Send status and headers; the body follows in pieces.
+
+        Args:
+            length: Bytes of the body, or None if they are not known.
+        """
         headers = dict(self.head.headers) | {callers.REQUEST_ID_HEADER: self.id}
         self.response = web.StreamResponse(status=self.head.status, headers=headers)
+        self.response.content_length = length
         await self.response.prepare(self.request)
 
+    async def _write_buffered(self) -> None:
+        """Send what is buffered, and free it as it is taken."""
+        while self.buffered:
+            piece = bytes(self.buffered[:PIECE_BYTES])
+            del self.buffered[:PIECE_BYTES]
+            await self._write(piece)
+
+    async def _write(self, data: bytes) -> None:
+        """Send bytes of the body, each piece once the connection has room for it."""
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = data[start : start + PIECE_BYTES]
+            await self.response.write(piece)
+            await self.request.writer.drain()
+            self.memory.give_back(len(piece))
+
     async def _send(self, response: web.Response) -> None:
         self.response = response
         await response.prepare(self.request)
--- a/yuccahitch/tasks/peer_client.py
+++ b/yuccahitch/tasks/peer_client.py
@@ -29,7 +29,7 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 # Bytes that a peer may send of one answer, and on one connection, before they are read. The second
 # is so large that answers that nobody reads hold up neither others nor the renewals of leases.
-STREAM_WINDOW_BYTES = 262_144
+STREAM_WINDOW_BYTES = 131_072
 CONNECTION_WINDOW_BYTES = 2**31 - 1
 # Peers to which a connection is kept; the least recently used idle one is closed first.
 MAX_CHANNELS = 64
--- a/yuccahitch/tasks/peer_server.py
+++ b/yuccahitch/tasks/peer_server.py
@@ -14,6 +14,7 @@
 from yuccahitch.codecs.generated import peer_grpc
 from yuccahitch.messages import answers, peers, requests
 from yuccahitch.tasks import (
+    answer_memory,
     core_messages,
     intake,
     leased_runs,
@@ -25,6 +26,9 @@
 
 # Copies of a forwarded body while its request runs: the message, the body, and what is being sent.
 FORWARDED_COPIES = 3
+# Bytes of a plain answer that a message holds. Each message that waits is held in several forms.
+MESSAGE_BYTES = 16_384
+EVENT_STREAM_TYPE = "text/event-stream"
 
 
 class PartSink:
@@ -34,10 +38,14 @@
         stream: gRPC stream of the forwarded request.
         request_id: Id of the request.
         attempt: Number of the attempt at the peer, set on each part.
+        memory: Counts what the answer takes.
         stamp_clock: Hybrid clock that stamps each part.
+
+    Attributes:
+        has_events: Whether the answer is a stream of events.
     """
 
-    __slots__ = ("stream", "request_id", "attempt", "stamp_clock")
+    __slots__ = ("stream", "request_id", "attempt", "memory", "stamp_clock", "has_events")
 
     def __init__(
         self,
@@ -45,12 +53,15 @@
         *,
         request_id: str,
         attempt: int,
+        memory: answer_memory.AnswerMemory,
         stamp_clock: events.HybridClock,
     ) -> None:
         self.stream = stream
         self.request_id = request_id
         self.attempt = attempt
+        self.memory = memory
         self.stamp_clock = stamp_clock
+        self.has_events = False
 
     async def send(self, part: answers.Part) -> None:
         """Send one part, numbered with the peer's attempt.
@@ -60,22 +71,42 @@
         """
         part.attempt = self.attempt
         try:
-            await self.stream.send_message(codec.to_part(part, stamp=self.stamp_clock.tick()))
+            with self.memory.lag():
+                await self.stream.send_message(codec.to_part(part, stamp=self.stamp_clock.tick()))
         except exceptions.StreamTerminatedError as error:
             raise ConnectionError("the peer closed the stream of the forwarded request") from error
 
     async def start(self, head: answers.Head) -> None:
         """Send status and headers."""
+        self.has_events = head.media_type() == EVENT_STREAM_TYPE
         await self.send(head)
 
     async def write(self, chunk: answers.Chunk) -> None:
-        """Send body bytes."""
-        await self.send(chunk)
+        """Send body bytes, those of a plain answer in small messages."""
+        for data in self._messages(chunk.data):
+            await self.send(
+                answers.Chunk(
+                    request_id=self.request_id,
+                    attempt=self.attempt,
+                    data=data,
+                    event_id=chunk.event_id,
+                )
+            )
+            self.memory.give_back(len(data))
+
+    async def flush(self) -> None:
+        """Do nothing: each part is sent as it comes."""
 
     async def end(self, part: answers.End) -> None:
         """Send the end of a complete answer."""
         await self.send(part)
 
+    def _messages(self, data: bytes) -> list[bytes]:
+        """Return the bytes of a chunk by message; events stay whole."""
+        if self.has_events or len(data) <= MESSAGE_BYTES:
+            return [data]
+        return [data[at : at + MESSAGE_BYTES] for at in range(0, len(data), MESSAGE_BYTES)]
+
     async def cut(self, part: answers.Failure) -> None:
         """Send the failure that ends an incomplete answer."""
         await self.send(part)
@@ -184,18 +215,35 @@
         except errors.GatewayError as error:
             raise self._invalid_message_error(sender, error) from error
         self.log.hybrid_clock.observe(message.stamp)
-        sink = PartSink(
-            stream, request_id=request.id, attempt=attempt, stamp_clock=self.log.hybrid_clock
-        )
-        with self.caller_intake.holding(sender, stream.cancel) as held:
+        task = asyncio.current_task()
+        with self.caller_intake.holding(sender, task.cancel, is_forwarded=True) as held:
             held.is_incoming = False
+            held.request_id = request.id
+            memory = answer_memory.AnswerMemory(self.caller_intake, held)
+            sink = PartSink(
+                stream,
+                request_id=request.id,
+                attempt=attempt,
+                memory=memory,
+                stamp_clock=self.log.hybrid_clock,
+            )
             try:
                 self.caller_intake.take_at_once(held, len(request.body) * FORWARDED_COPIES)
             except errors.GatewayError as error:
                 await sink.refuse(error, "")
                 return
-            request_runner = runner.Runner(self.mailboxes, request, sink, now=self.time.now)
-            await self._run_forwarded(request_runner, hop, sender=sender, attempt=attempt)
+            request_runner = runner.Runner(
+                self.mailboxes, request, sink, memory=memory, now=self.time.now
+            )
+            try:
+                await self._run_forwarded(request_runner, hop, sender=sender, attempt=attempt)
+            except asyncio.CancelledError:
+                if not memory.was_given_up:
+                    raise
+                task.uncancel()
+                raise grpclib.GRPCError(
+                    const.Status.RESOURCE_EXHAUSTED, errors.Code.CALLER_SLOW.meaning
+                ) from None
 
     async def _run_forwarded(
         self, request_runner: runner.Runner, hop: requests.Hop, *, sender: str, attempt: int
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -196,7 +196,7 @@
         self.metrics_collector.counters["callers_closed"] = self.caller_intake.closed
         self.metrics_collector.counters["store_calls"] = self.store.call_counts
         self.metrics_collector.gauges.update(
-            held_bytes=lambda: self.caller_intake.budget.held,
+            held_bytes=self.caller_intake.budget.held_by_way,
             caller_connections=lambda: len(self.caller_intake.connections),
             open_requests=lambda: len(decisions.in_flight.contexts),
             waiting_requests=lambda: decisions.queue.size,
--- a/yuccahitch/tasks/replica_connection.py
+++ b/yuccahitch/tasks/replica_connection.py
@@ -184,6 +184,11 @@
         ]
         self.headers = {name.lower(): value for name, value in self.header_pairs}
 
+    def content_length(self) -> int:
+        """Return the announced size of the body in bytes; 0 if there is none."""
+        value = self.headers.get("content-length", "")
+        return int(value) if value.isdigit() else 0
+
 
 def keep_alive_s(headers: dict[str, str]) -> float:
     """Return how long a connection may be reused after an answer with these headers, in seconds."""
--- a/yuccahitch/tasks/replica_exchange.py
+++ b/yuccahitch/tasks/replica_exchange.py
@@ -231,11 +231,12 @@
         Raises:
             ConnectionResetError: When the answer breaks off.
         """
+        self.stream.expect(response_head.content_length())
         buffered = bytearray()
         head_sent = False
         while (data := await self._read_data()) is not None:
             buffered += data
-            if len(buffered) > MAX_BUFFERED_ANSWER_BYTES:
+            if head_sent or len(buffered) > MAX_BUFFERED_ANSWER_BYTES:
                 head_sent = head_sent or await self._put_head(response_head)
                 await self._put_chunk(bytes(buffered))
                 buffered.clear()
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -9,7 +9,13 @@
 from yuccahitch import errors
 from yuccahitch.controllers.runs import operations
 from yuccahitch.messages import actions, answers, request_lifecycle, requests
-from yuccahitch.tasks import answer_stream, mailbox, peer_client, upstream_client
+from yuccahitch.tasks import (
+    answer_memory,
+    answer_stream,
+    mailbox,
+    peer_client,
+    upstream_client,
+)
 
 # Time by which a request outlasts the deadline that its upstream or peer was given.
 TIMEOUT_MARGIN_S = 0.05
@@ -24,6 +30,9 @@
     async def write(self, chunk: answers.Chunk) -> None:
         """Send or buffer a chunk of the body."""
 
+    async def flush(self) -> None:
+        """Send what is buffered, as nothing more comes before."""
+
     async def end(self, part: answers.End) -> None:
         """End a complete answer."""
 
@@ -78,6 +87,7 @@
         mailboxes: Mailboxes and limits.
         request: The request.
         sink: Receives the answer.
+        memory: Counts what the answer takes.
         now: Returns monotonic seconds.
 
     Attributes:
@@ -103,6 +113,7 @@
         "mailboxes",
         "request",
         "sink",
+        "memory",
         "now",
         "stream",
         "caller_connected",
@@ -126,11 +137,14 @@
         request: requests.Request,
         sink: AnswerSink,
         *,
+        memory: answer_memory.AnswerMemory,
         now: typing.Callable[[], float],
     ) -> None:
         self.mailboxes = mailboxes
         self.request = request
         self.sink = sink
+        self.memory = memory
+        memory.on_received_early = self._report_received
         self.now = now
         self.stream: answer_stream.AnswerStream | None = None
         self.caller_connected = True
@@ -241,7 +255,10 @@
     def open_stream(self, attempt: int) -> answer_stream.AnswerStream:
         """Return a new stream for the answer of an attempt."""
         return answer_stream.AnswerStream(
-            self.request.id, attempt, capacity=self.mailboxes.stream_capacity
+            self.request.id,
+            attempt,
+            capacity=self.mailboxes.stream_capacity,
+            memory=self.memory,
         )
 
     async def relay_answer(self, head: answers.Head) -> request_lifecycle.NextAction | None:
@@ -291,8 +308,14 @@
         if len(self.recorded_body) > operations.MAX_ANSWER_BYTES:
             self.recorded_body = None
 
+    def _report_received(self) -> None:
+        """Tell the core that the upstream is done with the request, though the caller is not."""
+        self.mailboxes.core.post(request_lifecycle.Received(self.request.id, self.request))
+
     def _finish_message(self) -> request_lifecycle.Finish:
         """Return the message that reports the end of the request to the core."""
+        if self.memory.was_given_up and not self.succeeded:
+            self.error = self.memory.given_up_error()
         recorded = None
         if self.succeeded and self.request.operation_key and self.head is not None:
             recorded = answers.RecordedAnswer(
@@ -308,7 +331,7 @@
             usage=self.usage,
             recorded_answer=recorded,
             error=self.error,
-            abandoned=not self.caller_connected,
+            abandoned=not self.caller_connected and not self.memory.was_given_up,
             crashed_upstream=self.crashed_upstream_name,
             first_byte_s=self.first_byte_s,
         )
@@ -404,6 +427,12 @@
     return False, None
 
 
+@_relay_part.register
+async def _(part: answers.Pause, runner: Runner) -> RelayResult:
+    await runner.send_to_caller(runner.sink.flush())
+    return False, None
+
+
 @_relay_part.register
 async def _(part: answers.End, runner: Runner) -> RelayResult:
     runner.usage = part.usage
--- a/yuccahitch/tasks/tcp_connection.py
+++ b/yuccahitch/tasks/tcp_connection.py
@@ -9,7 +9,10 @@
 import termios
 
 # Unread bytes above which reading from the socket is paused.
-MAX_BUFFERED_BYTES = 65_536
+MAX_BUFFERED_BYTES = 16_384
+# Bytes that are read from the socket at once, and that the kernel keeps unread; it doubles these.
+READ_BYTES = 32_768
+RECEIVE_BUFFER_BYTES = 32_768
 # Time after which unacknowledged data closes the connection, as in a network partition.
 UNACKNOWLEDGED_TIMEOUT_MS = 4_000
 # Value of SO_LINGER by which a close resets the connection.
@@ -25,18 +28,27 @@
 
 
 def is_sending(transport: asyncio.WriteTransport) -> bool:
-    """Return whether the system of the other side has not received all that was written.
+    """Return whether the system of the other side has not received all that was written."""
+    return transport.get_write_buffer_size() > 0 or _unacknowledged_bytes(transport) > 0
+
+
+def unsent_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return how many of the bytes that were written the other side's system has not received."""
+    return transport.get_write_buffer_size() + _unacknowledged_bytes(transport)
+
+
+def _unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return the bytes that the system keeps as the other side's has not acknowledged them.
 
     What it has received is acknowledged at the latest with the next data or end that it sends.
     """
-    if transport.get_write_buffer_size():
-        return True
     tcp_socket = transport.get_extra_info("socket")
-    if tcp_socket is None:
-        return False
+    # The socket of a connection that is lost is closed already.
+    if tcp_socket is None or tcp_socket.fileno() < 0:
+        return 0
     size = fcntl.ioctl(tcp_socket.fileno(), termios.TIOCOUTQ, bytes(struct.calcsize("i")))
-    (unacknowledged_bytes,) = struct.unpack("i", size)
-    return unacknowledged_bytes > 0
+    (count,) = struct.unpack("i", size)
+    return count
 
 
 def reset(transport: asyncio.WriteTransport) -> None:
@@ -92,6 +104,8 @@
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
             tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        transport.max_size = READ_BYTES
         limit_unacknowledged(transport, UNACKNOWLEDGED_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
--- a/yuccahitch/tasks/upstream_client.py
+++ b/yuccahitch/tasks/upstream_client.py
@@ -21,6 +21,8 @@
 MAX_CONNECTIONS = 4096
 # Receive buffer that is asked for, in bytes; the system may give twice as much.
 RECEIVE_BUFFER_BYTES = 16_384
+# Bytes of an answer that are read ahead before reading pauses.
+READ_AHEAD_BYTES = 16_384
 OK_STATUS = 200
 
 
@@ -227,6 +229,7 @@
                 await stream.put(_failure(action, errors.Code.ANSWER_CUT, error, meter=meter))
                 return False
         else:
+            stream.expect(response.content_length or 0)
             await stream.put(head)
             async for data in response.content.iter_any():
                 meter.add(data)
@@ -325,6 +328,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         timeout=timeout,
+        read_bufsize=READ_AHEAD_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(single_send.send_once,),
     )
--- a/yuccahitch/tasks/upstream_protocol.py
+++ b/yuccahitch/tasks/upstream_protocol.py
@@ -27,6 +27,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Prepare a new connection."""
         self.cut_error = None
+        transport.max_size = tcp_connection.READ_BYTES
         super().connection_made(transport)
 
     def eof_received(self) -> None:
