Free a request when it ends, not when garbage is collected

Cause: the runner of a request and what counts its answer held each other, so the bodies of answered requests stayed in memory until the collector of cycles ran.

Change: the runner takes its report out of the answer's memory when the request ends.

The new scenario of answer_streams.feature failed before: the body of a refused request was still in memory.

--- a/tests/features/answer_streams.feature
+++ b/tests/features/answer_streams.feature
@@ -29,3 +29,8 @@
     Given an answer of unknown length, on a machine with 400 MB
     When its upstream sends 3 events, and nobody reads
     Then one part has all of them, with the id of the last one
+
+  # Guards against bodies that stay in memory until cycles are collected (LOST).
+  Scenario: A request that has ended is freed without a collection of garbage
+    When a request is refused while no garbage is collected
+    Then its body is in memory no more
--- a/tests/features/steps/answer_streams.py
+++ b/tests/features/steps/answer_streams.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import time
 
 import behave
 
-from tests import intake_builders, platform_calls
-from yuccahitch.messages import answers
-from yuccahitch.tasks import answer_stream, mailbox
+from tests import forwarding_pair, intake_builders, platform_calls, refusing_core
+from yuccahitch.messages import answers, requests
+from yuccahitch.tasks import answer_stream, mailbox, runner
 
 REQUEST_ID, ATTEMPT = "s1", 1
 CAPACITY = 64
@@ -108,3 +110,28 @@
 def step_check_joined(context):
     (part,) = platform_calls.run(context, take_parts(context.stream))
     assert part.data.count(b"data") == 3 and part.event_id == "3", part
+
+
+@behave.when("a request is refused while no garbage is collected")
+def step_run_without_collection(context):
+    async def work():
+        request = forwarding_pair.a_platform_request("/book/x", "POST", b"x", 1.0, REQUEST_ID)
+        request_runner = runner.Runner(
+            refusing_core.mailboxes(),
+            request,
+            forwarding_pair.RecordingSink(),
+            memory=intake_builders.an_answer_memory(),
+            now=time.monotonic,
+        )
+        await request_runner.run()
+
+    gc.collect()
+    gc.disable()
+    context.add_cleanup(gc.enable)
+    platform_calls.run(context, work())
+
+
+@behave.then("its body is in memory no more")
+def step_check_freed(context):
+    found = [item for item in gc.get_objects() if type(item) is requests.Request]
+    assert REQUEST_ID not in [request.id for request in found], found
--- a/yuccahitch/tasks/runner.py
+++ b/yuccahitch/tasks/runner.py
@@ -180,6 +180,8 @@
         finally:
             if self.stream is not None:
                 self.stream.close()
+            # A cycle would keep the request in memory until garbage is collected.
+            self.memory.on_received_early = None
             self.mailboxes.core.post(self._finish_message())
 
     async def _execute_actions(self, hop: requests.Hop | None) -> None:
