Accept the connections of callers in small lots, so that their limit holds

Cause: asyncio accepts as many connections in a turn of its loop as its backlog says, 1024 here, and they are counted, and closed if they are too many, one or two turns later.

Change: at most 32 are accepted in a turn.

--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -23,6 +23,7 @@
     _http_errors,
     answer_memory,
     caller_connection,
+    caller_sockets,
     core_messages,
     http_sink,
     intake,
@@ -112,9 +113,9 @@
         )
         await self.app_runner.setup()
         instance_settings = self.settings.instance
-        await web.TCPSite(
+        await caller_sockets.listen(
             self.app_runner, instance_settings.listen, instance_settings.caller_port
-        ).start()
+        )
 
     async def stop(self) -> None:
         """Answer the open requests, stop listening, and close the connections and the tasks.
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -21,6 +21,7 @@
 from yuccahitch.tasks import (
     answer_memory,
     caller_connection,
+    caller_sockets,
     core_messages,
     http_sink,
     intake,
@@ -207,9 +208,9 @@
         await server_runner.setup()
         self.runners.append(server_runner)
         host, _, port = address.rpartition(":")
-        await web.TCPSite(
-            server_runner, host, int(port), shutdown_timeout=CLOSE_TIMEOUT_S, backlog=1024
-        ).start()
+        await caller_sockets.listen(
+            server_runner, host, int(port), shutdown_timeout_s=CLOSE_TIMEOUT_S
+        )
 
     async def _get_readiness(self, request: web.BaseRequest) -> web.Response:
         """Return 200 if callers should send requests to this instance, else 503."""
