Parse bodies in very small chunks in turns with other tasks

What callers saw: nothing else ran while one caller's body in chunks of a byte was parsed: 7,950 pieces of one connection, 159,000 of 20, between two turns of other tasks (caller_connections.feature).

Cause: the parser takes whatever one read brings; a read of 64 KiB has 10,000 such chunks, and each connection that can be read has its read in every turn of the loop.

Change: more than 256 lines are parsed a slice at a time, one connection a turn (tasks/parse_turns.py), and such a connection reads 4 KiB at once from then on. Bodies with a length are parsed as before.

--- a/yuccahitch/tasks/caller_connection.py
+++ b/yuccahitch/tasks/caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import typing
 
@@ -15,6 +16,11 @@
 
 # Bytes that are read from a connection at once.
 READ_BYTES = 65_536
+# Lines of a request that are parsed before other tasks have their turn; a chunk takes two of them.
+LINES_PER_TURN = 256
+SLICE = re.compile(rb"(?:[^\n]*\n){%d}" % LINES_PER_TURN)
+# Bytes that are read at once from a connection that has sent very short lines.
+SHORT_LINES_READ_BYTES = 4096
 # Bytes that the kernel receives and keeps unread for a connection; it doubles the number.
 RECEIVE_BUFFER_BYTES = 65_536
 # Bytes that the kernel keeps of what a caller has not received; it doubles the number.
@@ -39,13 +45,16 @@
     """One connection of a caller.
 
     Reading pauses while a further request waits behind the one that is being answered. What has
-    come of a head counts in the budget, and a head that takes too long closes the connection.
+    come of a head counts in the budget, and a head that takes too long closes the connection. Many
+    short lines are parsed a slice at a time.
 
     Attributes:
         caller_intake: Grants memory and connections.
         limits: Returns the limits of callers that are in force.
         idle_since: Since when no request is being handled, in monotonic seconds, or None.
         body: Body of the last request whose head has come, or None.
+        is_chunked: Whether that body comes in chunks.
+        unparsed: Bytes that have come and wait for their turn to be parsed.
         head: What is held of a head that is coming in, or None.
         head_timer: Closes the connection when the head takes too long, or None.
         is_held: Whether reading is paused until the next request is handled.
@@ -57,6 +66,8 @@
         "limits",
         "idle_since",
         "body",
+        "is_chunked",
+        "unparsed",
         "head",
         "head_timer",
         "is_held",
@@ -76,6 +87,8 @@
         self.limits = limits
         self.idle_since: float | None = None
         self.body: aiohttp.StreamReader | None = None
+        self.is_chunked = False
+        self.unparsed = bytearray()
         self.head: holding.Holding | None = None
         self.head_timer: asyncio.TimerHandle | None = None
         self.is_held = False
@@ -96,15 +109,41 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back what the connection holds."""
         self._end_head()
+        self.unparsed.clear()
+        self.caller_intake.turns.remove(self)
         self.caller_intake.remove_connection(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what has come; count it if it is part of a head."""
+        """Parse what has come, or let it wait for its turn if that takes long."""
+        if self.unparsed or (self._has_lines() and data.count(b"\n") > LINES_PER_TURN):
+            self.unparsed += data
+            self.transport.max_size = SHORT_LINES_READ_BYTES
+            self._pause_transport_reading()
+            self.caller_intake.turns.add(self)
+        else:
+            self._parse(data)
+
+    def parse_slice(self) -> bool:
+        """Parse some of the bytes that wait, and return whether more can be parsed now."""
+        if self.is_held or self._reading_paused or self._buffer_paused:
+            return False
+        matched = SLICE.match(self.unparsed)
+        size = len(self.unparsed) if matched is None else matched.end()
+        piece = bytes(self.unparsed[:size])
+        del self.unparsed[:size]
+        self._parse(piece)
+        if not self.unparsed:
+            self._release_reading()
+        return bool(self.unparsed)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; count them if they are part of a head."""
         was_between_requests = self._is_between_requests()
         super().data_received(data)
         if self._messages:
-            _, self.body = self._messages[-1]
+            message, self.body = self._messages[-1]
+            self.is_chunked = getattr(message, "chunked", False)
             self._end_head()
             self._hold_reading()
         elif data and was_between_requests:
@@ -168,6 +207,17 @@
         if not self._reading_paused and not self._buffer_paused:
             self._resume_transport_reading()
 
+    def _resume_transport_reading(self) -> None:
+        """Read on, unless a request waits; what has come is parsed first."""
+        if self.unparsed:
+            self.caller_intake.turns.add(self)
+        elif not self.is_held:
+            super()._resume_transport_reading()
+
+    def _has_lines(self) -> bool:
+        """Return whether what comes now is parsed line by line."""
+        return self.is_chunked or self._is_between_requests()
+
     def _extend_head(self, count: int) -> None:
         """Count bytes of a head, and close the connection if they are too many."""
         limits = self.limits()
--- a/yuccahitch/tasks/intake.py
+++ b/yuccahitch/tasks/intake.py
@@ -13,6 +13,7 @@
 from yuccahitch import clock, errors, events
 from yuccahitch.controllers.intake import budget, machine_limits
 from yuccahitch.controllers.intake import holding as holdings
+from yuccahitch.tasks import parse_turns
 
 # Copies of a body while it comes in: the buffer, and the body that is made of it.
 INCOMING_COPIES = 2
@@ -69,6 +70,7 @@
         answers_waiting: Answers that wait for memory, the first to come first.
         answers_lagging: Answers that wait for their callers to read.
         reading_timer: Looks at how much of these was read, or None while there are none.
+        turns: Lets connections parse in turns.
         connections: The open connections, the oldest first.
         max_connections: How many may be open.
         closed: Number of holdings and connections that were closed, by metric labels.
@@ -84,6 +86,7 @@
         "answers_waiting",
         "answers_lagging",
         "reading_timer",
+        "turns",
         "connections",
         "max_connections",
         "closed",
@@ -102,6 +105,7 @@
         self.answers_waiting: dict[Answer, None] = {}
         self.answers_lagging: dict[Answer, None] = {}
         self.reading_timer: asyncio.TimerHandle | None = None
+        self.turns = parse_turns.ParseTurns()
         self.connections: dict[Connection, None] = {}
         self.closed: dict[tuple[tuple[str, str], ...], int] = {}
 
