Count trailers and chunk extensions of uploads like heads

Cause: the parser keeps the lines of trailers and extensions, of which the budget knew nothing: they are no part of the body, and the head had ended.

Change: what comes for a request and does not grow its body counts as its head does, within the same size; beyond it the connection is closed. It is given back with the next byte of the body.

--- a/yuccahitch/tasks/caller_connection.py
+++ b/yuccahitch/tasks/caller_connection.py
@@ -138,16 +138,19 @@
         return bool(self.unparsed)
 
     def _parse(self, data: bytes) -> None:
-        """Parse bytes; count them if they are part of a head."""
+        """Parse bytes; count them if they are part of a head, or of what goes with a body."""
         was_between_requests = self._is_between_requests()
+        body_bytes = 0 if self.body is None else self.body.total_bytes
         super().data_received(data)
         if self._messages:
             message, self.body = self._messages[-1]
             self.is_chunked = getattr(message, "chunked", False)
             self._end_head()
             self._hold_reading()
-        elif data and was_between_requests:
+        elif data and (was_between_requests or self.body.total_bytes == body_bytes):
             self._extend_head(len(data))
+        elif self.head is not None:
+            self._end_head()
 
     def pause_writing(self) -> None:
         """Let the answer count as waiting for the caller."""
@@ -219,7 +222,7 @@
         return self.is_chunked or self._is_between_requests()
 
     def _extend_head(self, count: int) -> None:
-        """Count bytes of a head, and close the connection if they are too many."""
+        """Count bytes of a head, or of what goes with chunks; too many close the connection."""
         limits = self.limits()
         if self.head is None:
             self.head = self.caller_intake.open(self._address(), self.abort)
@@ -228,14 +231,18 @@
             )
         is_small = self.head.size + count <= limits.max_header_bytes + HEAD_EXTRA_BYTES
         if not is_small or not self.caller_intake.try_take(self.head, count):
-            self._close_unfinished_head()
+            self._close_for_head()
 
     def _close_unfinished_head(self) -> None:
-        """Close the connection, as the head it sends is too large or takes too long."""
-        self._end_head()
+        """Close the connection if it still sends a head, as that takes too long."""
         if self._is_between_requests() and not self._messages:
-            self.caller_intake.count_closed_head()
-            self.abort()
+            self._close_for_head()
+
+    def _close_for_head(self) -> None:
+        """Close the connection because of the head that it sends."""
+        self._end_head()
+        self.caller_intake.count_closed_head()
+        self.abort()
 
     def _end_head(self) -> None:
         """Give back what is held of a head."""
