Bound the requests that run by the descriptors of the machine

Cause: the connections of callers have a bound, but each request that runs takes one more, to its upstream, and 20 KB and more that no budget knows of.

One too many ends the answer whose caller reads least, or is refused as overloaded, not run, with Retry-After.

--- a/tests/features/intake.feature
+++ b/tests/features/intake.feature
@@ -143,3 +143,19 @@
     And an upload of 980000 bytes from b at 1 seconds
     When an answer to d asks for its first 70000 bytes at 4 seconds
     Then the uploads from a are given up, and it gets its bytes
+
+  # Guards against an instance without descriptors, as each request takes one more for its upstream.
+  Scenario: One run too many ends an answer that is not read
+    Given room for 2 runs, one of an answer to a that waits since 0 seconds, and one of b
+    When d asks for a run at 4 seconds
+    Then the uploads from a are given up, and it gets its bytes
+
+  Scenario: One run too many is refused while all others are read
+    Given room for 2 runs, one of an answer to a that waits since 3 seconds, and one of b
+    When d asks for a run at 4 seconds
+    Then it is refused as overloaded, with a time to come again
+
+  Scenario: A run whose upstream is done makes room for another
+    Given room for 2 runs, one of an answer to a that waits since 3 seconds, and one of b
+    When the upstream of b is done, and d asks for a run at 4 seconds
+    Then no upload is given up, and it gets its bytes
--- a/tests/features/steps/intake.py
+++ b/tests/features/steps/intake.py
@@ -9,6 +9,8 @@
 from tests import intake_builders, platform_calls
 from yuccahitch import errors
 
+LARGE_BUDGET_BYTES = 60_000_000
+
 
 @behave.given("a budget of {limit:d} bytes")
 def step_make_budget(context, limit):
@@ -75,6 +77,35 @@
     context.granted = context.intake.extend_answer(address, size)
 
 
+@behave.given(
+    "room for 2 runs, one of an answer to a that waits since {now:g} seconds, and one of b"
+)
+def step_add_runs(context, now):
+    context.intake = intake_builders.IntakeUnderTest(LARGE_BUDGET_BYTES)
+    context.intake.intake.max_runs = 2
+    for address in ("a", "b"):
+        assert context.intake.answer(address, 60_000, now=now)
+        context.intake.run(address, now=now)
+    context.intake.let_wait("a", now=now)
+
+
+@behave.when("the upstream of b is done, and d asks for a run at {now:g} seconds")
+def step_end_run(context, now):
+    context.intake.end_run("b")
+    step_ask_for_run(context, now)
+
+
+@behave.when("d asks for a run at {now:g} seconds")
+def step_ask_for_run(context, now):
+    context.granted = False
+    try:
+        context.intake.upload("d", 100, now=now)
+        context.intake.run("d", now=now)
+        context.granted = True
+    except errors.GatewayError as error:
+        context.error = error
+
+
 @behave.then("each of them has at least {size:d} bytes")
 def step_check_sizes(context, size):
     assert min(context.sizes) >= size, context.sizes
--- a/tests/intake_builders.py
+++ b/tests/intake_builders.py
@@ -137,6 +137,15 @@
         """Let an answer wait for its caller."""
         self.holdings[address].begin_lag(now)
 
+    def run(self, address, *, now):
+        """Count a request as running."""
+        self.clock.seconds = now
+        self.intake.begin_run(self.holdings[address])
+
+    def end_run(self, address):
+        """Note that the upstream of a request is done."""
+        self.intake.end_run(self.holdings[address])
+
     def read(self, address, size, *, now):
         """Let the caller read bytes of an answer that goes on waiting."""
         self.holdings[address].record_moved(size, now)
--- a/yuccahitch/controllers/intake/budget.py
+++ b/yuccahitch/controllers/intake/budget.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import collections
+import typing
 
 from yuccahitch.controllers.intake import holding as holdings
 
@@ -137,6 +138,15 @@
         ]
         return _least_worth(candidates, asking.address, now)
 
+    def victim_for_run(
+        self,
+        asking: holdings.Holding,
+        running: typing.Iterable[holdings.Holding],
+        now: float,
+    ) -> holdings.Holding | None:
+        """Return the answer to give up for a further run, as too many requests run, or None."""
+        return _least_worth([item for item in running if item.is_lagging], asking.address, now)
+
     def held_by_way(self) -> dict[str, float]:
         """Return the bytes that are held by the way that they take, by its name."""
         sizes = collections.Counter(dict.fromkeys((way.value for way in holdings.Way), 0))
--- a/yuccahitch/tasks/answer_memory.py
+++ b/yuccahitch/tasks/answer_memory.py
@@ -113,6 +113,7 @@
     def record_received(self) -> None:
         """Note that the upstream has sent the whole answer."""
         self.is_received = True
+        self.caller_intake.end_run(self.holding)
         self._report_received()
 
     def given_up_error(self) -> errors.GatewayError:
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -238,9 +238,15 @@
     async def _run_request(
         self, request: web.Request, parsed: requests.Request
     ) -> web.StreamResponse:
-        """Run a parsed request in a child task and return the response that was sent."""
-        request[HELD].request_id = parsed.id
-        memory = answer_memory.AnswerMemory(self.caller_intake, request[HELD])
+        """Run a parsed request in a child task and return the response that was sent.
+
+        Raises:
+            errors.GatewayError: When too many requests run.
+        """
+        held = request[HELD]
+        held.request_id = parsed.id
+        self.caller_intake.begin_run(held)
+        memory = answer_memory.AnswerMemory(self.caller_intake, held)
         request.protocol.begin_answer(memory)
         sink = http_sink.HttpSink(
             request, request_id=parsed.id, memory=memory, is_streaming=parsed.stream
--- a/yuccahitch/tasks/front_server.py
+++ b/yuccahitch/tasks/front_server.py
@@ -262,6 +262,10 @@
             new_id=uuid.uuid4().hex,
         )
         held.request_id = parsed.id
+        try:
+            self.caller_intake.begin_run(held)
+        except errors.GatewayError as error:
+            return await self._refuse_unparsed(request, error)
         return await self._run_request(request, parsed, held)
 
     def _limits(self) -> publication.CallerLimits:
--- a/yuccahitch/tasks/intake.py
+++ b/yuccahitch/tasks/intake.py
@@ -27,6 +27,7 @@
 # Answers that wait for memory and try again when a request has ended.
 WOKEN_ANSWERS = 8
 STEP = "intake"
+SHORT_OF_MEMORY = "there is no memory for the body at present"
 
 # Closes the connection that a holding belongs to.
 Abort = typing.Callable[[], None]
@@ -73,6 +74,8 @@
         turns: Lets connections parse in turns.
         connections: The open connections, the oldest first.
         max_connections: How many may be open.
+        runs: What is held for the requests that run at upstreams, the oldest first.
+        max_runs: How many may run.
         closed: Number of holdings and connections that were closed, by metric labels.
     """
 
@@ -89,6 +92,8 @@
         "turns",
         "connections",
         "max_connections",
+        "runs",
+        "max_runs",
         "closed",
     )
 
@@ -99,6 +104,8 @@
         self.log = log
         self.budget = budget.Budget(limits.budget_bytes)
         self.max_connections = limits.max_connections
+        self.max_runs = limits.max_runs
+        self.runs: dict[holdings.Holding, None] = {}
         self.aborts: dict[holdings.Holding, Abort] = {}
         self.waiters: collections.deque[asyncio.Future[None]] = collections.deque()
         self.answers: dict[holdings.Holding, Answer] = {}
@@ -125,6 +132,7 @@
         """Give back what a holding takes, and let uploads and answers that wait go on."""
         self.budget.close(holding)
         self.aborts.pop(holding, None)
+        self.end_run(holding)
         answer = self.answers.pop(holding, None)
         if answer is not None:
             self.answers_lagging.pop(answer, None)
@@ -154,7 +162,7 @@
             victim = self.budget.victim(holding, count, now) if holding.is_open else None
             if victim is None:
                 return False
-            self._give_up(victim)
+            self._give_up(victim, "memory")
         return True
 
     def try_take_for_answer(self, holding: holdings.Holding, count: int) -> bool:
@@ -167,9 +175,26 @@
             victim = self.budget.victim_for_answer(holding, count, self.time.now())
             if victim is None:
                 return False
-            self._give_up(victim)
+            self._give_up(victim, "memory")
         return True
 
+    def begin_run(self, holding: holdings.Holding) -> None:
+        """Count a request as running; one too many ends an answer that is not read, or is refused.
+
+        Raises:
+            errors.GatewayError: When too many requests run.
+        """
+        while len(self.runs) >= self.max_runs:
+            victim = self.budget.victim_for_run(holding, self.runs, self.time.now())
+            if victim is None:
+                raise _overload_error("too many requests run at present")
+            self._give_up(victim, "runs")
+        self.runs[holding] = None
+
+    def end_run(self, holding: holdings.Holding) -> None:
+        """Note that the upstream is done with a request; nothing happens if that is known."""
+        self.runs.pop(holding, None)
+
     def begin_lag(self, answer: Answer) -> None:
         """Note that an answer waits for its caller, and look at what the caller reads."""
         answer.holding.begin_lag(self.time.now())
@@ -199,7 +224,7 @@
             errors.GatewayError: When there is no memory for them.
         """
         if not self.try_take(holding, count):
-            raise self._short_error()
+            raise _overload_error(SHORT_OF_MEMORY)
 
     async def take(self, holding: holdings.Holding, count: int) -> None:
         """Add bytes to a holding, waiting for memory if needed, once for a time in all.
@@ -212,7 +237,7 @@
                 holding.waits_until = self.time.now() + WAIT_LIMIT_S
             left_s = holding.waits_until - self.time.now()
             if left_s <= 0 or not holding.is_open:
-                raise self._short_error()
+                raise _overload_error(SHORT_OF_MEMORY)
             await self._wait(holding, left_s)
 
     async def take_running(self, holding: holdings.Holding, size: int) -> None:
@@ -239,13 +264,13 @@
         """Record that a connection was closed because of the head it sent."""
         self._count("head", "head")
 
-    def _give_up(self, holding: holdings.Holding) -> None:
-        """Close the connection of a holding, and count its memory as free."""
+    def _give_up(self, holding: holdings.Holding, short_of: str) -> None:
+        """Close the connection of a holding, and count what it takes as free."""
         abort = self.aborts[holding]
         kind = "upload" if holding.is_incoming else "answer"
         waited_s = round(self.time.now() - holding.progressed_at, 3)
         self._count(
-            kind, "memory", held=holding.size, waited_s=waited_s, request=holding.request_id
+            kind, short_of, held=holding.size, waited_s=waited_s, request=holding.request_id
         )
         if holding in self.answers:
             self.answers[holding].was_given_up = True
@@ -292,11 +317,12 @@
         while self.waiters:
             _complete(self.waiters.popleft())
 
-    def _short_error(self) -> errors.GatewayError:
-        detail = "there is no memory for the body at present"
-        return errors.GatewayError(
-            errors.Code.OVERLOADED, step=STEP, detail=detail, retry_after=RETRY_AFTER_S
-        )
+
+def _overload_error(detail: str) -> errors.GatewayError:
+    """Return the error of a request that is refused for want of something."""
+    return errors.GatewayError(
+        errors.Code.OVERLOADED, step=STEP, detail=detail, retry_after=RETRY_AFTER_S
+    )
 
 
 def _complete(waiter: asyncio.Future[None]) -> None:
--- a/yuccahitch/tasks/peer_server.py
+++ b/yuccahitch/tasks/peer_server.py
@@ -229,6 +229,7 @@
             )
             try:
                 self.caller_intake.take_at_once(held, len(request.body) * FORWARDED_COPIES)
+                self.caller_intake.begin_run(held)
             except errors.GatewayError as error:
                 await sink.refuse(error, "")
                 return
--- a/yuccahitch/tasks/process.py
+++ b/yuccahitch/tasks/process.py
@@ -85,6 +85,8 @@
             time=self.time,
             log=self.log,
         )
+        # Requests in the queue hold no connection to an upstream.
+        self.caller_intake.max_runs += settings.policy.queue_requests
         self.children = mailbox.ChildTasks()
         rng = random.Random(os.urandom(16))
         self.upstreams = upstream_client.UpstreamClient(
