Count the bodies of requests that run on without their callers

Cause: a request with a key runs on when its caller goes, so that a repeat gets its answer, but what was held for it was given back as the connection closed.

Change: the body and the run count until the request has ended (`Intake.outlast`).

--- a/tests/features/hostile_callers.feature
+++ b/tests/features/hostile_callers.feature
@@ -53,3 +53,12 @@
       | 500   | silent connections                |
       | 100   | uploads in chunks of one byte     |
       | 100   | uploads with long trailers        |
+
+  # Guards against an instance that runs out of memory (LOST), as requests with keys run on.
+  Scenario: A crowd on the own interface that leaves requests with keys behind
+    Given instances muscat-a-1 of the own interface, on machines with 160 MB and 1000 descriptors
+    And only upstreams of muscat-a, with 500 places and answers of 3000 bytes
+    And plain upstreams that answer after 60 seconds
+    When 48 callers send it uploads with keys and leave, 10 times
+    Then it lives within the memory and descriptors of its machine
+    And a chat is answered with 200
--- a/tests/features/steps/hostile_callers.py
+++ b/tests/features/steps/hostile_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 
 import aiohttp
 import behave
@@ -19,7 +20,7 @@
 
 PLATFORM_INSTANCES = ("edge-east-1", "edge-west-1")
 EXAMPLE, EXAMPLE_INSTANCE = "ice-works", "muscat-a-1"
-EXAMPLE_MODEL = "ice-model"
+EXAMPLE_MODEL, EXAMPLE_PLAIN = "ice-model", "rink-desk"
 
 
 @behave.given(
@@ -73,19 +74,42 @@
     platform_calls.run(context, watched_crowds.send_watched(context, crowd, kind, count))
 
 
-@behave.when("{count:d} callers send it {kind} and stay")
-def step_send_to_example(context, count, kind):
+@behave.given("plain upstreams that answer after {delay_s:d} seconds")
+def step_delay_plain(context, delay_s):
+    items = json.loads((context.example.folder / "resources.json").read_text())
+    upstreams = [item["spec"] for item in items if item["kind"] == "upstream"]
+    for spec in upstreams:
+        if spec["service"] == EXAMPLE_PLAIN:
+            platform_calls.run(
+                context, context.example.set_faults(spec["address"], delay_s=delay_s)
+            )
+
+
+def _crowd_at_example(context):
+    """Return a crowd that sends to the plain service of the own interface."""
     section = context.example.settings[EXAMPLE_INSTANCE]["instance"]
-    headers = hostile_callers.own_headers(watched_crowds.EXAMPLE_ACCOUNT)
-    crowd = hostile_callers.Crowd(
+    return hostile_callers.Crowd(
         section["listen"],
         int(section["caller_port"]),
-        path="/v1/services/rink-desk/x",
-        headers=headers,
+        path=f"/v1/services/{EXAMPLE_PLAIN}/x",
+        headers=hostile_callers.own_headers(watched_crowds.EXAMPLE_ACCOUNT),
     )
+
+
+@behave.when("{count:d} callers send it {kind} and stay")
+def step_send_to_example(context, count, kind):
+    crowd = _crowd_at_example(context)
     platform_calls.run(context, watched_crowds.send_watched(context, crowd, kind, count))
 
 
+@behave.when("{count:d} callers send it {kind} and leave, {times:d} times")
+def step_send_and_leave(context, count, kind, times):
+    crowd = _crowd_at_example(context)
+    for _ in range(times):
+        send = watched_crowds.send_watched(context, crowd, kind, count, send=crowd.send_and_leave)
+        platform_calls.run(context, send)
+
+
 @behave.then("it lives within the memory and descriptors of its machine")
 @behave.then("{names} live within the memory and descriptors of their machines")
 def step_check_usage(context, names=""):
--- a/tests/features/steps/intake.py
+++ b/tests/features/steps/intake.py
@@ -10,6 +10,7 @@
 from yuccahitch import errors
 
 LARGE_BUDGET_BYTES = 60_000_000
+BODY_BYTES = 5000
 
 
 @behave.given("a budget of {limit:d} bytes")
@@ -85,6 +86,7 @@
     context.intake.intake.max_runs = 2
     for address in ("a", "b"):
         assert context.intake.answer(address, 60_000, now=now)
+        context.intake.extend(address, BODY_BYTES, now=now)
         context.intake.run(address, now=now)
     context.intake.let_wait("a", now=now)
 
@@ -95,6 +97,32 @@
     step_ask_for_run(context, now)
 
 
+@behave.when("b goes away, its request runs on, and d asks for a run at {now:g} seconds")
+def step_go_away(context, now):
+    async def leave():
+        context.ended = asyncio.Event()
+        context.task = asyncio.ensure_future(context.ended.wait())
+        context.intake.leave("b", context.task)
+
+    context.held = context.intake.held("b")
+    platform_calls.run(context, leave())
+    step_ask_for_run(context, now)
+
+
+@behave.then("what the request of b took is given back when it ends")
+def step_check_rest(context):
+    async def end():
+        context.ended.set()
+        await context.task
+        await asyncio.sleep(0)
+
+    budget = context.intake.intake.budget
+    held = budget.held
+    platform_calls.run(context, end())
+    assert held - budget.held == context.held > 0, (held, budget.held, context.held)
+    assert len(context.intake.intake.runs) == 1, context.intake.intake.runs
+
+
 @behave.when("d asks for a run at {now:g} seconds")
 def step_ask_for_run(context, now):
     context.granted = False
--- a/tests/hostile_callers.py
+++ b/tests/hostile_callers.py
@@ -15,6 +15,7 @@
 HEADER_LINE_BYTES = 60_000
 HEADER_LINES = 100
 REQUESTS_AHEAD = 30
+KEYED_BODY_BYTES = 1_048_576
 # Bodies in chunks of one byte, and how many of these go out in a write.
 TINY_CHUNKS = 200_000
 TINY_CHUNKS_PER_WRITE = 4096
@@ -24,6 +25,8 @@
 MANY_CONNECTIONS = 2000
 # Time for which a caller tries to send, in seconds.
 SEND_LIMIT_S = 20.0
+# Time after which what a caller has sent has come, in seconds.
+ARRIVAL_S = 0.5
 
 
 class Crowd:
@@ -54,10 +57,17 @@
         """Send as a number of callers of one kind at once; return when none gets further."""
         await asyncio.gather(*[self._send_one(SENDERS[kind]) for _ in range(count)])
 
+    async def send_and_leave(self, kind, count):
+        """Send as a number of callers of one kind, and close the connections soon after."""
+        await self.send(kind, count)
+        await asyncio.sleep(ARRIVAL_S)
+        await self.close()
+
     async def close(self):
         """Close all connections."""
         for writer in self.writers:
             writer.close()
+        self.writers.clear()
 
     def head(self, *lines):
         """Return the head of a POST request with further header lines."""
@@ -117,6 +127,13 @@
     yield from body_pieces(MAX_BODY_BYTES)
 
 
+def keyed_upload(crowd):
+    """Yield a complete request with an idempotency key of its own."""
+    key = f"Idempotency-Key: {builders.uuid7()}"
+    yield crowd.head(f"Content-Length: {KEYED_BODY_BYTES}", key) + b"\r\n"
+    yield from body_pieces(KEYED_BODY_BYTES)
+
+
 def requests_ahead(crowd):
     """Yield many complete requests, without reading an answer."""
     for _ in range(REQUESTS_AHEAD):
@@ -147,6 +164,7 @@
     "uploads in chunks of one byte": tiny_chunks,
     "uploads with long trailers": long_trailers,
     "whole uploads": whole_upload,
+    "uploads with keys": keyed_upload,
     "rows of requests sent ahead": requests_ahead,
     "heads without an end": endless_head,
     "silent connections": silence,
--- a/tests/watched_crowds.py
+++ b/tests/watched_crowds.py
@@ -16,8 +16,8 @@
 SETTLE_S = 3.0
 
 
-async def send_watched(context, crowd, kind, count):
-    """Send as a crowd, and sample the processes meanwhile."""
+async def send_watched(context, crowd, kind, count, *, send=None):
+    """Send as a crowd, or in the way of ``send``, and sample the processes meanwhile."""
     context.crowds = [*getattr(context, "crowds", []), crowd]
     context.closers.append(crowd.close)
     if not hasattr(context, "usages"):
@@ -25,7 +25,7 @@
             name: process_usage.Usage(process.pid) for name, process in context.processes.items()
         }
     watchers = [asyncio.ensure_future(usage.watch()) for usage in context.usages.values()]
-    await crowd.send(kind, count)
+    await (send or crowd.send)(kind, count)
     await asyncio.gather(*[usage.settle() for usage in context.usages.values()])
     for watcher in watchers:
         watcher.cancel()
--- a/yuccahitch/controllers/intake/budget.py
+++ b/yuccahitch/controllers/intake/budget.py
@@ -68,6 +68,10 @@
         holding.record_moved(count, now)
         return True
 
+    def move(self, count: int, holding: holdings.Holding) -> None:
+        """Add bytes to a holding that another one, just closed, has had."""
+        self._add(holding, count)
+
     def take_for_answer(self, holding: holdings.Holding, count: int) -> bool:
         """Add bytes of an answer to a holding if there is memory for them; return whether.
 
--- a/yuccahitch/tasks/caller_server.py
+++ b/yuccahitch/tasks/caller_server.py
@@ -261,7 +261,9 @@
             # The caller disconnected. A request with an idempotency key runs on, so that its
             # answer is recorded for a repeat.
             request_runner.caller_connected = False
-            if not parsed.operation_key:
+            if parsed.operation_key:
+                self.caller_intake.outlast(held, task)
+            else:
                 task.cancel()
             raise
         return sink.response
--- a/yuccahitch/tasks/intake.py
+++ b/yuccahitch/tasks/intake.py
@@ -151,6 +151,21 @@
         finally:
             self.close(holding)
 
+    def outlast(self, holding: holdings.Holding, task: asyncio.Task[None]) -> None:
+        """Close a holding whose caller has gone, but hold its body until its request has ended.
+
+        Args:
+            holding: What is held.
+            task: Runs the request.
+        """
+        body_bytes = holding.size - holding.answer_bytes - holding.buffers_bytes
+        self.close(holding)
+        rest = self.open(holding.address, task.cancel)
+        rest.is_incoming = False
+        self.budget.move(body_bytes, rest)
+        self.runs[rest] = None
+        task.add_done_callback(lambda _: self.close(rest))
+
     def try_take(self, holding: holdings.Holding, count: int) -> bool:
         """Add bytes of a head or body to a holding; others are given up for it if need be.
 
