Keep room for answers beside the bodies of requests that run

A request that runs keeps its body until it is answered, and its answer waited for memory. What was given back went to the first bytes of large answers, with 320 KiB for their buffers each.

Change: bodies may take three quarters of the budget, one address three quarters of that. An answer that is no longer small may take half of what is free at that moment, with its buffers, so that small ones find room.

--- a/tests/features/hostile_callers.feature
+++ b/tests/features/hostile_callers.feature
@@ -62,3 +62,11 @@
     When 48 callers send it uploads with keys and leave, 10 times
     Then it lives within the memory and descriptors of its machine
     And a chat is answered with 200
+
+  # Guards against requests that run and wait for each other's memory for their answers (LOST).
+  Scenario: A crowd on the users' platform that leaves large answers to its rows of requests unread
+    Given instances on the platform, on machines with 160 MB and 1000 descriptors
+    And upstreams with 500 places and answers of 1000000 bytes, or 100 events of 30000 bytes
+    When 150 callers from 50 addresses send edge-east-1 rows of requests sent ahead to /book/x and stay
+    Then edge-east-1 and edge-west-1 live within the memory and descriptors of their machines
+    And a request to /status/x at edge-east-1 is answered with 200
--- a/yuccahitch/controllers/intake/budget.py
+++ b/yuccahitch/controllers/intake/budget.py
@@ -10,7 +10,10 @@
 
 from yuccahitch.controllers.intake import holding as holdings
 
-# Part of the budget that one address may take.
+# Part of the budget that heads and bodies may take. Requests that run keep their bodies, so without
+# room for answers they would wait for each other.
+BODIES_PART = 0.75
+# Part of that which one address may take.
 ADDRESS_PART = 0.75
 # Part of the budget that all answers may take, so that bodies find room beside them.
 ANSWERS_PART = 0.75
@@ -19,6 +22,8 @@
 # Part of what is free for answers that each of them may take. However many there are, a new one
 # finds room.
 ANSWER_SHARE = 0.125
+# Part of what is free that an answer may take when it is no longer small, with its buffers.
+GROWTH_SHARE = 0.5
 # What the connections of an answer take when its caller lets it wait, in bytes: the buffers of the
 # system and of the transports, at the caller's and at the upstream's side.
 BUFFERS_BYTES = 327_680
@@ -60,8 +65,8 @@
         A holding that is the only one always gets its bytes: a single request is served.
         """
         address_held = self.held_by_address.get(holding.address, 0)
-        has_room = self.held + count <= self.limit
-        has_share = address_held + count <= self.limit * ADDRESS_PART
+        has_room = not self._is_short(count)
+        has_share = address_held + count <= self.limit * BODIES_PART * ADDRESS_PART
         if not holding.is_open or not (self._is_only(holding) or (has_room and has_share)):
             return False
         self._add(holding, count)
@@ -81,7 +86,7 @@
         free = self._free_for_answers()
         share = free * ANSWER_SHARE if holding.answer_bytes else free
         buffers = self._uncounted_buffers(holding, count)
-        has_room = holding.answer_bytes + count <= share and count + buffers <= free
+        has_room = holding.answer_bytes + count <= share and _fits(count, buffers, free)
         if holding.is_open and not (self._is_only(holding) or has_room):
             return False
         self._add_for_answer(holding, count + buffers)
@@ -110,9 +115,8 @@
         Returns:
             The other holding, or None if there is none.
         """
-        is_short = self.held + count > self.limit
-        bodies = self.held - self.held_for_answers + count
-        may_take_answers = bodies <= self.limit * SURE_PART
+        is_short = self._is_short(count)
+        may_take_answers = self._bodies() + count <= self.limit * SURE_PART
         candidates = [
             item
             for item in self.holdings
@@ -132,9 +136,9 @@
         """
         if asking.answer_bytes or asking.has_slow_caller(now):
             return None
-        needed = count + self._uncounted_buffers(asking, count)
-        is_short = self.held + needed > self.limit
-        has_part = self.held_for_answers + needed > self.limit * SURE_PART
+        buffers = self._uncounted_buffers(asking, count)
+        is_short = not _fits(count, buffers, self.limit - self.held)
+        has_part = self.held_for_answers + count + buffers > self.limit * SURE_PART
         candidates = [
             item
             for item in self.holdings
@@ -172,6 +176,15 @@
         is_small = holding.answer_total + count <= SMALL_ANSWER_BYTES
         return 0 if is_small or holding.buffers_bytes else BUFFERS_BYTES
 
+    def _bodies(self) -> int:
+        """Return the bytes of heads and bodies that are held."""
+        return self.held - self.held_for_answers
+
+    def _is_short(self, count: int) -> bool:
+        """Return whether there is no memory for further bytes of a head or body."""
+        bodies = self._bodies() + count
+        return self.held + count > self.limit or bodies > self.limit * BODIES_PART
+
     def _is_only(self, holding: holdings.Holding) -> bool:
         """Return whether a holding is the only one that takes anything."""
         return self.held == holding.size
@@ -198,6 +211,11 @@
             self.held_by_address.pop(holding.address, None)
 
 
+def _fits(count: int, buffers: int, free: float) -> bool:
+    """Return whether bytes of an answer, and the buffers that it takes with them, find room."""
+    return count + buffers <= (free * GROWTH_SHARE if buffers else free)
+
+
 def _least_worth(
     candidates: list[holdings.Holding], address: str, now: float
 ) -> holdings.Holding | None:
