Let each seed of the soak begin with its own instances

Cause: the instances that a seed with many adds stayed for all later seeds of a run, and a failed trouble was reported without its place.

Change: the small site is noted when the module is loaded; findings have the traceback. Requests of ordinary callers and the plan keep their seeds.

--- a/tests/crowd_soak.py
+++ b/tests/crowd_soak.py
@@ -15,6 +15,7 @@
 import signal
 import sys
 import time
+import traceback
 
 import aiohttp
 
@@ -41,6 +42,7 @@
 CALLER_PAUSE_S = 0.05
 # Every one of LARGE_EVERY seeds runs with many instances in each zone.
 LARGE_EVERY, LARGE_ZONE_SIZE = 10, 40
+INSTANCES = tuple(platform_site.INSTANCE_ZONES)
 ZONES = {"east-a": "edge-east", "west-a": "edge-west"}
 UPLOADS = ("uploads that stop short", "uploads in chunks that stop short", "whole uploads")
 UPLOADS += ("rows of requests sent ahead", "uploads in chunks of one byte")
@@ -93,7 +95,7 @@
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.site = platform_site.Site(run_dir)
-        self.names = list(platform_site.INSTANCE_ZONES)
+        self.names = list(INSTANCES)
         if seed % LARGE_EVERY == 0:
             self.names = add_instances(LARGE_ZONE_SIZE)
         self.away: set[str] = set()
@@ -131,7 +133,11 @@
     async def _end(self, tasks: list[asyncio.Task[None]]) -> None:
         """Wait until tasks have ended; those that fail are findings."""
         results = await asyncio.gather(*tasks, return_exceptions=True)
-        self.findings += [repr(result) for result in results if isinstance(result, Exception)]
+        self.findings += [
+            "".join(traceback.format_exception(result))
+            for result in results
+            if isinstance(result, Exception)
+        ]
 
     def _make_rng(self) -> random.Random:
         return random.Random(self.rng.getrandbits(32))
